Add the design page, the domain types and the store client

Cause: an empty repository. The slices are written side by side, so their messages and types are fixed first. Conclusion: the interfaces are stable enough for work on the slices.

--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,12 @@
+//! teaselhall schedules gang jobs and routes requests on a pool of accelerators that organisations share.
+//!
+//! docs/design.md describes the slices and how they work together; docs/glossary.md maps the words of the code to the
+//! standard terms of the field.
+
+pub mod bundle;
+pub mod id;
+pub mod job;
+pub mod prelude;
+pub mod scheduler;
+pub mod store;
+pub mod wire;
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,43 @@
+//! The client of the platform's table service and object store. See docs/design.md, section 3.
+//!
+//! The traits are at the edge of a process; production code uses [`HttpStore`] and tests use [`MemoryStore`].
+
+mod http;
+mod memory;
+mod message;
+mod writer;
+
+pub use http::HttpStore;
+pub use memory::MemoryStore;
+pub use message::{
+    Commit, Committed, Condition, Error, OperationId, Result, Row, RowVersion, Write,
+};
+pub use writer::{CommitOutcome, Writer};
+
+use std::future::Future;
+
+/// The platform's transactional table.
+pub trait Table: Send + Sync + 'static {
+    /// Reads one row. The answer may be stale.
+    fn read(&self, key: &str) -> impl Future<Output = Result<Option<Row>>> + Send;
+
+    /// Reads all rows whose keys begin with `prefix`, in the order of keys.
+    fn scan(&self, prefix: &str) -> impl Future<Output = Result<Vec<Row>>> + Send;
+
+    /// Applies all writes of a commit if all its conditions hold, or none.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`] if a condition does not hold, [`Error::Unavailable`] if the commit certainly had no effect,
+    /// and [`Error::UnknownResult`] if it may have taken effect or may still do so.
+    fn commit(&self, commit: &Commit) -> impl Future<Output = Result<Committed>> + Send;
+}
+
+/// The platform's object store.
+pub trait ObjectStore: Send + Sync + 'static {
+    /// Writes an object as a whole.
+    fn put(&self, key: &str, content: &[u8]) -> impl Future<Output = Result<()>> + Send;
+
+    /// Reads an object as a whole.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Vec<u8>>>> + Send;
+}
