Add settings, shared process code and the platform stand-in

Cause: every program needs options, logs, metrics, health and dumps, and nothing runs without a table and workers. Change: JSON settings that refuse unknown fields, process options, JSON logs, observe routes, the stand-in's table, object store, workers and endpoints with fault switches, glossary and platform pages. Conclusion: the other slices can run against the stand-in.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,10 @@
 pub mod bundle;
 pub mod id;
 pub mod job;
+pub mod platform;
 pub mod prelude;
+pub mod process;
 pub mod scheduler;
+pub mod settings;
 pub mod store;
 pub mod wire;
--- /dev/null
+++ b/src/platform/endpoint.rs
@@ -0,0 +1,76 @@
+//! An endpoint of the stand-in: it announces itself to the agent beside it and answers requests with their own body.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde_json::json;
+use snafu::ResultExt;
+use tokio::sync::watch;
+use warp::Filter;
+
+use super::{EndpointRun, Platform, wait_for};
+use crate::process::{self, BindSnafu};
+use crate::settings::EndpointSettings;
+
+/// The interval of announcements; an agent that restarts hears the next one.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
+/// The greatest body of a request.
+const BODY_LIMIT_BYTES: u64 = 16 << 20;
+
+/// Starts an endpoint, which serves `POST /run?work_ms=N` until `stopped`.
+pub(super) async fn spawn(
+    settings: &EndpointSettings,
+    platform: &Platform,
+    stopped: watch::Receiver<bool>,
+) -> process::Result<()> {
+    let address = settings.http_address;
+    let listener = tokio::net::TcpListener::bind(address).await.context(BindSnafu { address })?;
+    let (settings_for_run, platform) = (settings.clone(), platform.clone());
+    let body = warp::body::content_length_limit(BODY_LIMIT_BYTES).and(warp::body::bytes());
+    let run = warp::path!("run").and(warp::post()).and(warp::query()).and(body);
+    let run = run.then(move |query: HashMap<String, String>, body: Bytes| {
+        answer(settings_for_run.clone(), platform.clone(), query, body)
+    });
+    tokio::spawn(warp::serve(run).incoming(listener).graceful(wait_for(stopped.clone())).run());
+    tokio::spawn(announce(settings.clone(), stopped));
+    Ok(())
+}
+
+async fn answer(
+    settings: EndpointSettings,
+    platform: Platform,
+    query: HashMap<String, String>,
+    body: Bytes,
+) -> Vec<u8> {
+    let index = {
+        let at_ms = platform.clock.now_ms();
+        let body_hash = blake3::hash(&body).to_hex().to_string();
+        let run = EndpointRun { at_ms, endpoint: settings.id.clone(), body_hash, finished: false };
+        let mut inner = platform.lock();
+        inner.runs.push(run);
+        inner.runs.len() - 1
+    };
+    let work_ms =
+        query.get("work_ms").and_then(|text| text.parse().ok()).unwrap_or(settings.work_ms);
+    tokio::time::sleep(Duration::from_millis(work_ms)).await;
+    platform.lock().runs[index].finished = true;
+    body.to_vec()
+}
+
+async fn announce(settings: EndpointSettings, stopped: watch::Receiver<bool>) {
+    let client = reqwest::Client::new();
+    let url = format!("{}/v1/announce", settings.agent_url.trim_end_matches('/'));
+    let body = json!({
+        "endpoint": settings.id,
+        "url": format!("http://{}/run", settings.http_address),
+        "slots": settings.slots,
+        "connections": settings.connections,
+    });
+    while !*stopped.borrow() {
+        if let Err(error) = client.post(&url).json(&body).send().await {
+            log::debug!(endpoint = settings.id.as_str(); "agent does not answer yet: {error}");
+        }
+        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,97 @@
+//! A stand-in of the platform for development and tests: table, object store, workers and endpoints, with switches for
+//! faults. docs/platform.md describes its HTTP interface.
+
+mod endpoint;
+mod fault;
+mod message;
+mod route;
+#[cfg(test)]
+mod tests;
+mod worker;
+
+pub use fault::{Faults, WorkerFault};
+pub use message::{
+    EndpointRun, LeaseRenewal, StartTask, TaskLease, TaskList, TaskRecord, TaskReport, TaskStart,
+    TaskState,
+};
+pub use worker::WorkerModel;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use crate::prelude::*;
+use crate::process::{self, Clock};
+use crate::settings::PlatformSettings;
+use crate::store::MemoryStore;
+
+/// The state of the stand-in. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    clock: Clock,
+    store: MemoryStore,
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    faults: Faults,
+    random: rand_chacha::ChaCha8Rng,
+    workers: BTreeMap<WorkerId, WorkerModel>,
+    starts: Vec<TaskStart>,
+    runs: Vec<EndpointRun>,
+}
+
+/// The seed of the stand-in's fault decisions.
+const FAULT_SEED: u64 = 7;
+
+impl Platform {
+    /// Creates the stand-in.
+    pub fn new(settings: &PlatformSettings) -> Self {
+        use rand_chacha::rand_core::SeedableRng;
+        let model = |worker: &crate::settings::WorkerSettings| {
+            (worker.id.clone(), WorkerModel::new(worker.shape, settings.usage_lag_ms))
+        };
+        let inner = Inner {
+            faults: Faults::default(),
+            random: rand_chacha::ChaCha8Rng::seed_from_u64(FAULT_SEED),
+            workers: settings.workers.iter().map(model).collect(),
+            starts: Vec::new(),
+            runs: Vec::new(),
+        };
+        Self {
+            clock: Clock::start(),
+            store: MemoryStore::default(),
+            inner: Arc::new(Mutex::new(inner)),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Runs the stand-in until the process is asked to end.
+///
+/// # Errors
+///
+/// [`process::Error::Bind`] if an address cannot be bound.
+pub async fn run(settings: PlatformSettings) -> process::Result<()> {
+    let platform = Platform::new(&settings);
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    for endpoint in &settings.endpoints {
+        endpoint::spawn(endpoint, &platform, stopped.clone()).await?;
+    }
+    let server = tokio::spawn(process::serve(
+        settings.http_address,
+        route::routes(&platform),
+        wait_for(stopped),
+    ));
+    log::info!(address = settings.http_address.to_string(); "platform stand-in listens");
+    process::shutdown_requested().await?;
+    let _ = stop.send(true);
+    server.await.unwrap_or(Ok(()))
+}
+
+async fn wait_for(mut stopped: tokio::sync::watch::Receiver<bool>) {
+    let _ = stopped.wait_for(|stopped| *stopped).await;
+}
--- /dev/null
+++ b/src/process/observe.rs
@@ -0,0 +1,122 @@
+//! The routes by which operators see what a process does, and the HTTP server of a process.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use prometheus::{IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+use serde_json::Value;
+use snafu::ResultExt;
+use warp::http::StatusCode;
+use warp::{Filter, Reply};
+
+use super::{BindSnafu, Result};
+
+/// Whether a process takes new work. Clones share the value.
+#[derive(Clone, Debug, Default)]
+pub struct Readiness(Arc<AtomicBool>);
+
+impl Readiness {
+    /// Sets whether the process takes new work.
+    pub fn set(&self, ready: bool) {
+        self.0.store(ready, Ordering::Release);
+    }
+
+    /// Returns whether the process takes new work.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// The metrics of a process. Clones share the values.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    events: IntCounterVec,
+    states: IntGaugeVec,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let events = Opts::new("teaselhall_events_total", "Events by slice and name.");
+        let events = IntCounterVec::new(events, &["slice", "event"])
+            .expect("the metric's name and labels are valid");
+        let states = Opts::new("teaselhall_state", "Current values by slice and name.");
+        let states = IntGaugeVec::new(states, &["slice", "value"])
+            .expect("the metric's name and labels are valid");
+        registry.register(Box::new(events.clone())).expect("the registry is empty");
+        registry
+            .register(Box::new(states.clone()))
+            .expect("the registry has no metric of this name");
+        Self { registry, events, states }
+    }
+}
+
+impl Metrics {
+    /// Counts an event of a slice.
+    pub fn count(&self, slice: &str, event: &str) {
+        self.count_many(slice, event, 1);
+    }
+
+    /// Counts several events of a slice.
+    pub fn count_many(&self, slice: &str, event: &str, events: u64) {
+        self.events.with_label_values(&[slice, event]).inc_by(events);
+    }
+
+    /// Sets a current value of a slice.
+    pub fn set(&self, slice: &str, value: &str, current: i64) {
+        self.states.with_label_values(&[slice, value]).set(current);
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    pub fn encode(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
+
+/// Serves `/healthz`, `/readyz`, `/metrics` and `/dump`; `dump` returns the state of the process.
+pub fn observe_routes<D, Fut>(
+    readiness: &Readiness,
+    metrics: &Metrics,
+    dump: D,
+) -> impl Filter<Extract = (impl Reply + use<D, Fut>,), Error = warp::Rejection> + Clone + use<D, Fut>
+where
+    D: Fn() -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Value> + Send + 'static,
+{
+    let health = warp::path!("healthz").map(|| "ok\n".into_response());
+    let readiness = readiness.clone();
+    let ready = warp::path!("readyz").map(move || ready_reply(readiness.get()));
+    let metrics = metrics.clone();
+    let metrics = warp::path!("metrics").map(move || metrics.encode().into_response());
+    let dump = warp::path!("dump").and_then(move || {
+        let state = dump();
+        async move { Ok::<_, Infallible>(warp::reply::json(&state.await).into_response()) }
+    });
+    warp::get().and(health.or(ready).unify().or(metrics).unify().or(dump).unify())
+}
+
+fn ready_reply(ready: bool) -> warp::reply::Response {
+    if ready {
+        return "ready\n".into_response();
+    }
+    warp::reply::with_status("not ready\n", StatusCode::SERVICE_UNAVAILABLE).into_response()
+}
+
+/// Serves routes on an address until `shutdown` completes and all requests in flight are answered.
+///
+/// # Errors
+///
+/// [`super::Error::Bind`] if the address cannot be bound.
+pub async fn serve<F, S>(address: SocketAddr, routes: F, shutdown: S) -> Result<()>
+where
+    F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
+    F::Extract: Reply,
+    S: Future<Output = ()> + Send + 'static,
+{
+    let listener = tokio::net::TcpListener::bind(address).await.context(BindSnafu { address })?;
+    warp::serve(routes).incoming(listener).graceful(shutdown).run().await;
+    Ok(())
+}
