Add authenticated frames and TCP connections

TCP frames carry length, version, payload and a BLAKE3 keyed tag of 16 bytes over the frame, its direction and its sequence number, under a key that both nonces of the connection determine. Replayed, reordered, reflected and moved frames therefore have a bad tag. The handshake has fixed sizes, so an unauthenticated peer cannot fill a buffer.

UDP datagrams carry version, incarnation, sequence and a tag of 8 bytes: with 16 bytes the answer to a heartbeat would exceed its budget of 30 bytes. Each sender has a replay window of 128 datagrams.

Incarnations must be random numbers, since the replay windows are kept by incarnation.

--- /dev/null
+++ b/src/wire/codec.rs
@@ -0,0 +1,320 @@
+//! Frames of TCP connections: length, version, payload and keyed tag.
+//!
+//! ```text
+//! length: u32 big endian | version: u8 | payload: postcard | tag: 16 bytes
+//! ```
+//!
+//! `length` counts everything after itself. The tag covers length, version, payload, and the direction and sequence
+//! number of the frame on its connection, under a key that both nonces of the connection determine. A frame that is
+//! replayed, reordered, reflected or moved to another connection therefore has a bad tag.
+
+use bytes::{Buf, BufMut, BytesMut};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu, ensure};
+
+/// The version of the protocol between the processes; both sides must have the same.
+pub const PROTOCOL_VERSION: u8 = 1;
+/// The size of a frame's tag.
+pub const TAG_BYTES: usize = 16;
+/// The size of a connection's nonce.
+pub const NONCE_BYTES: usize = 32;
+/// The default for the largest frame: a request body of 1 MiB, or a signed bundle, and its envelope.
+pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
+
+const LENGTH_BYTES: usize = 4;
+const VERSION_BYTES: usize = 1;
+
+/// Why bytes are not a frame, or a value does not fit one.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum FrameError {
+    /// The bytes end within a frame.
+    #[snafu(display("frame is truncated: {missing_bytes} or more bytes are missing"))]
+    Truncated {
+        /// The number of bytes that are missing at least.
+        missing_bytes: usize,
+    },
+    /// The frame is longer than the limit.
+    #[snafu(display("frame of {size_bytes} bytes is over the limit of {limit_bytes} bytes"))]
+    Oversized {
+        /// The size of the frame.
+        size_bytes: usize,
+        /// The limit.
+        limit_bytes: usize,
+    },
+    /// The other side speaks another version of the protocol.
+    #[snafu(display(
+        "protocol version {version} is unknown; this process speaks {PROTOCOL_VERSION}"
+    ))]
+    UnknownVersion {
+        /// The version of the frame.
+        version: u8,
+    },
+    /// The frame was made with another key, altered, replayed or reordered.
+    #[snafu(display("authentication tag of a frame is wrong"))]
+    BadTag,
+    /// The datagram was received before, or is too old to tell.
+    #[snafu(display("datagram {sequence} was replayed or is too old"))]
+    Replayed {
+        /// The sequence number.
+        sequence: u64,
+    },
+    /// The payload is not the expected message.
+    #[snafu(display("payload of a frame is malformed: {source}"))]
+    Malformed {
+        /// What the decoder found.
+        source: postcard::Error,
+    },
+    /// Bytes follow the message in its frame.
+    #[snafu(display("{extra_bytes} bytes follow the message in its frame"))]
+    TrailingBytes {
+        /// How many.
+        extra_bytes: usize,
+    },
+}
+
+/// The result of coding a frame.
+pub type Result<T> = std::result::Result<T, FrameError>;
+
+/// The secret that all processes of one deployment share, from their settings.
+#[derive(Clone, PartialEq, Eq)]
+pub struct FrameKey([u8; 32]);
+
+impl FrameKey {
+    /// Makes a key of its 32 bytes.
+    pub fn new(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the key of one connection, which both nonces determine.
+    #[must_use]
+    pub fn for_connection(&self, initiator: &Nonce, acceptor: &Nonce) -> Self {
+        Self(*self.hash(b"teaselhall connection", &[initiator, acceptor]).as_bytes())
+    }
+
+    /// Returns the proof that a side of a new connection knows the key.
+    pub fn handshake_tag(&self, side: Direction, initiator: &Nonce, acceptor: &Nonce) -> Tag {
+        Tag::of(&self.hash(b"teaselhall handshake", &[&[side as u8], initiator, acceptor]))
+    }
+
+    /// Hashes parts under this key; `purpose` keeps hashes for different uses apart.
+    pub(crate) fn hash(&self, purpose: &[u8], parts: &[&[u8]]) -> blake3::Hash {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        hasher.update(&(purpose.len() as u64).to_be_bytes()).update(purpose);
+        for part in parts {
+            hasher.update(part);
+        }
+        hasher.finalize()
+    }
+}
+
+impl std::fmt::Debug for FrameKey {
+    /// Leaves the secret out, so that it appears in no log.
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("FrameKey(..)")
+    }
+}
+
+/// A random number that makes the key of each connection different.
+pub type Nonce = [u8; NONCE_BYTES];
+
+/// The tag of a frame.
+#[derive(Clone, Copy, Debug)]
+pub struct Tag([u8; TAG_BYTES]);
+
+impl Tag {
+    fn of(hash: &blake3::Hash) -> Self {
+        let mut tag = [0; TAG_BYTES];
+        tag.copy_from_slice(&hash.as_bytes()[..TAG_BYTES]);
+        Self(tag)
+    }
+
+    /// Returns the bytes.
+    pub fn as_bytes(&self) -> &[u8; TAG_BYTES] {
+        &self.0
+    }
+
+    /// Compares with received bytes in constant time, so that the time taken does not tell how many bytes agree.
+    pub fn matches(&self, received: &[u8]) -> bool {
+        same_bytes(&self.0, received)
+    }
+}
+
+/// Compares two byte strings in a time that depends on their length only.
+pub(crate) fn same_bytes(left: &[u8], right: &[u8]) -> bool {
+    let difference = left.iter().zip(right).fold(0, |sum, (l, r)| sum | (l ^ r));
+    left.len() == right.len() && std::hint::black_box(difference) == 0
+}
+
+/// Which side of a connection sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Direction {
+    /// The side that opened the connection.
+    FromInitiator = 1,
+    /// The side that accepted the connection.
+    FromAcceptor = 2,
+}
+
+impl Direction {
+    /// Returns the other direction.
+    #[must_use]
+    pub fn reverse(self) -> Self {
+        match self {
+            Self::FromInitiator => Self::FromAcceptor,
+            Self::FromAcceptor => Self::FromInitiator,
+        }
+    }
+}
+
+/// One direction of a connection, and the number of its next frame.
+#[derive(Debug)]
+struct Channel {
+    key: FrameKey,
+    direction: Direction,
+    sequence: u64,
+    limit_bytes: usize,
+}
+
+impl Channel {
+    /// Computes the tag of the next frame from its length field, version and payload.
+    fn next_tag(&self, covered: &[u8]) -> Tag {
+        let place = [&[self.direction as u8][..], &self.sequence.to_be_bytes()].concat();
+        Tag::of(&self.key.hash(b"teaselhall frame", &[&place, covered]))
+    }
+
+    fn check_size(&self, size_bytes: usize) -> Result<()> {
+        let limit_bytes = self.limit_bytes;
+        ensure!(size_bytes <= limit_bytes, OversizedSnafu { size_bytes, limit_bytes });
+        Ok(())
+    }
+}
+
+/// Encodes the frames of one direction of a connection.
+#[derive(Debug)]
+pub struct FrameEncoder {
+    channel: Channel,
+}
+
+impl FrameEncoder {
+    /// Creates an encoder with a connection's key ([`FrameKey::for_connection`]).
+    pub fn new(key: FrameKey, direction: Direction, limit_bytes: usize) -> Self {
+        Self { channel: Channel { key, direction, sequence: 0, limit_bytes } }
+    }
+
+    /// Appends the frame of a message to `buffer`.
+    ///
+    /// # Errors
+    ///
+    /// [`FrameError::Oversized`] if the message does not fit a frame; `buffer` and the connection stay as they were.
+    pub fn encode<T>(&mut self, message: &T, buffer: &mut BytesMut) -> Result<()>
+    where
+        T: Serialize,
+    {
+        self.encode_payload(&postcard::to_stdvec(message).context(MalformedSnafu)?, buffer)
+    }
+
+    /// Appends a frame without message, which only tells the other side that this one lives.
+    pub fn encode_keep_alive(&mut self, buffer: &mut BytesMut) -> Result<()> {
+        self.encode_payload(&[], buffer)
+    }
+
+    fn encode_payload(&mut self, payload: &[u8], buffer: &mut BytesMut) -> Result<()> {
+        let size_bytes = VERSION_BYTES + payload.len() + TAG_BYTES;
+        self.channel.check_size(size_bytes)?;
+        let start = buffer.len();
+        buffer.reserve(LENGTH_BYTES + size_bytes);
+        buffer.put_u32(size_bytes as u32);
+        buffer.put_u8(PROTOCOL_VERSION);
+        buffer.put_slice(payload);
+        let tag = self.channel.next_tag(&buffer[start..]);
+        buffer.put_slice(tag.as_bytes());
+        self.channel.sequence += 1;
+        Ok(())
+    }
+}
+
+/// Decodes the frames of one direction of a connection.
+#[derive(Debug)]
+pub struct FrameDecoder {
+    channel: Channel,
+    buffer: BytesMut,
+}
+
+impl FrameDecoder {
+    /// Creates a decoder with a connection's key ([`FrameKey::for_connection`]).
+    pub fn new(key: FrameKey, direction: Direction, limit_bytes: usize) -> Self {
+        let channel = Channel { key, direction, sequence: 0, limit_bytes };
+        Self { channel, buffer: BytesMut::new() }
+    }
+
+    /// Returns the buffer to which received bytes are appended.
+    pub fn buffer_mut(&mut self) -> &mut BytesMut {
+        &mut self.buffer
+    }
+
+    /// Takes the next message out of the buffer, or returns `None` if its frame has not arrived in full.
+    ///
+    /// # Errors
+    ///
+    /// Any [`FrameError`] ends the connection, since the frames after a bad one cannot be trusted.
+    pub fn decode<T>(&mut self) -> Result<Option<T>>
+    where
+        T: DeserializeOwned,
+    {
+        while let Some(frame) = self.take_frame()? {
+            let payload = &frame[LENGTH_BYTES + VERSION_BYTES..];
+            if !payload.is_empty() {
+                return decode_payload(payload).map(Some);
+            }
+        }
+        Ok(None)
+    }
+
+    /// Checks that the connection did not end within a frame.
+    pub fn finish(&self) -> Result<()> {
+        let missing_bytes = self.missing_bytes();
+        ensure!(self.buffer.is_empty(), TruncatedSnafu { missing_bytes });
+        Ok(())
+    }
+
+    /// Takes an authentic frame without its tag out of the buffer.
+    fn take_frame(&mut self) -> Result<Option<BytesMut>> {
+        let Some(size_bytes) = self.frame_size() else { return Ok(None) };
+        self.channel.check_size(size_bytes)?;
+        if let Some(&version) = self.buffer.get(LENGTH_BYTES) {
+            ensure!(version == PROTOCOL_VERSION, UnknownVersionSnafu { version });
+        }
+        let missing_bytes = (VERSION_BYTES + TAG_BYTES).saturating_sub(size_bytes);
+        ensure!(missing_bytes == 0, TruncatedSnafu { missing_bytes });
+        if self.buffer.len() < LENGTH_BYTES + size_bytes {
+            return Ok(None);
+        }
+        let mut frame = self.buffer.split_to(LENGTH_BYTES + size_bytes);
+        let tag = frame.split_off(LENGTH_BYTES + size_bytes - TAG_BYTES);
+        ensure!(self.channel.next_tag(&frame).matches(&tag), BadTagSnafu);
+        self.channel.sequence += 1;
+        Ok(Some(frame))
+    }
+
+    fn frame_size(&self) -> Option<usize> {
+        let mut length = self.buffer.get(..LENGTH_BYTES)?;
+        Some(length.get_u32() as usize)
+    }
+
+    fn missing_bytes(&self) -> usize {
+        let expected = LENGTH_BYTES + self.frame_size().unwrap_or(VERSION_BYTES + TAG_BYTES);
+        expected.saturating_sub(self.buffer.len())
+    }
+}
+
+/// Decodes a payload that must be exactly one message.
+pub(crate) fn decode_payload<T>(payload: &[u8]) -> Result<T>
+where
+    T: DeserializeOwned,
+{
+    let (message, rest) = postcard::take_from_bytes(payload).context(MalformedSnafu)?;
+    ensure!(rest.is_empty(), TrailingBytesSnafu { extra_bytes: rest.len() });
+    Ok(message)
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,7 +1,20 @@
 //! Messages between the processes of the system, and their frames. See docs/design.md, section 5.
 
+mod codec;
+mod datagram;
+mod link;
 mod message;
+#[cfg(test)]
+mod tests;
 
+pub use codec::{
+    Direction, FrameDecoder, FrameEncoder, FrameError, FrameKey, MAX_FRAME_BYTES, NONCE_BYTES,
+    Nonce, PROTOCOL_VERSION, TAG_BYTES, Tag,
+};
+pub use datagram::{
+    DATAGRAM_TAG_BYTES, DatagramDecoder, DatagramEncoder, DatagramHeader, MAX_DATAGRAM_BYTES,
+};
+pub use link::{Link, LinkError, LinkReceiver, LinkSender, LinkSettings};
 pub use message::{
     AgentMessage, AnswerChunk, AttemptRequest, EndpointSpec, EntryMessage, GroupSummary,
     LeaderMessage, MemberMessage, NotRunReason, ServiceState,
--- /dev/null
+++ b/src/wire/tests.rs
@@ -0,0 +1,331 @@
+//! Tests of the frames and of TCP connections.
+
+use bytes::BytesMut;
+use proptest::prelude::*;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::*;
+use crate::prelude::*;
+
+const LIMIT_BYTES: usize = 4_096;
+
+fn key() -> FrameKey {
+    FrameKey::new([7; 32]).for_connection(&[1; NONCE_BYTES], &[2; NONCE_BYTES])
+}
+
+fn encoder() -> FrameEncoder {
+    FrameEncoder::new(key(), Direction::FromInitiator, LIMIT_BYTES)
+}
+
+fn decoder(received: &[u8]) -> FrameDecoder {
+    let mut decoder = FrameDecoder::new(key(), Direction::FromInitiator, LIMIT_BYTES);
+    decoder.buffer_mut().extend_from_slice(received);
+    decoder
+}
+
+fn cancel(request: u64) -> EntryMessage {
+    EntryMessage::Cancel { attempt: AttemptId { incarnation: Incarnation(9), request, number: 1 } }
+}
+
+fn frames(requests: &[u64]) -> Vec<Vec<u8>> {
+    let mut encoder = encoder();
+    let encode = |&request: &u64| {
+        let mut buffer = BytesMut::new();
+        encoder.encode(&cancel(request), &mut buffer).unwrap();
+        buffer.to_vec()
+    };
+    requests.iter().map(encode).collect()
+}
+
+/// Guards against frames that are lost or changed on the way, however the stream is cut.
+#[test]
+fn frames_cut_anywhere_are_decoded() {
+    let stream = frames(&[1, 2]).concat();
+
+    for cut in 0..stream.len() {
+        let mut decoder = decoder(&stream[..cut]);
+        let mut decoded: Vec<EntryMessage> = Vec::new();
+        decoded.extend(std::iter::from_fn(|| decoder.decode().unwrap()));
+        decoder.buffer_mut().extend_from_slice(&stream[cut..]);
+        decoded.extend(std::iter::from_fn(|| decoder.decode().unwrap()));
+
+        assert_eq!(decoded, [cancel(1), cancel(2)]);
+        decoder.finish().unwrap();
+    }
+}
+
+/// Guards against a connection that breaks within a frame and looks like an orderly end.
+#[test]
+fn truncated_stream_is_an_error() {
+    let frame = &frames(&[1])[0];
+
+    for cut in 1..frame.len() {
+        let mut decoder = decoder(&frame[..cut]);
+
+        assert!(matches!(decoder.decode::<EntryMessage>(), Ok(None)), "cut at {cut}");
+        assert!(matches!(decoder.finish(), Err(FrameError::Truncated { .. })), "cut at {cut}");
+    }
+}
+
+/// Guards against an attacker who repeats, drops or swaps frames.
+#[test_case(&[0, 0]; "replayed")]
+#[test_case(&[1]; "first one dropped")]
+#[test_case(&[1, 0]; "reordered")]
+fn frame_at_another_place_is_refused(order: &[usize]) {
+    let frames = frames(&[1, 2]);
+    let stream: Vec<u8> = order.iter().flat_map(|&place| frames[place].clone()).collect();
+    let mut decoder = decoder(&stream);
+
+    let error = (0..order.len()).find_map(|_| decoder.decode::<EntryMessage>().err());
+
+    assert!(matches!(error, Some(FrameError::BadTag)));
+}
+
+/// Guards against a frame that is reflected to its sender, or moved to another connection.
+#[test_case(key(), Direction::FromAcceptor; "reflected")]
+#[test_case(FrameKey::new([7; 32]).for_connection(&[1; 32], &[3; 32]), Direction::FromInitiator; "other connection")]
+#[test_case(FrameKey::new([8; 32]), Direction::FromInitiator; "other key")]
+fn frame_of_another_channel_is_refused(key: FrameKey, direction: Direction) {
+    let mut decoder = FrameDecoder::new(key, direction, LIMIT_BYTES);
+    decoder.buffer_mut().extend_from_slice(&frames(&[1])[0]);
+
+    assert!(matches!(decoder.decode::<EntryMessage>(), Err(FrameError::BadTag)));
+}
+
+/// Guards against a peer that makes a process reserve memory for a huge frame.
+#[test]
+fn oversized_frame_is_refused_by_its_length() {
+    let mut decoder = decoder(&u32::MAX.to_be_bytes());
+
+    let error = decoder.decode::<EntryMessage>().unwrap_err();
+
+    assert!(matches!(error, FrameError::Oversized { limit_bytes: LIMIT_BYTES, .. }), "{error}");
+}
+
+/// Guards against an outgoing message that the other side must refuse.
+#[test]
+fn oversized_message_is_not_encoded() {
+    let mut buffer = BytesMut::new();
+    let chunk = AnswerChunk::Data { offset_bytes: 0, bytes: vec![0; LIMIT_BYTES] };
+
+    let error = encoder().encode(&chunk, &mut buffer).unwrap_err();
+
+    assert!(matches!(error, FrameError::Oversized { .. }), "{error}");
+    assert!(buffer.is_empty());
+}
+
+/// Guards against a newer process whose frames would be misread.
+#[test]
+fn unknown_version_is_named() {
+    let mut frame = frames(&[1])[0].clone();
+    frame[4] = 99;
+
+    let error = decoder(&frame).decode::<EntryMessage>().unwrap_err();
+
+    assert!(matches!(error, FrameError::UnknownVersion { version: 99 }), "{error}");
+}
+
+/// Guards against a secret that appears in a log or dump.
+#[test]
+fn key_is_not_shown() {
+    assert_eq!(format!("{:?}", FrameKey::new([7; 32])), "FrameKey(..)");
+}
+
+fn datagrams(count: usize) -> Vec<Vec<u8>> {
+    let mut encoder = DatagramEncoder::new(key(), Incarnation(5));
+    (0..count).map(|_| encoder.encode(&LeaderMessage::Probe).unwrap()).collect()
+}
+
+/// Guards against a replayed datagram, and against a reordered one that is wrongly refused.
+#[test]
+fn datagrams_pass_once_in_any_order() {
+    let datagrams = datagrams(3);
+    let mut decoder = DatagramDecoder::new(key());
+
+    for place in [2, 0, 1] {
+        let (header, message) = decoder.decode::<LeaderMessage>(&datagrams[place]).unwrap();
+        assert_eq!((header.sequence, message), (place as u64 + 1, LeaderMessage::Probe));
+    }
+    for datagram in &datagrams {
+        let error = decoder.decode::<LeaderMessage>(datagram).unwrap_err();
+        assert!(matches!(error, FrameError::Replayed { .. }), "{error}");
+    }
+}
+
+/// Guards against a datagram that is so old that the window cannot tell whether it was received.
+#[test]
+fn datagram_older_than_the_window_is_refused() {
+    let datagrams = datagrams(200);
+    let mut decoder = DatagramDecoder::new(key());
+    decoder.decode::<LeaderMessage>(&datagrams[199]).unwrap();
+
+    assert!(decoder.decode::<LeaderMessage>(&datagrams[199 - 127]).is_ok());
+    let error = decoder.decode::<LeaderMessage>(&datagrams[199 - 128]).unwrap_err();
+
+    assert!(matches!(error, FrameError::Replayed { .. }), "{error}");
+}
+
+/// Guards against datagrams that the network would fragment, and against a truncated one.
+#[test]
+fn datagram_sizes_are_checked() {
+    let mut encoder = DatagramEncoder::new(key(), Incarnation(5));
+    let mut decoder = DatagramDecoder::new(key());
+
+    let oversized = encoder.encode(&vec![0u8; MAX_DATAGRAM_BYTES]).unwrap_err();
+    let received = decoder.decode::<Vec<u8>>(&[PROTOCOL_VERSION; MAX_DATAGRAM_BYTES + 1]);
+    let truncated = decoder.decode::<Vec<u8>>(&[PROTOCOL_VERSION; 3]).unwrap_err();
+
+    assert!(matches!(oversized, FrameError::Oversized { .. }), "{oversized}");
+    assert!(matches!(received, Err(FrameError::Oversized { .. })));
+    assert!(matches!(truncated, FrameError::Truncated { missing_bytes: 6 }), "{truncated}");
+}
+
+/// Guards against an answer to a heartbeat over its budget of 30 bytes (docs/design.md, section 3).
+#[test]
+fn heartbeat_answer_fits_its_budget() {
+    let mut encoder = DatagramEncoder::new(key(), Incarnation(u64::MAX));
+
+    let answer =
+        LeaderMessage::HeartbeatAck { sequence: 10_000, lease_ms: 6_000, permit_ms: 2_000 };
+
+    assert!(encoder.encode(&answer).unwrap().len() <= 30);
+}
+
+proptest! {
+    /// Guards against a decoder that panics on hostile bytes.
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
+        let mut stream = decoder(&bytes);
+        prop_assert!(stream.decode::<AgentMessage>().map_or(true, |message| message.is_none()));
+        prop_assert!(DatagramDecoder::new(key()).decode::<MemberMessage>(&bytes).is_err());
+        let _ = codec::decode_payload::<AgentMessage>(&bytes);
+        let _ = codec::decode_payload::<EntryMessage>(&bytes);
+        let _ = codec::decode_payload::<MemberMessage>(&bytes);
+        let _ = codec::decode_payload::<LeaderMessage>(&bytes);
+    }
+
+    /// Guards against an altered bit that goes unnoticed.
+    #[test]
+    fn altered_bit_is_refused(place in 0usize..1_000, bit in 0u8..8) {
+        let mut frame = frames(&[1])[0].clone();
+        let place = place % frame.len();
+        frame[place] ^= 1 << bit;
+        let mut datagram = datagrams(1)[0].clone();
+        let datagram_place = place % datagram.len();
+        datagram[datagram_place] ^= 1 << bit;
+
+        prop_assert!(!matches!(decoder(&frame).decode::<EntryMessage>(), Ok(Some(_))));
+        prop_assert!(DatagramDecoder::new(key()).decode::<LeaderMessage>(&datagram).is_err());
+    }
+}
+
+type AgentLink = Link<AgentMessage, EntryMessage>;
+type EntryLink = Link<EntryMessage, AgentMessage>;
+
+fn settings(key: u8) -> LinkSettings {
+    LinkSettings::new(FrameKey::new([key; 32]))
+}
+
+async fn sockets() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (near, far) = tokio::join!(TcpStream::connect(address), listener.accept());
+    (near.unwrap(), far.unwrap().0)
+}
+
+async fn links(agent: &LinkSettings, entry: &LinkSettings) -> (AgentLink, EntryLink) {
+    let (near, far) = sockets().await;
+    let (agent, entry) =
+        tokio::join!(AgentLink::connect(near, agent), EntryLink::accept(far, entry));
+    (agent.unwrap(), entry.unwrap())
+}
+
+/// Guards against messages that are lost, reordered or mixed up on a healthy connection.
+#[tokio::test]
+async fn messages_cross_in_both_directions() {
+    let (mut agent, mut entry) = links(&settings(1), &settings(1)).await;
+
+    for request in 0..100 {
+        entry.sender.send(cancel(request)).await.unwrap();
+    }
+    agent.sender.send(AgentMessage::Drain).await.unwrap();
+
+    for request in 0..100 {
+        assert_eq!(agent.receiver.receive().await.unwrap(), Some(cancel(request)));
+    }
+    assert_eq!(entry.receiver.receive().await.unwrap(), Some(AgentMessage::Drain));
+    drop(agent);
+    assert_eq!(entry.receiver.receive().await.unwrap(), None);
+}
+
+/// Guards against a process with another key, which must get no message through.
+#[tokio::test]
+async fn wrong_key_fails_the_handshake() {
+    let (near, far) = sockets().await;
+    let (near_settings, far_settings) = (settings(1), settings(2));
+
+    let (agent, entry) = tokio::join!(
+        AgentLink::connect(near, &near_settings),
+        EntryLink::accept(far, &far_settings)
+    );
+
+    assert!(matches!(agent, Err(LinkError::Frame { source: FrameError::BadTag })));
+    assert!(entry.is_err());
+}
+
+/// Guards against a peer that connects and says nothing, which would hold a socket for ever.
+#[tokio::test]
+async fn silent_peer_is_dropped() {
+    let mut short = settings(1);
+    short.idle_ms = 50;
+    let (_silent, far) = sockets().await;
+
+    let handshake = EntryLink::accept(far, &short).await;
+
+    assert!(matches!(handshake, Err(LinkError::Idle { idle_ms: 50 })));
+}
+
+/// Guards against a stopped process whose connection stays open, and against an idle but live one being dropped.
+#[tokio::test]
+async fn keep_alives_hold_an_idle_connection() {
+    let mut short = settings(1);
+    short.idle_ms = 300;
+    let (agent, mut entry) = links(&settings(1), &short).await;
+
+    let stopped = entry.receiver.receive().await;
+    drop(agent);
+    let (mut agent, _entry) = links(&short, &short).await;
+    let alive =
+        tokio::time::timeout(std::time::Duration::from_secs(1), agent.receiver.receive()).await;
+
+    assert!(matches!(stopped, Err(LinkError::Idle { .. })), "{stopped:?}");
+    assert!(alive.is_err(), "connection with keep-alives ended: {alive:?}");
+}
+
+/// Guards against a queue that grows while the other side does not read.
+#[tokio::test]
+async fn queue_to_a_slow_peer_is_bounded() {
+    let mut small = settings(1);
+    small.queue_messages = 2;
+    let (agent, _entry) = links(&small, &settings(1)).await;
+
+    let full = (0..3).find_map(|_| agent.sender.try_send(AgentMessage::Drain).err());
+
+    assert!(matches!(full, Some(LinkError::QueueFull)), "{full:?}");
+}
+
+/// Guards against a process of another version that would be misunderstood.
+#[tokio::test]
+async fn other_version_fails_the_handshake() {
+    let (mut near, far) = sockets().await;
+    near.write_all(&[PROTOCOL_VERSION + 1; 1 + NONCE_BYTES]).await.unwrap();
+
+    let error = EntryLink::accept(far, &settings(1)).await.unwrap_err();
+
+    assert!(matches!(error, LinkError::Frame { source: FrameError::UnknownVersion { .. } }));
+    let mut rest = Vec::new();
+    let _ = near.read_to_end(&mut rest).await;
+    assert!(rest.is_empty(), "nothing is said to an unknown version");
+}
