Add the directory of groups and the intake of jobs

Cause: an entry must route jobs to leaders it hears from, and accept jobs durably. Change: pure directory (summaries, delivery until confirmed, follows new leaders), intake with one commit for both rows of a job; a job's id comes from its idempotency key, so no row for the key is needed. A cancellation changes the job's row, so an intent decided before it fails.

--- /dev/null
+++ b/src/directory/mod.rs
@@ -0,0 +1,266 @@
+//! The entry's view of the capacity groups: their leaders, their free capacity, and the jobs on their way to them.
+//!
+//! An entry keeps nothing that it cannot learn again: leaders repeat their summaries, and find jobs whose message was
+//! lost by scanning the table. See docs/design.md, section 3.
+
+mod message;
+#[cfg(test)]
+mod tests;
+
+pub use message::{ConnectionId, Input, Output};
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+
+use crate::bundle::{Bundle, Group};
+use crate::prelude::*;
+use crate::wire::{GroupSummary, ServiceState};
+
+/// A summary that is older does not count any more. Leaders send one every second.
+const SUMMARY_LIFETIME_MS: u64 = 5_000;
+/// The interval at which a job is sent again until its leader confirms it.
+const RESEND_MS: u64 = 1_000;
+/// The time after which a job is left to the leader's scan of the table.
+const GIVE_UP_MS: u64 = 15_000;
+
+/// The groups of the bundle in force, with what their leaders last reported.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Directory {
+    groups: BTreeMap<GroupId, GroupEntry>,
+    out: BTreeMap<DataCentreId, ServiceState>,
+    deliveries: BTreeMap<JobId, Delivery>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct GroupEntry {
+    group: Group,
+    /// Accelerators of one worker, which no task may exceed.
+    worker_accelerators: u32,
+    lead: Option<Lead>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Lead {
+    connection: ConnectionId,
+    summary: GroupSummary,
+    heard_at_ms: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Delivery {
+    job: JobSpec,
+    group: GroupId,
+    first_sent_at_ms: u64,
+    sent_at_ms: u64,
+}
+
+impl Directory {
+    /// Applies an input and returns what must be done.
+    pub fn handle(&mut self, now_ms: u64, input: &Input) -> Vec<Output> {
+        match input {
+            Input::Bundle { bundle } => self.apply_bundle(bundle),
+            Input::Service { data_centre, state } => {
+                self.out.insert(data_centre.clone(), *state);
+                Vec::new()
+            }
+            Input::Lead { connection, summary } => self.note_leader(now_ms, *connection, summary),
+            Input::ConnectionLost { connection } => self.forget_connection(*connection),
+            Input::Deliver { job, group } => self.deliver(now_ms, job, group),
+            Input::JobAccepted { job } => {
+                self.deliveries.remove(job);
+                Vec::new()
+            }
+            Input::Cancel { jobs } => self.cancel(jobs),
+            Input::Tick => self.resend(now_ms),
+        }
+    }
+
+    /// Returns the group that should get a job, or why no group can ever run it.
+    ///
+    /// The better of two random groups that could start the job now is taken, so that entries with the same view do
+    /// not all choose the same group. If none could, the choice is among all groups that could hold it when empty.
+    ///
+    /// # Errors
+    ///
+    /// A sentence for the caller if the job fits no group of the bundle in force.
+    pub fn choose<R>(&self, now_ms: u64, job: &JobSpec, random: &mut R) -> Result<GroupId, String>
+    where
+        R: Rng,
+    {
+        let fitting: Vec<&GroupEntry> =
+            self.groups.values().filter(|entry| entry.can_hold(job)).collect();
+        if fitting.is_empty() {
+            return Err(format!(
+                "no data centre has {} x {} accelerators with adjacency {}",
+                job.tasks, job.task.accelerators, job.adjacency
+            ));
+        }
+        let in_service: Vec<&GroupEntry> =
+            fitting.iter().copied().filter(|entry| !self.is_out(entry)).collect();
+        let candidates = if in_service.is_empty() { fitting } else { in_service };
+        let led: Vec<&GroupEntry> =
+            candidates.iter().copied().filter(|entry| entry.is_led(now_ms)).collect();
+        let candidates = if led.is_empty() { candidates } else { led };
+        let ready: Vec<&GroupEntry> =
+            candidates.iter().copied().filter(|entry| entry.has_room(job)).collect();
+        let candidates = if ready.is_empty() { candidates } else { ready };
+        Ok(better_of_two(&candidates, random).group.id.clone())
+    }
+
+    /// Returns the summaries that still count, for the dump and the list of groups.
+    pub fn summaries(&self, now_ms: u64) -> Vec<GroupSummary> {
+        let led = self.groups.values().filter(|entry| entry.is_led(now_ms));
+        led.filter_map(|entry| entry.lead.as_ref().map(|lead| lead.summary.clone())).collect()
+    }
+
+    /// Returns whether the bundle in force has a group.
+    pub fn knows(&self, group: &GroupId) -> bool {
+        self.groups.contains_key(group)
+    }
+
+    fn is_out(&self, entry: &GroupEntry) -> bool {
+        self.out.get(&entry.group.data_centre) == Some(&ServiceState::Out)
+    }
+
+    fn apply_bundle(&mut self, bundle: &Bundle) -> Vec<Output> {
+        let mut groups = BTreeMap::new();
+        for group in bundle.groups() {
+            let data_centre = bundle.data_centres.iter().find(|d| d.id == group.data_centre);
+            let worker_accelerators = data_centre.map_or(0, |d| d.worker.accelerators);
+            let lead = self.groups.remove(&group.id).and_then(|entry| entry.lead);
+            groups.insert(group.id.clone(), GroupEntry { group, worker_accelerators, lead });
+        }
+        self.groups = groups;
+        Vec::new()
+    }
+
+    /// Takes the summary of the leader with the highest epoch; an earlier leader may not know yet that it lost.
+    fn note_leader(
+        &mut self,
+        now_ms: u64,
+        connection: ConnectionId,
+        summary: &GroupSummary,
+    ) -> Vec<Output> {
+        let Some(entry) = self.groups.get_mut(&summary.group) else {
+            return Vec::new();
+        };
+        let known_epoch = entry.lead.as_ref().map_or(Epoch(0), |lead| lead.summary.epoch);
+        if summary.epoch < known_epoch {
+            return Vec::new();
+        }
+        let is_new = entry.lead.as_ref().is_none_or(|lead| lead.connection != connection);
+        entry.lead = Some(Lead { connection, summary: summary.clone(), heard_at_ms: now_ms });
+        if !is_new {
+            return Vec::new();
+        }
+        let waiting =
+            self.deliveries.values_mut().filter(|delivery| delivery.group == summary.group);
+        waiting.map(|delivery| delivery.send(now_ms, connection)).collect()
+    }
+
+    fn forget_connection(&mut self, connection: ConnectionId) -> Vec<Output> {
+        for entry in self.groups.values_mut() {
+            entry.lead.take_if(|lead| lead.connection == connection);
+        }
+        Vec::new()
+    }
+
+    fn deliver(&mut self, now_ms: u64, job: &JobSpec, group: &GroupId) -> Vec<Output> {
+        let mut delivery = Delivery {
+            job: job.clone(),
+            group: group.clone(),
+            first_sent_at_ms: now_ms,
+            sent_at_ms: now_ms,
+        };
+        let output = self.connection_of(group).map(|connection| delivery.send(now_ms, connection));
+        self.deliveries.insert(job.id.clone(), delivery);
+        output.into_iter().collect()
+    }
+
+    fn connection_of(&self, group: &GroupId) -> Option<ConnectionId> {
+        self.groups.get(group)?.lead.as_ref().map(|lead| lead.connection)
+    }
+
+    /// Passes cancellations on to every leader, because a job may have moved to another group since it was accepted.
+    fn cancel(&mut self, jobs: &[JobId]) -> Vec<Output> {
+        self.deliveries.retain(|job, _| !jobs.contains(job));
+        let leads = self.groups.values().filter_map(|entry| entry.lead.as_ref());
+        leads
+            .map(|lead| Output::SendCancel { connection: lead.connection, jobs: jobs.to_vec() })
+            .collect()
+    }
+
+    fn resend(&mut self, now_ms: u64) -> Vec<Output> {
+        self.deliveries.retain(|_, delivery| now_ms < delivery.first_sent_at_ms + GIVE_UP_MS);
+        let mut outputs = Vec::new();
+        for delivery in self.deliveries.values_mut() {
+            let lead = self.groups.get(&delivery.group).and_then(|entry| entry.lead.as_ref());
+            let Some(lead) = lead.filter(|_| now_ms >= delivery.sent_at_ms + RESEND_MS) else {
+                continue;
+            };
+            outputs.push(delivery.send(now_ms, lead.connection));
+        }
+        outputs
+    }
+}
+
+impl Delivery {
+    fn send(&mut self, now_ms: u64, connection: ConnectionId) -> Output {
+        self.sent_at_ms = now_ms;
+        Output::SendJob { connection, job: Box::new(self.job.clone()) }
+    }
+}
+
+impl GroupEntry {
+    /// Returns whether the group could hold the job if it were empty.
+    fn can_hold(&self, job: &JobSpec) -> bool {
+        let per_worker = self.worker_accelerators;
+        if job.task.accelerators > per_worker {
+            return false;
+        }
+        match job.adjacency {
+            Adjacency::Worker => job.accelerators() <= per_worker,
+            Adjacency::Rack | Adjacency::DataCentre => {
+                job.accelerators() <= per_worker * self.group.workers
+            }
+        }
+    }
+
+    fn is_led(&self, now_ms: u64) -> bool {
+        self.lead.as_ref().is_some_and(|lead| now_ms < lead.heard_at_ms + SUMMARY_LIFETIME_MS)
+    }
+
+    fn has_room(&self, job: &JobSpec) -> bool {
+        let Some(lead) = &self.lead else {
+            return false;
+        };
+        let block = match job.adjacency {
+            Adjacency::Worker => lead.summary.largest_worker_block,
+            Adjacency::Rack => lead.summary.largest_rack_block,
+            Adjacency::DataCentre => lead.summary.free_accelerators,
+        };
+        lead.summary.queued_jobs == 0 && job.accelerators() <= block
+    }
+
+    /// Orders groups by load: jobs that wait first, then accelerators in use.
+    fn load(&self) -> (u32, u32) {
+        self.lead.as_ref().map_or((u32::MAX, u32::MAX), |lead| {
+            let summary = &lead.summary;
+            (
+                summary.queued_jobs,
+                summary.total_accelerators.saturating_sub(summary.free_accelerators),
+            )
+        })
+    }
+}
+
+fn better_of_two<'a, R>(candidates: &[&'a GroupEntry], random: &mut R) -> &'a GroupEntry
+where
+    R: Rng,
+{
+    let first = candidates[random.random_range(0..candidates.len())];
+    let second = candidates[random.random_range(0..candidates.len())];
+    if second.load() < first.load() { second } else { first }
+}
--- /dev/null
+++ b/src/directory/tests.rs
@@ -0,0 +1,134 @@
+//! Guards against jobs that are lost between an entry and a leader, and against routes to groups that cannot run them.
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use serde_json::json;
+
+use super::{ConnectionId, Directory, Input, Output};
+use crate::bundle::Bundle;
+use crate::prelude::*;
+use crate::wire::{GroupSummary, ServiceState};
+
+const OLD: ConnectionId = ConnectionId(1);
+const NEW: ConnectionId = ConnectionId(2);
+
+fn bundle() -> Box<Bundle> {
+    let worker = json!({"cores": 32, "memory_mb": 131_072, "accelerators": 8});
+    let data_centre = |id: &str, workers: u32| json!({"id": id, "region": "r", "worker": worker, "racks": [{"id": format!("{id}-r1"), "workers": workers}]});
+    let bundle = json!({
+        "version": 1,
+        "data_centres": [data_centre("a", 4), data_centre("b", 2)],
+        "organisations": [],
+        "kinds": [],
+        "policy": {
+            "group_workers": 128, "reclaim_checkpoint_ms": 1, "reclaim_stop_ms": 1, "reservation_age_ms": 1,
+            "return_ramp_ms": 1, "retry_budget_per_mille": 1, "queue_limit_urgent": 1, "queue_limit_normal": 1,
+            "queue_limit_batch": 1,
+            "weights": {"completion_per_mille": 1, "fragmentation_per_mille": 1, "work_done_per_mille": 1},
+        },
+    });
+    serde_json::from_value(bundle).expect("the bundle is valid")
+}
+
+fn job(tasks: u32, adjacency: Adjacency) -> JobSpec {
+    JobSpec {
+        id: JobId::from("j"),
+        organisation: OrganisationId::from("o"),
+        kind: KindId::from("k"),
+        tasks,
+        task: TaskSpec { cores: 1, memory_mb: 1, accelerators: 8 },
+        adjacency,
+        declared_run_ms: 1,
+        repeat: Repeat::Allowed,
+        can_checkpoint: false,
+    }
+}
+
+fn summary(group: &str, epoch: u64, free_accelerators: u32) -> GroupSummary {
+    GroupSummary {
+        group: GroupId::from(group),
+        epoch: Epoch(epoch),
+        total_accelerators: 32,
+        free_accelerators,
+        largest_worker_block: free_accelerators.min(8),
+        largest_rack_block: free_accelerators,
+        queued_jobs: 0,
+    }
+}
+
+fn directory() -> Directory {
+    let mut directory = Directory::default();
+    directory.handle(0, &Input::Bundle { bundle: bundle() });
+    directory
+}
+
+fn lead(
+    directory: &mut Directory,
+    now_ms: u64,
+    connection: ConnectionId,
+    summary: GroupSummary,
+) -> Vec<Output> {
+    directory.handle(now_ms, &Input::Lead { connection, summary })
+}
+
+fn choose(directory: &Directory, now_ms: u64, job: &JobSpec) -> Result<GroupId, String> {
+    directory.choose(now_ms, job, &mut ChaCha8Rng::seed_from_u64(1))
+}
+
+#[test]
+fn job_goes_only_to_a_group_that_can_hold_it() {
+    let directory = directory();
+
+    assert_eq!(choose(&directory, 0, &job(3, Adjacency::Rack)), Ok(GroupId::from("a.0")));
+    assert!(choose(&directory, 0, &job(2, Adjacency::Worker)).is_err());
+    assert!(choose(&directory, 0, &job(5, Adjacency::DataCentre)).is_err());
+}
+
+#[test]
+fn job_prefers_a_led_group_with_room_in_service() {
+    let mut directory = directory();
+    lead(&mut directory, 0, OLD, summary("a.0", 1, 8));
+    lead(&mut directory, 0, NEW, summary("b.0", 1, 16));
+
+    let with_room = choose(&directory, 0, &job(2, Adjacency::Rack));
+    directory.handle(
+        0,
+        &Input::Service { data_centre: DataCentreId::from("b"), state: ServiceState::Out },
+    );
+    let in_service = choose(&directory, 0, &job(2, Adjacency::Rack));
+
+    assert_eq!(with_room, Ok(GroupId::from("b.0")));
+    assert_eq!(in_service, Ok(GroupId::from("a.0")));
+}
+
+#[test]
+fn job_is_sent_again_until_its_leader_confirms_it() {
+    let mut directory = directory();
+    lead(&mut directory, 0, OLD, summary("a.0", 1, 32));
+    let deliver =
+        Input::Deliver { job: Box::new(job(1, Adjacency::Worker)), group: GroupId::from("a.0") };
+
+    let first = directory.handle(10, &deliver);
+    let early = directory.handle(20, &Input::Tick);
+    let again = directory.handle(1_010, &Input::Tick);
+    directory.handle(1_020, &Input::JobAccepted { job: JobId::from("j") });
+    let after = directory.handle(3_000, &Input::Tick);
+
+    assert_eq!((first.len(), early.len(), again.len(), after.len()), (1, 0, 1, 0));
+}
+
+#[test]
+fn job_follows_the_group_to_its_new_leader() {
+    let mut directory = directory();
+    lead(&mut directory, 0, OLD, summary("a.0", 1, 32));
+    let deliver =
+        Input::Deliver { job: Box::new(job(1, Adjacency::Worker)), group: GroupId::from("a.0") };
+    directory.handle(10, &deliver);
+
+    let outputs = lead(&mut directory, 20, NEW, summary("a.0", 2, 32));
+    let stale = lead(&mut directory, 30, OLD, summary("a.0", 1, 32));
+
+    assert!(matches!(outputs.as_slice(), [Output::SendJob { connection: NEW, .. }]), "{outputs:?}");
+    assert_eq!(stale, Vec::new());
+    assert_eq!(directory.summaries(30)[0].epoch, Epoch(2));
+}
--- a/src/job.rs
+++ b/src/job.rs
@@ -163,6 +163,39 @@
     pub group: GroupId,
     /// Where it stands.
     pub state: JobState,
+    /// Progress that the last checkpoint saved, in milliseconds of run time.
+    #[serde(default)]
+    pub saved_ms: u64,
+    /// The number of attempts whose start was durable.
+    #[serde(default)]
+    pub attempts: u32,
+    /// Whether a caller asked to cancel the job. The request changes the row's version, so a start that the leader
+    /// decided before cannot become durable after it.
+    #[serde(default)]
+    pub cancel_requested: bool,
+}
+
+/// The row that lists a job under its group until the job ends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GroupJobRow {
+    /// Whether a caller asked to cancel the job, so that the leader's scan finds it without reading each job.
+    pub cancel_requested: bool,
+}
+
+/// Returns the key of a job's row.
+pub fn job_key(job: &JobId) -> String {
+    format!("job/{job}")
+}
+
+/// Returns the key of the row that lists a job under its group.
+pub fn group_job_key(group: &GroupId, job: &JobId) -> String {
+    format!("group-job/{group}/{job}")
+}
+
+/// Returns the prefix of the rows that list the jobs of a group.
+pub fn group_job_prefix(group: &GroupId) -> String {
+    format!("group-job/{group}/")
 }
 
 /// What a caller knows of a request or a job at its end.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,9 @@
 //! standard terms of the field.
 
 pub mod bundle;
+pub mod directory;
 pub mod id;
+pub mod intake;
 pub mod job;
 pub mod platform;
 pub mod prelude;
