--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! docs/design.md describes the slices and how they work together; docs/glossary.md maps the words of the code to the
 //! standard terms of the field.
 
+pub mod api;
 pub mod bundle;
 pub mod directory;
 pub mod id;
