--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod api;
 pub mod bundle;
 pub mod directory;
+pub mod entry;
 pub mod id;
 pub mod intake;
 pub mod job;
