Add the agent beside a worker

Workers start whatever they are given, and their leaders can be paused, replaced or cut off.

Messages changed with it: Join has parts because a datagram holds 1,200 bytes, Start carries its own permit because a heartbeat interval may be longer than a permit, Release is answered, NotStarted tells whether tasks can ever have run, and each leader datagram names epoch and incarnation. The job row keeps the number of attempts and the saved run time, which a new leader needs.

--- a/src/job.rs
+++ b/src/job.rs
@@ -163,6 +163,19 @@
     pub group: GroupId,
     /// Where it stands.
     pub state: JobState,
+    /// The number of attempts whose start became durable, so that a later attempt gets a higher number.
+    #[serde(default)]
+    pub attempts: u32,
+    /// The run time that a checkpoint saves, in milliseconds.
+    #[serde(default)]
+    pub saved_ms: u64,
+}
+
+impl JobRow {
+    /// Returns the row of a job that was just accepted.
+    pub fn queued(spec: JobSpec, group: GroupId) -> Self {
+        Self { spec, group, state: JobState::Queued, attempts: 0, saved_ms: 0 }
+    }
 }
 
 /// What a caller knows of a request or a job at its end.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod scheduler;
 pub mod store;
 pub mod wire;
+pub mod worker;
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -243,8 +243,13 @@
         /// The version of the bundle in force at the member.
         bundle: BundleVersion,
     },
-    /// The member's worker and what runs there; repeated until the leader acknowledges the epoch.
+    /// The member's worker and what runs there; repeated until the leader acknowledges the epoch. What runs may need
+    /// several datagrams; the leader acknowledges when it has all parts.
     Join {
+        /// The number of this part, from 0.
+        part: u16,
+        /// The number of parts.
+        parts: u16,
         /// The worker.
         worker: WorkerSpec,
         /// The incarnation of its agent.
@@ -270,6 +275,22 @@
         /// The gang.
         gang: GangId,
     },
+    /// Answers [`LeaderMessage::Release`]: no task of the gang starts from this reservation.
+    Released {
+        /// The worker.
+        worker: WorkerId,
+        /// The gang.
+        gang: GangId,
+    },
+    /// Answers [`LeaderMessage::Start`] and [`LeaderMessage::Stop`]: no task of the gang runs on the worker.
+    NotStarted {
+        /// The worker.
+        worker: WorkerId,
+        /// The gang.
+        gang: GangId,
+        /// Whether it is certain that no task of the gang ever ran on the worker; an agent that restarted cannot know.
+        never_ran: bool,
+    },
     /// A task reached its end; repeated until [`LeaderMessage::EndNoted`].
     TaskEnded {
         /// The worker.
@@ -308,6 +329,19 @@
     },
 }
 
+/// A datagram from a leader to a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeaderDatagram {
+    /// The epoch of the leader.
+    pub epoch: Epoch,
+    /// The incarnation of the member that the leader means, so that a restarted agent refuses what was meant for its
+    /// predecessor.
+    pub incarnation: Incarnation,
+    /// The message.
+    pub message: LeaderMessage,
+}
+
 /// Messages from a leader to a member, by UDP. A member refuses each whose epoch is lower than one it has seen.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -320,6 +354,8 @@
         lease_ms: u32,
         /// The start permit, counted in the same way; zero if starts are not permitted.
         permit_ms: u32,
+        /// Gangs whose lease is not renewed, because a part of them is missing.
+        withheld: Vec<GangId>,
     },
     /// Acknowledges [`MemberMessage::Join`].
     Joined,
@@ -345,6 +381,10 @@
         gang: GangId,
         /// Saved run time to resume from, in milliseconds.
         saved_ms: u64,
+        /// A heartbeat of the member, from whose sending the permit is counted.
+        sequence: u64,
+        /// The start permit in milliseconds; zero if starts are not permitted.
+        permit_ms: u32,
     },
     /// Write a checkpoint and go on running.
     Checkpoint {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,5 +4,5 @@
 
 pub use message::{
     AgentMessage, AnswerChunk, AttemptRequest, EndpointSpec, EntryMessage, GroupSummary,
-    LeaderMessage, MemberMessage, NotRunReason, ServiceState,
+    LeaderDatagram, LeaderMessage, MemberMessage, NotRunReason, ServiceState,
 };
