--- a/src/worker/agent.rs
+++ b/src/worker/agent.rs
@@ -283,7 +283,7 @@
     ) {
         let strays = self.find_strays(tasks);
         let has_strays = !strays.is_empty();
-        if has_strays.is_empty() {
+        if has_strays {
             outputs.push(Output::Call { call: WorkerCall::Stop { tasks: strays } });
         }
         let mut ended = Vec::new();
