--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod settings;
 pub mod store;
 pub mod wire;
+pub mod worker;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -17,5 +17,5 @@
 pub use link::{Link, LinkError, LinkReceiver, LinkSender, LinkSettings};
 pub use message::{
     AgentMessage, AnswerChunk, AttemptRequest, EndpointSpec, EntryMessage, GroupSummary,
-    LeaderMessage, MemberMessage, NotRunReason, ServiceState,
+    LeaderDatagram, LeaderMessage, MemberMessage, NotRunReason, ServiceState,
 };
