--- a/src/bundle/document.rs
+++ b/src/bundle/document.rs
@@ -160,7 +160,7 @@
 }
 
 impl DataCentre {
-    fn groups(&self, group_workers: u32) -> Vec<Group> {
+    pub(super) fn groups(&self, group_workers: u32) -> Vec<Group> {
         let mut groups: Vec<Group> = Vec::new();
         for rack in &self.racks {
             match groups.last_mut() {
