--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod id;
 pub mod job;
 pub mod prelude;
+pub mod replay;
 pub mod scheduler;
 pub mod store;
 pub mod wire;
