--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod platform;
 pub mod prelude;
 pub mod process;
+pub mod replay;
 pub mod scheduler;
 pub mod settings;
 pub mod store;
