Add the request router and the endpoint agent

Router holds requests in bounded queues, chooses among endpoints with free slots, retries under a budget and only when it does no harm, and gives each caller one of three outcomes. EndpointAgent enforces slots, drain, deadline and data centre state. Attempts carry a sequence number of their connection; the agent keeps a window of marks over it, so tombstones and started attempts are never forgotten while a copy can still arrive, in bounded memory.

--- /dev/null
+++ b/src/endpoint/agent.rs
@@ -0,0 +1,328 @@
+//! The state of the agent beside an endpoint.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::message::{AgentInput, AgentOutput, Forward, MAX_CHUNK_BYTES};
+use super::window::{AttemptWindow, Mark};
+use crate::prelude::*;
+use crate::request::{ConnectionId, pairs};
+use crate::wire::{
+    AgentMessage, AnswerChecksum, AnswerChunk, AttemptRequest, EndpointSpec, EntryMessage,
+    NotRunReason, ServiceState,
+};
+
+/// The agent beside one endpoint. It has no clock, thread or socket.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointAgent {
+    endpoint: Option<EndpointSpec>,
+    draining: bool,
+    drain_reported: bool,
+    service: ServiceState,
+    service_version: u64,
+    bundle: BundleVersion,
+    connections: BTreeMap<ConnectionId, Connection>,
+    #[serde(with = "pairs")]
+    running: BTreeMap<AttemptId, Running>,
+}
+
+/// A connection to an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Connection {
+    entry: Incarnation,
+    window: AttemptWindow,
+}
+
+/// An attempt that the endpoint works on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Running {
+    connection: ConnectionId,
+    sequence: u64,
+    deadline_ms: u64,
+    aborted: bool,
+    sent_bytes: u64,
+    checksum: AnswerChecksum,
+}
+
+impl EndpointAgent {
+    /// Creates the agent of an endpoint that has not announced itself.
+    pub fn new() -> Self {
+        Self {
+            endpoint: None,
+            draining: false,
+            drain_reported: false,
+            service: ServiceState::In,
+            service_version: 0,
+            bundle: BundleVersion(0),
+            connections: BTreeMap::new(),
+            running: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the endpoint, if it announced itself.
+    pub fn endpoint(&self) -> Option<&EndpointSpec> {
+        self.endpoint.as_ref()
+    }
+
+    /// Returns whether the endpoint is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Returns the number of requests that the endpoint works on.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Handles one input at a time of the agent's own clock, and returns what is to be done, in order.
+    pub fn handle(&mut self, now_ms: u64, input: AgentInput) -> Vec<AgentOutput> {
+        let mut outputs = Vec::new();
+        match input {
+            AgentInput::Announced(spec) => self.announced(spec, &mut outputs),
+            AgentInput::Drain => self.drain(&mut outputs),
+            AgentInput::Connected { connection, entry } => {
+                self.connected(connection, entry, &mut outputs);
+            }
+            AgentInput::Disconnected { connection } => {
+                self.connections.remove(&connection);
+            }
+            AgentInput::Received { connection, message } => {
+                self.received(now_ms, connection, message, &mut outputs);
+            }
+            AgentInput::Head { attempt, status } => {
+                self.answer(attempt, AnswerChunk::Head { status }, &mut outputs);
+            }
+            AgentInput::Data { attempt, bytes } => self.data(attempt, &bytes, &mut outputs),
+            AgentInput::End { attempt } => self.end(attempt, &mut outputs),
+            AgentInput::Unreachable { attempt } => self.unreachable(attempt, &mut outputs),
+            AgentInput::Failed { attempt, reason } => self.failed(attempt, reason, &mut outputs),
+            AgentInput::Bundle { version } => {
+                self.bundle = self.bundle.max(version);
+                self.confirm_to_all(&mut outputs);
+            }
+            AgentInput::Tick => self.abort_late(now_ms, &mut outputs),
+        }
+        self.report_drained(&mut outputs);
+        outputs
+    }
+
+    fn announced(&mut self, spec: EndpointSpec, outputs: &mut Vec<AgentOutput>) {
+        self.draining = false;
+        self.drain_reported = false;
+        self.send_to_all(&AgentMessage::Announce(spec.clone()), outputs);
+        self.endpoint = Some(spec);
+    }
+
+    fn drain(&mut self, outputs: &mut Vec<AgentOutput>) {
+        self.draining = true;
+        self.send_to_all(&AgentMessage::Drain, outputs);
+    }
+
+    fn report_drained(&mut self, outputs: &mut Vec<AgentOutput>) {
+        if self.draining && self.running.is_empty() && !self.drain_reported {
+            self.drain_reported = true;
+            outputs.push(AgentOutput::Drained);
+        }
+    }
+
+    fn connected(
+        &mut self,
+        connection: ConnectionId,
+        entry: Incarnation,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        self.connections.insert(connection, Connection { entry, window: AttemptWindow::new() });
+        if let Some(spec) = self.endpoint.clone() {
+            outputs.push(AgentOutput::Send { connection, message: AgentMessage::Announce(spec) });
+        }
+        if self.draining {
+            outputs.push(AgentOutput::Send { connection, message: AgentMessage::Drain });
+        }
+    }
+
+    /// Ignores the messages for agents beside workers, and `Config`, whose bundle the process verifies first.
+    fn received(
+        &mut self,
+        now_ms: u64,
+        connection: ConnectionId,
+        message: EntryMessage,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        match message {
+            EntryMessage::Attempt(request) => self.attempt(now_ms, connection, request, outputs),
+            EntryMessage::Cancel { attempt, sequence } => {
+                self.cancel(connection, attempt, sequence, outputs);
+            }
+            EntryMessage::Service { state, version, .. } => {
+                if version > self.service_version {
+                    self.service = state;
+                    self.service_version = version;
+                }
+                let message = self.applied();
+                outputs.push(AgentOutput::Send { connection, message });
+            }
+            EntryMessage::Hello { .. }
+            | EntryMessage::Config { .. }
+            | EntryMessage::Leader { .. }
+            | EntryMessage::SubmitJob { .. }
+            | EntryMessage::CancelJobs { .. } => {}
+        }
+    }
+
+    /// Starts or refuses an attempt. Copies, and attempts of another incarnation of the entry, get no answer, since
+    /// the entry could take it for the answer to the attempt itself.
+    fn attempt(
+        &mut self,
+        now_ms: u64,
+        connection: ConnectionId,
+        request: AttemptRequest,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        let refusal = self.refusal(&request);
+        let Some(open) = self.connections.get_mut(&connection) else { return };
+        let is_new = open.window.get(request.sequence) == Some(Mark::Unseen);
+        let is_running = self.running.contains_key(&request.attempt);
+        if !is_new || is_running || open.entry != request.attempt.incarnation {
+            return;
+        }
+        let attempt = request.attempt;
+        if let Some(reason) = refusal {
+            open.window.set(request.sequence, Mark::NotRun);
+            let message = AgentMessage::NotRun { attempt, reason };
+            outputs.push(AgentOutput::Send { connection, message });
+            return;
+        }
+        open.window.set(request.sequence, Mark::Started);
+        let running = Running {
+            connection,
+            sequence: request.sequence,
+            deadline_ms: now_ms.saturating_add(request.remaining_ms),
+            aborted: false,
+            sent_bytes: 0,
+            checksum: AnswerChecksum::default(),
+        };
+        self.running.insert(attempt, running);
+        let AttemptRequest { organisation, kind, body, .. } = request;
+        outputs.push(AgentOutput::Forward(Forward { attempt, organisation, kind, body }));
+    }
+
+    fn refusal(&self, request: &AttemptRequest) -> Option<NotRunReason> {
+        let Some(spec) = &self.endpoint else { return Some(NotRunReason::EndpointGone) };
+        if self.draining {
+            Some(NotRunReason::Draining)
+        } else if self.service == ServiceState::Out {
+            Some(NotRunReason::DataCentreOut)
+        } else if request.remaining_ms == 0 {
+            Some(NotRunReason::DeadlinePassed)
+        } else if self.running.len() >= spec.slots.min(spec.connections) as usize {
+            Some(NotRunReason::Full)
+        } else {
+            None
+        }
+    }
+
+    /// Answers whether an attempt started, and makes sure that it never will if it did not.
+    fn cancel(
+        &mut self,
+        connection: ConnectionId,
+        attempt: AttemptId,
+        sequence: u64,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        let Some(open) = self.connections.get_mut(&connection) else { return };
+        if open.entry != attempt.incarnation {
+            return;
+        }
+        let message = match open.window.get(sequence) {
+            Some(Mark::Unseen | Mark::NotRun) => {
+                open.window.set(sequence, Mark::NotRun);
+                AgentMessage::Tombstoned { attempt }
+            }
+            // Below the window it is no longer known whether the attempt started.
+            Some(Mark::Started) | None => AgentMessage::AlreadyStarted { attempt },
+        };
+        outputs.push(AgentOutput::Send { connection, message });
+    }
+
+    fn data(&mut self, attempt: AttemptId, bytes: &[u8], outputs: &mut Vec<AgentOutput>) {
+        for part in bytes.chunks(MAX_CHUNK_BYTES) {
+            let Some(running) = self.running.get_mut(&attempt) else { return };
+            let offset_bytes = running.sent_bytes;
+            running.sent_bytes += part.len() as u64;
+            running.checksum = running.checksum.with(part);
+            let chunk = AnswerChunk::Data { offset_bytes, bytes: part.to_vec() };
+            self.answer(attempt, chunk, outputs);
+        }
+    }
+
+    fn answer(&mut self, attempt: AttemptId, chunk: AnswerChunk, outputs: &mut Vec<AgentOutput>) {
+        if let Some(running) = self.running.get(&attempt) {
+            let connection = running.connection;
+            self.send(connection, AgentMessage::Answer { attempt, chunk }, outputs);
+        }
+    }
+
+    fn end(&mut self, attempt: AttemptId, outputs: &mut Vec<AgentOutput>) {
+        let Some(running) = self.running.remove(&attempt) else { return };
+        let Running { connection, sent_bytes: length_bytes, checksum, .. } = running;
+        let chunk = AnswerChunk::End { length_bytes, checksum };
+        self.send(connection, AgentMessage::Answer { attempt, chunk }, outputs);
+    }
+
+    fn unreachable(&mut self, attempt: AttemptId, outputs: &mut Vec<AgentOutput>) {
+        let Some(running) = self.running.remove(&attempt) else { return };
+        let Some(open) = self.connections.get_mut(&running.connection) else { return };
+        open.window.set(running.sequence, Mark::NotRun);
+        let message = AgentMessage::NotRun { attempt, reason: NotRunReason::EndpointGone };
+        outputs.push(AgentOutput::Send { connection: running.connection, message });
+    }
+
+    fn failed(&mut self, attempt: AttemptId, reason: String, outputs: &mut Vec<AgentOutput>) {
+        if let Some(running) = self.running.remove(&attempt) {
+            self.send(running.connection, AgentMessage::Failed { attempt, reason }, outputs);
+        }
+    }
+
+    fn abort_late(&mut self, now_ms: u64, outputs: &mut Vec<AgentOutput>) {
+        for (attempt, running) in &mut self.running {
+            if now_ms >= running.deadline_ms && !running.aborted {
+                running.aborted = true;
+                outputs.push(AgentOutput::Abort { attempt: *attempt });
+            }
+        }
+    }
+
+    fn applied(&self) -> AgentMessage {
+        AgentMessage::Applied { bundle: self.bundle, service_version: self.service_version }
+    }
+
+    fn confirm_to_all(&self, outputs: &mut Vec<AgentOutput>) {
+        self.send_to_all(&self.applied(), outputs);
+    }
+
+    fn send_to_all(&self, message: &AgentMessage, outputs: &mut Vec<AgentOutput>) {
+        for connection in self.connections.keys() {
+            let message = message.clone();
+            outputs.push(AgentOutput::Send { connection: *connection, message });
+        }
+    }
+
+    /// Sends on a connection that may have ended; its entry has then given up the attempt.
+    fn send(
+        &self,
+        connection: ConnectionId,
+        message: AgentMessage,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        if self.connections.contains_key(&connection) {
+            outputs.push(AgentOutput::Send { connection, message });
+        }
+    }
+}
+
+impl Default for EndpointAgent {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,11 @@
 //! standard terms of the field.
 
 pub mod bundle;
+pub mod endpoint;
 pub mod id;
 pub mod job;
 pub mod prelude;
+pub mod request;
 pub mod scheduler;
 pub mod store;
 pub mod wire;
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,20 @@
+//! The way of a request from its entry to an endpoint and back. See docs/design.md, section 3, "Flow of a request".
+
+mod answer;
+mod attempts;
+mod budget;
+mod key;
+mod message;
+pub(crate) mod pairs;
+mod pool;
+mod queue;
+mod router;
+#[cfg(test)]
+mod tests;
+
+pub use key::{KeyPlan, KeyRow, key_of, plan_claim, plan_finish};
+pub use message::{
+    ClaimResult, ConnectionId, KeyClaim, Refusal, RequestEnd, RequestSpec, RouterInput,
+    RouterLimits, RouterOutput, RouterRules,
+};
+pub use router::{Router, RouterSummary};
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -2,6 +2,7 @@
 //!
 //! All durations are remaining times: clocks of different machines are never compared.
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
@@ -41,6 +42,8 @@
 pub struct AttemptRequest {
     /// The name of the attempt.
     pub attempt: AttemptId,
+    /// Rises by one with each attempt on its connection, so that the agent recognises copies.
+    pub sequence: u64,
     /// The organisation that sends the request.
     pub organisation: OrganisationId,
     /// The kind of work.
@@ -52,27 +55,51 @@
 }
 
 /// Why an agent refused an attempt, which then never started.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum NotRunReason {
     /// The endpoint is shutting down.
+    #[display("the endpoint is shutting down")]
     Draining,
     /// All slots are in use.
+    #[display("all slots of the endpoint are in use")]
     Full,
     /// The caller's deadline passed.
+    #[display("the deadline passed")]
     DeadlinePassed,
     /// Operators took the data centre out.
+    #[display("the data centre is out of service")]
     DataCentreOut,
     /// The attempt was cancelled before it arrived.
+    #[display("the attempt was cancelled before it started")]
     Cancelled,
     /// The agent has no endpoint, or the endpoint's connection was refused before anything was sent.
+    #[display("the endpoint is gone")]
     EndpointGone,
 }
 
+/// The checksum of the answer's body so far: a chain of BLAKE3 hashes over the parts, whose state fits a dump.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AnswerChecksum([u8; 32]);
+
+impl AnswerChecksum {
+    /// Returns the checksum after a further part.
+    #[must_use]
+    pub fn with(&self, bytes: &[u8]) -> Self {
+        Self(*blake3::keyed_hash(&self.0, bytes).as_bytes())
+    }
+}
+
 /// A part of an answer. The answer is whole when the last part has arrived and length and checksum agree.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AnswerChunk {
+    /// The begin of the answer.
+    Head {
+        /// The HTTP status that the endpoint gave.
+        status: u16,
+    },
     /// Some bytes, which begin at `offset_bytes` of the body.
     Data {
         /// The position of the first byte.
@@ -82,12 +109,10 @@
     },
     /// The end of the answer.
     End {
-        /// The HTTP status that the endpoint gave.
-        status: u16,
         /// The length of the whole body.
         length_bytes: u64,
-        /// The BLAKE3 hash of the whole body.
-        checksum: [u8; 32],
+        /// The checksum over all data parts.
+        checksum: AnswerChecksum,
     },
 }
 
@@ -190,6 +215,8 @@
     Cancel {
         /// The attempt.
         attempt: AttemptId,
+        /// Its sequence number on this connection.
+        sequence: u64,
     },
     /// A signed bundle, as JSON.
     Config {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -16,6 +16,6 @@
 };
 pub use link::{Link, LinkError, LinkReceiver, LinkSender, LinkSettings};
 pub use message::{
-    AgentMessage, AnswerChunk, AttemptRequest, EndpointSpec, EntryMessage, GroupSummary,
-    LeaderMessage, MemberMessage, NotRunReason, ServiceState,
+    AgentMessage, AnswerChecksum, AnswerChunk, AttemptRequest, EndpointSpec, EntryMessage,
+    GroupSummary, LeaderMessage, MemberMessage, NotRunReason, ServiceState,
 };
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -26,7 +26,8 @@
 }
 
 fn cancel(request: u64) -> EntryMessage {
-    EntryMessage::Cancel { attempt: AttemptId { incarnation: Incarnation(9), request, number: 1 } }
+    let attempt = AttemptId { incarnation: Incarnation(9), request, number: 1 };
+    EntryMessage::Cancel { attempt, sequence: request }
 }
 
 fn frames(requests: &[u64]) -> Vec<Vec<u8>> {
