--- a/src/directory/message.rs
+++ b/src/directory/message.rs
@@ -1,19 +1,12 @@
 //! Inputs and outputs of the entry's directory of groups.
 
-use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::bundle::Bundle;
 use crate::prelude::*;
+use crate::request::ConnectionId;
 use crate::wire::{GroupSummary, ServiceState};
 
-/// Names a connection of an agent to this entry; never used again after the connection is lost.
-#[derive(
-    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct ConnectionId(pub u64);
-
 /// What happens to the directory.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "input")]
--- a/src/entry/groups.rs
+++ b/src/entry/groups.rs
@@ -7,9 +7,10 @@
 use xtra::prelude::*;
 
 use crate::bundle::Bundle;
-use crate::directory::{ConnectionId, Directory, Input, Output};
+use crate::directory::{Directory, Input, Output};
 use crate::prelude::*;
 use crate::process::{Clock, Metrics};
+use crate::request::ConnectionId;
 use crate::wire::{AgentMessage, EntryMessage, GroupSummary, LinkSender, ServiceState};
 
 /// The actor that knows the groups and their leaders.
--- a/src/job.rs
+++ b/src/job.rs
@@ -178,7 +178,14 @@
 impl JobRow {
     /// Returns the row of a job that was just accepted.
     pub fn queued(spec: JobSpec, group: GroupId) -> Self {
-        Self { spec, group, state: JobState::Queued, saved_ms: 0, attempts: 0, cancel_requested: false }
+        Self {
+            spec,
+            group,
+            state: JobState::Queued,
+            saved_ms: 0,
+            attempts: 0,
+            cancel_requested: false,
+        }
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod api;
 pub mod bundle;
 pub mod directory;
+pub mod endpoint;
 pub mod entry;
 pub mod id;
 pub mod intake;
@@ -14,6 +15,7 @@
 pub mod prelude;
 pub mod process;
 pub mod replay;
+pub mod request;
 pub mod scheduler;
 pub mod settings;
 pub mod store;
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -26,7 +26,8 @@
 }
 
 fn cancel(request: u64) -> EntryMessage {
-    EntryMessage::Cancel { attempt: AttemptId { incarnation: Incarnation(9), request, number: 1 } }
+    let attempt = AttemptId { incarnation: Incarnation(9), request, number: 1 };
+    EntryMessage::Cancel { attempt, sequence: request }
 }
 
 fn frames(requests: &[u64]) -> Vec<Vec<u8>> {
@@ -187,8 +188,12 @@
 fn heartbeat_answer_fits_its_budget() {
     let mut encoder = DatagramEncoder::new(key(), Incarnation(u64::MAX));
 
-    let answer =
-        LeaderMessage::HeartbeatAck { sequence: 10_000, lease_ms: 6_000, permit_ms: 2_000 };
+    let answer = LeaderMessage::HeartbeatAck {
+        sequence: 10_000,
+        lease_ms: 6_000,
+        permit_ms: 2_000,
+        withheld: Vec::new(),
+    };
 
     assert!(encoder.encode(&answer).unwrap().len() <= 30);
 }
