--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod process;
 pub mod replay;
 pub mod request;
+pub mod registration;
 pub mod scheduler;
 pub mod settings;
 pub mod store;
