--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,10 +4,15 @@
 //! standard terms of the field.
 
 pub mod bundle;
+pub mod directory;
 pub mod id;
+pub mod intake;
 pub mod job;
+pub mod platform;
 pub mod prelude;
+pub mod process;
 pub mod scheduler;
+pub mod settings;
 pub mod store;
 pub mod wire;
 pub mod worker;
