--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -188,14 +188,28 @@
 fn heartbeat_answer_fits_its_budget() {
     let mut encoder = DatagramEncoder::new(key(), Incarnation(u64::MAX));
 
-    let answer = LeaderMessage::HeartbeatAck {
+    let message = LeaderMessage::HeartbeatAck {
         sequence: 10_000,
         lease_ms: 6_000,
         permit_ms: 2_000,
-        withheld: Vec::new(),
+        withheld: vec![],
     };
+    let answer = LeaderDatagram { epoch: Epoch(100), message };
 
-    assert!(encoder.encode(&answer).unwrap().len() <= 30);
+    assert!(encoder.encode_for(&answer, Incarnation(u64::MAX)).unwrap().len() <= 30);
+}
+
+/// Guards against a restarted agent that accepts what was meant for its predecessor.
+#[test]
+fn datagram_for_another_incarnation_is_refused() {
+    let mut encoder = DatagramEncoder::new(key(), Incarnation(1));
+    let datagram = encoder.encode_for(&7_u32, Incarnation(2)).unwrap();
+
+    let mut decoder = DatagramDecoder::new(key());
+
+    assert!(decoder.decode_for::<u32>(&datagram, Incarnation(3)).is_err());
+    assert!(decoder.decode::<u32>(&datagram).is_err());
+    assert_eq!(decoder.decode_for::<u32>(&datagram, Incarnation(2)).unwrap().1, 7);
 }
 
 proptest! {
