Run gangs whole through reserve, intent, start and end

This first version places gangs on free cells, drives each through its protocol, retries after refusals and adopts gangs at takeover.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,11 @@
 
 pub mod bundle;
 pub mod directory;
+pub mod guarantee;
 pub mod id;
 pub mod intake;
 pub mod job;
+pub mod placement;
 pub mod platform;
 pub mod prelude;
 pub mod process;
--- /dev/null
+++ b/src/scheduler/finish.rs
@@ -0,0 +1,231 @@
+//! How gangs leave their cells: stop, checkpoint, fence, and what becomes of their jobs.
+
+use super::gang::cancelled;
+use super::message::Output;
+use super::state::{LEASE_MS, Scheduler};
+use super::work::{Gang, Leave, ShareState, Stage};
+use crate::placement::{JobKey, WorkerState};
+use crate::prelude::*;
+
+/// The most failures of one job, on whatever workers, before it is given up.
+const MAX_FAILURES: u32 = 8;
+
+impl Scheduler {
+    /// Cancels jobs; those that run are stopped.
+    pub(crate) fn cancel(&mut self, now_ms: u64, jobs: &[JobId], out: &mut Vec<Output>) {
+        for id in jobs {
+            let Some(key) = self.keys.get(id).copied() else { continue };
+            if self.jobs[&key].gang.is_some() {
+                self.leave(now_ms, key, Leave::Cancelled, out);
+                self.finish_if_over(now_ms, key, out);
+            } else {
+                let ran = self.jobs[&key].may_have_run;
+                self.end_job(key, cancelled(ran), out);
+            }
+        }
+    }
+
+    /// Makes a gang leave its cells.
+    pub(crate) fn leave(&mut self, now_ms: u64, key: JobKey, why: Leave, out: &mut Vec<Output>) {
+        match self.gang_mut(key).stage {
+            Stage::Claiming | Stage::Reserving => self.give_up(now_ms, key, why, false, out),
+            Stage::Writing => self.note_leave(key, why),
+            Stage::Stopping => self.note_leave(key, why),
+            Stage::Starting | Stage::Running | Stage::Adopting | Stage::Checkpointing => {
+                self.note_leave(key, why);
+                self.stop(now_ms, key, out);
+            }
+        }
+    }
+
+    /// Keeps the first reason for which a gang leaves, but a failure or a cancellation counts more than a reclaim.
+    fn note_leave(&mut self, key: JobKey, why: Leave) {
+        let gang = self.gang_mut(key);
+        let stronger = match gang.leaves {
+            None => true,
+            Some(Leave::Cancelled) => false,
+            Some(_) => why == Leave::Cancelled,
+        };
+        if stronger {
+            gang.leaves = Some(why);
+        }
+    }
+
+    /// Tells all agents of a gang to stop its tasks.
+    pub(crate) fn stop(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
+        let stop_ms = self.stop_ms();
+        let gang = self.gang_mut(key);
+        gang.stage = Stage::Stopping;
+        gang.deadline_ms = now_ms + stop_ms;
+        let gang = gang.clone();
+        for share in gang.shares.iter().filter(|share| share.state != ShareState::Ended) {
+            out.push(Output::Stop { gang: gang.id.clone(), worker: self.worker_id(share.worker) });
+        }
+    }
+
+    /// Notes a checkpoint, and stops the gang if it wrote its last one.
+    pub(crate) fn checkpointed(
+        &mut self,
+        now_ms: u64,
+        gang: &GangId,
+        worker: &WorkerId,
+        saved_ms: u64,
+        out: &mut Vec<Output>,
+    ) {
+        let (Some(key), Some(worker)) = (self.find(gang), self.pool.position(worker)) else {
+            return;
+        };
+        let current = self.gang_mut(key);
+        let Some(share) = current.share_mut(worker) else { return };
+        share.saved_ms = Some(saved_ms);
+        let saved = current.shares.iter().map(|share| share.saved_ms).min().flatten();
+        let stage = current.stage;
+        if let Some(saved) = saved {
+            let job = self.job_mut(key);
+            job.saved_ms = job.saved_ms.max(saved);
+            if stage == Stage::Checkpointing {
+                self.stop(now_ms, key, out);
+            }
+        }
+    }
+
+    /// Ends the attempt of a gang when no task of it is left.
+    pub(crate) fn finish_if_over(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        let Some(gang) = &job.gang else { return };
+        if !gang.was_told_to_start() || !gang.all_reached(ShareState::Ended) {
+            return;
+        }
+        let gang = gang.clone();
+        self.active.remove(&key);
+        if gang.shares.iter().all(|share| share.has_succeeded()) {
+            self.end_job(key, JobEnd::Succeeded, out);
+            return;
+        }
+        match gang.leaves {
+            Some(Leave::Cancelled) => self.end_job(key, cancelled(gang.ran), out),
+            Some(Leave::Failed(worker)) => self.finish_failed(now_ms, key, &gang, worker, out),
+            why => self.finish_stopped(now_ms, key, &gang, why, out),
+        }
+    }
+
+    fn finish_failed(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        gang: &Gang,
+        worker: u32,
+        out: &mut Vec<Output>,
+    ) {
+        let id = self.worker_id(worker);
+        let job = self.job_mut(key);
+        job.failures += 1;
+        let reason = match (job.repeats(), job.failures >= MAX_FAILURES) {
+            (false, _) => format!("a task failed on worker {id}, and the job may not be repeated"),
+            (true, true) => {
+                format!("the job failed {MAX_FAILURES} times, the last time on worker {id}")
+            }
+            (true, false) => return self.requeue(now_ms, key, gang, out),
+        };
+        self.end_job(key, JobEnd::Failed { reason }, out);
+    }
+
+    fn finish_stopped(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        gang: &Gang,
+        why: Option<Leave>,
+        out: &mut Vec<Output>,
+    ) {
+        if self.jobs[&key].repeats() {
+            return self.requeue(now_ms, key, gang, out);
+        }
+        let cause = match why {
+            Some(Leave::Refused) => "an agent refused to start a task",
+            Some(Leave::Overdue) => "not all tasks started in time",
+            Some(Leave::Partial) => "only a part of the gang was found by a new leader",
+            _ => "a task or its worker was lost",
+        };
+        let reason = format!("{cause}, and the job may not be repeated");
+        let end = match gang.ran {
+            true => JobEnd::Failed { reason },
+            false => JobEnd::NotRun { reason },
+        };
+        self.end_job(key, end, out);
+    }
+
+    fn requeue(&mut self, now_ms: u64, key: JobKey, gang: &Gang, out: &mut Vec<Output>) {
+        let saved_ms = self.jobs[&key].saved_ms;
+        out.push(Output::WriteQueued { gang: gang.id.clone(), saved_ms });
+        self.wait_again(key, now_ms);
+    }
+
+    /// Acts on all deadlines that passed.
+    pub(crate) fn tick(&mut self, now_ms: u64, out: &mut Vec<Output>) {
+        let overdue = |key: &JobKey| {
+            self.jobs[key].gang.as_ref().is_some_and(|gang| gang.deadline_ms <= now_ms)
+        };
+        let late: Vec<JobKey> = self.active.iter().copied().filter(overdue).collect();
+        for key in late {
+            self.overdue(now_ms, key, out);
+        }
+        self.check_strays(now_ms, out);
+        self.dirty = true;
+    }
+
+    fn overdue(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
+        match self.gang_mut(key).stage {
+            Stage::Claiming => self.give_up(now_ms, key, Leave::Overdue, false, out),
+            Stage::Reserving => {
+                self.avoid_silent(now_ms, key);
+                self.give_up(now_ms, key, Leave::Overdue, false, out);
+            }
+            Stage::Writing | Stage::Running => {}
+            Stage::Starting => self.leave(now_ms, key, Leave::Overdue, out),
+            Stage::Adopting => self.leave(now_ms, key, Leave::Partial, out),
+            Stage::Checkpointing => self.stop(now_ms, key, out),
+            Stage::Stopping => self.enforce(now_ms, key, out),
+        }
+        self.finish_if_over(now_ms, key, out);
+    }
+
+    /// Keeps new work away from workers whose agents did not answer a reservation.
+    fn avoid_silent(&mut self, now_ms: u64, key: JobKey) {
+        let gang = self.gang_mut(key).clone();
+        for share in gang.shares.iter().filter(|share| share.state == ShareState::Asked) {
+            self.pool.worker_mut(share.worker).avoid_until_ms = now_ms + LEASE_MS / 5;
+        }
+    }
+
+    /// Fences workers whose agents did not stop a gang in time; one lease later their tasks have certainly ended.
+    fn enforce(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
+        let gang = self.gang_mut(key);
+        gang.deadline_ms = now_ms + LEASE_MS;
+        let gang = gang.clone();
+        for share in gang.shares.iter().filter(|share| share.state != ShareState::Ended) {
+            let worker = share.worker;
+            if self.pool.worker(worker).state == WorkerState::Fenced {
+                self.lose_share(key, worker);
+            } else {
+                self.fence(worker, out);
+            }
+        }
+    }
+
+    /// Takes a worker out of use until its agent announces itself again.
+    pub(crate) fn fence(&mut self, worker: u32, out: &mut Vec<Output>) {
+        self.pool.worker_mut(worker).state = WorkerState::Fenced;
+        out.push(Output::Fence { worker: self.worker_id(worker) });
+    }
+
+    /// Notes that the tasks of a gang on a worker have ended without a report.
+    pub(crate) fn lose_share(&mut self, key: JobKey, worker: u32) {
+        let gang = self.gang_mut(key);
+        gang.ran = true;
+        if let Some(share) = gang.share_mut(worker) {
+            share.ended = u64::MAX >> (64 - share.tasks.len().clamp(1, 64));
+        }
+        self.end_share_if_over(key, worker);
+    }
+}
--- /dev/null
+++ b/src/scheduler/gang.rs
@@ -0,0 +1,395 @@
+//! The steps of a gang from the choice of its cells to its last task: reserve, intent, start, end.
+
+use rand::Rng;
+
+use super::message::{Output, ReserveResult, Share, TaskEnd, WriteResult};
+use super::state::Scheduler;
+use super::work::{Gang, GangShare, Leave, Rights, ShareState, Stage, Wait};
+use crate::placement::{Holding, JobKey, Plan};
+use crate::prelude::*;
+
+/// The time that agents have to answer a reservation; urgent work must start within 2,500 ms even after one retry.
+const RESERVE_MS: u64 = 800;
+/// The time that agents have to start reserved tasks.
+const START_MS: u64 = 5_000;
+/// The time for which a worker gets no new work after its agent refused some.
+const REFUSED_MS: u64 = 1_000;
+/// The time before a job is tried again after an attempt that did not start.
+const RETRY_MS: u64 = 200;
+/// Conflicting intents in a row after which the job's row certainly belongs to somebody else.
+const MAX_CONFLICTS: u32 = 3;
+
+impl Scheduler {
+    /// Accepts a job whose row is durable.
+    pub(crate) fn submit<R>(
+        &mut self,
+        now_ms: u64,
+        spec: &JobSpec,
+        saved_ms: u64,
+        attempts: u32,
+        random: &mut R,
+        out: &mut Vec<Output>,
+    ) where
+        R: Rng,
+    {
+        if self.ended.get(&spec.id).is_some() || self.keys.contains_key(&spec.id) {
+            return;
+        }
+        let refusal = self.refusal(spec);
+        let rights = self.rights(spec).unwrap_or_else(|| self.unruled(spec));
+        let key = self.add_job(now_ms, spec, rights);
+        let job = self.job_mut(key);
+        job.attempts = attempts;
+        job.saved_ms = saved_ms;
+        job.may_have_run = attempts > 0;
+        if let Some(reason) = refusal {
+            let end = match attempts {
+                0 => JobEnd::NotRun { reason },
+                _ => JobEnd::Failed { reason },
+            };
+            self.end_job(key, end, out);
+            return;
+        }
+        self.enter_queue(key);
+        self.try_new(now_ms, key, random, out);
+    }
+
+    /// Returns the rights of work that is submitted before any bundle is known; they are renewed by the bundle.
+    fn unruled(&mut self, spec: &JobSpec) -> Rights {
+        let organisation = self.organisation(&spec.organisation);
+        Rights { organisation, class: Class::Normal, borrows: false, reclaimable: false }
+    }
+
+    /// Starts an attempt on cells that are free.
+    pub(crate) fn begin(&mut self, now_ms: u64, key: JobKey, plan: Plan, out: &mut Vec<Output>) {
+        self.leave_queue(key);
+        let job = self.job_mut(key);
+        let id = job.next_gang();
+        job.attempts += 1;
+        let shares = plan
+            .into_iter()
+            .map(|(worker, tasks)| GangShare::new(worker, tasks, ShareState::Asked))
+            .collect();
+        job.gang = Some(Gang {
+            id,
+            stage: Stage::Reserving,
+            shares,
+            deadline_ms: now_ms + RESERVE_MS,
+            started_ms: now_ms,
+            ran: false,
+            leaves: None,
+            backfill: false,
+        });
+        self.active.insert(key);
+        self.reserve_shares(key, out);
+    }
+
+    /// Holds the cells of a gang and asks the agents for them.
+    pub(crate) fn reserve_shares(&mut self, key: JobKey, out: &mut Vec<Output>) {
+        self.hold_shares(key);
+        let job = &self.jobs[&key];
+        let Some(gang) = &job.gang else { return };
+        for share in &gang.shares {
+            out.push(Output::Reserve {
+                gang: gang.id.clone(),
+                job: Box::new(job.spec.clone()),
+                share: Share {
+                    worker: self.pool.worker(share.worker).spec.id.clone(),
+                    tasks: share.tasks.clone(),
+                },
+            });
+        }
+    }
+
+    /// Holds the cells of all shares that have not ended.
+    pub(crate) fn hold_shares(&mut self, key: JobKey) {
+        let job = &self.jobs[&key];
+        let Some(gang) = &job.gang else { return };
+        let rights = job.rights;
+        let task = job.demand.task;
+        let mut used = 0;
+        for share in gang.shares.iter().filter(|share| share.state != ShareState::Ended) {
+            let tasks = share.tasks.len() as u32;
+            used += tasks * task.accelerators;
+            let holding = Holding {
+                job: key,
+                mask: share.mask(),
+                cores: tasks * task.cores,
+                memory_mb: u64::from(tasks) * task.memory_mb,
+                organisation: rights.organisation,
+                class: rights.class,
+                reclaimable: rights.reclaimable,
+            };
+            self.pool.hold(share.worker, holding);
+        }
+        self.organisations[rights.organisation as usize].used += used;
+    }
+
+    /// Frees the cells of a job on one worker.
+    pub(crate) fn free_share(&mut self, key: JobKey, worker: u32) {
+        let job = &self.jobs[&key];
+        let organisation = job.rights.organisation as usize;
+        let each = job.demand.task.accelerators;
+        let tasks = job
+            .gang
+            .iter()
+            .flat_map(|gang| gang.shares.iter().filter(|share| share.worker == worker))
+            .map(|share| share.tasks.len() as u32)
+            .sum::<u32>();
+        self.pool.release(worker, key);
+        let entry = &mut self.organisations[organisation];
+        entry.used = entry.used.saturating_sub(tasks * each);
+        self.dirty = true;
+    }
+
+    /// Finds the job of a gang, unless the gang is not the job's present attempt.
+    pub(crate) fn find(&self, gang: &GangId) -> Option<JobKey> {
+        let key = *self.keys.get(&gang.job)?;
+        let current = self.jobs.get(&key)?.gang.as_ref()?;
+        (&current.id == gang).then_some(key)
+    }
+
+    pub(crate) fn gang_mut(&mut self, key: JobKey) -> &mut Gang {
+        self.job_mut(key).gang.as_mut().expect("an active job has a gang")
+    }
+
+    /// Notes an agent's answer to a reservation.
+    pub(crate) fn reserved(
+        &mut self,
+        now_ms: u64,
+        gang: &GangId,
+        worker: &WorkerId,
+        result: &ReserveResult,
+        out: &mut Vec<Output>,
+    ) {
+        let (Some(key), Some(worker)) = (self.find(gang), self.pool.position(worker)) else {
+            return;
+        };
+        let current = self.gang_mut(key);
+        let stage = current.stage;
+        let Some(share) = current.share_mut(worker) else { return };
+        match (stage, result) {
+            (Stage::Reserving, ReserveResult::Held) => share.state = ShareState::Held,
+            (Stage::Reserving, ReserveResult::Refused { .. }) => {
+                self.pool.worker_mut(worker).avoid_until_ms = now_ms + REFUSED_MS;
+                self.give_up(now_ms, key, Leave::Refused, false, out);
+                return;
+            }
+            _ => return,
+        }
+        if self.gang_mut(key).all_reached(ShareState::Held) {
+            let current = self.gang_mut(key);
+            current.stage = Stage::Writing;
+            current.deadline_ms = u64::MAX;
+            out.push(Output::WriteIntent { gang: gang.clone() });
+        }
+    }
+
+    /// Notes that the start of a gang is durable, or that it never will be.
+    pub(crate) fn intent_written(
+        &mut self,
+        now_ms: u64,
+        gang: &GangId,
+        result: WriteResult,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(key) = self.find(gang) else { return };
+        if self.gang_mut(key).stage != Stage::Writing {
+            return;
+        }
+        match result {
+            WriteResult::Durable if !self.permitted => {
+                self.give_up(now_ms, key, Leave::DataCentreOut, true, out);
+            }
+            WriteResult::Durable => match self.gang_mut(key).leaves {
+                Some(why) => self.give_up(now_ms, key, why, true, out),
+                None => self.start(now_ms, key, out),
+            },
+            WriteResult::Conflict => self.conflict(now_ms, key, out),
+        }
+    }
+
+    fn start(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
+        let job = self.job_mut(key);
+        job.conflicts = 0;
+        job.may_have_run = true;
+        let saved_ms = job.saved_ms;
+        let gang = self.gang_mut(key);
+        gang.stage = Stage::Starting;
+        gang.deadline_ms = now_ms + START_MS;
+        gang.started_ms = now_ms;
+        for share in &mut gang.shares {
+            share.state = ShareState::Starting;
+        }
+        let gang = gang.clone();
+        for share in &gang.shares {
+            let worker = self.worker_id(share.worker);
+            out.push(Output::Start { gang: gang.id.clone(), worker, saved_ms });
+        }
+    }
+
+    pub(crate) fn worker_id(&self, worker: u32) -> WorkerId {
+        self.pool.worker(worker).spec.id.clone()
+    }
+
+    /// Gives up an attempt whose intent met another writer's change of the job's row.
+    fn conflict(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
+        let why = self.gang_mut(key).leaves.unwrap_or(Leave::Refused);
+        self.job_mut(key).conflicts += 1;
+        if self.jobs[&key].conflicts < MAX_CONFLICTS || why == Leave::Cancelled {
+            self.give_up(now_ms, key, why, false, out);
+            return;
+        }
+        // The row belongs to somebody else, so its end is not ours to write; a scan of the table submits it again.
+        self.release_all(key, out);
+        self.active.remove(&key);
+        if let Some(job) = self.jobs.remove(&key) {
+            self.keys.remove(&job.spec.id);
+        }
+    }
+
+    /// Releases all reservations of a gang that was not told to start.
+    pub(crate) fn release_all(&mut self, key: JobKey, out: &mut Vec<Output>) {
+        let gang = self.gang_mut(key).clone();
+        for share in &gang.shares {
+            self.free_share(key, share.worker);
+            out.push(Output::Release {
+                gang: gang.id.clone(),
+                worker: self.worker_id(share.worker),
+            });
+        }
+    }
+
+    /// Ends an attempt that was not told to start, and decides what becomes of its job.
+    ///
+    /// `durable` says whether the intent was written.
+    pub(crate) fn give_up(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        why: Leave,
+        durable: bool,
+        out: &mut Vec<Output>,
+    ) {
+        self.release_all(key, out);
+        self.active.remove(&key);
+        let job = self.job_mut(key);
+        let gang = job.gang.take().expect("an active job has a gang");
+        let (repeats, ran, saved_ms) = (job.repeats(), job.may_have_run, job.saved_ms);
+        if why == Leave::Cancelled {
+            self.end_job(key, cancelled(ran), out);
+        } else if durable && !repeats {
+            let reason = "the start was given up before any task was started, and the job may not be repeated";
+            self.end_job(key, JobEnd::NotRun { reason: reason.to_owned() }, out);
+        } else {
+            if durable {
+                out.push(Output::WriteQueued { gang: gang.id, saved_ms });
+            }
+            self.wait_again(key, now_ms + RETRY_MS);
+        }
+    }
+
+    /// Puts a job whose attempt is over back into the queue, with its old age.
+    pub(crate) fn wait_again(&mut self, key: JobKey, retry_at_ms: u64) {
+        let job = self.job_mut(key);
+        job.gang = None;
+        job.retry_at_ms = retry_at_ms;
+        job.waits = Wait::Retry;
+        self.active.remove(&key);
+        self.enter_queue(key);
+        self.dirty = true;
+    }
+
+    /// Notes that the tasks of a gang on one worker run.
+    pub(crate) fn started(&mut self, now_ms: u64, gang: &GangId, worker: &WorkerId) {
+        let (Some(key), Some(worker)) = (self.find(gang), self.pool.position(worker)) else {
+            return;
+        };
+        let current = self.gang_mut(key);
+        if !current.was_told_to_start() {
+            return;
+        }
+        current.ran = true;
+        if let Some(share) = current.share_mut(worker)
+            && share.state == ShareState::Starting
+        {
+            share.state = ShareState::Running;
+        }
+        if current.stage == Stage::Starting && current.all_reached(ShareState::Running) {
+            current.stage = Stage::Running;
+            current.deadline_ms = u64::MAX;
+            current.started_ms = now_ms;
+        }
+    }
+
+    /// Notes the end of a task.
+    pub(crate) fn task_ended(
+        &mut self,
+        now_ms: u64,
+        gang: &GangId,
+        worker: &WorkerId,
+        task: u32,
+        end: TaskEnd,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(worker) = self.pool.position(worker) else { return };
+        let Some(key) = self.find(gang) else {
+            self.stray_ended(gang, worker, task);
+            return;
+        };
+        let current = self.gang_mut(key);
+        if !current.was_told_to_start() {
+            current.leaves = current.leaves.or(Some(Leave::Lost));
+            return;
+        }
+        let Some(share) = current.share_mut(worker) else { return };
+        if !share.end_task(task) {
+            return;
+        }
+        if end == TaskEnd::Succeeded
+            && let Some(position) = share.tasks.iter().position(|cell| cell.task == task)
+        {
+            share.succeeded |= 1 << position;
+        }
+        current.ran |= end != TaskEnd::Refused;
+        self.after_task(now_ms, key, worker, end, out);
+    }
+
+    fn after_task(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        worker: u32,
+        end: TaskEnd,
+        out: &mut Vec<Output>,
+    ) {
+        let why = match end {
+            TaskEnd::Succeeded => None,
+            TaskEnd::Failed => Some(Leave::Failed(worker)),
+            TaskEnd::Refused => Some(Leave::Refused),
+            TaskEnd::Stopped | TaskEnd::Lost => Some(Leave::Lost),
+        };
+        self.end_share_if_over(key, worker);
+        if let Some(why) = why {
+            self.leave(now_ms, key, why, out);
+        }
+        self.finish_if_over(now_ms, key, out);
+    }
+
+    /// Frees the cells of a share when all its tasks ended.
+    pub(crate) fn end_share_if_over(&mut self, key: JobKey, worker: u32) {
+        let Some(share) = self.gang_mut(key).share_mut(worker) else { return };
+        if share.is_over() && share.state != ShareState::Ended {
+            share.state = ShareState::Ended;
+            self.free_share(key, worker);
+        }
+    }
+}
+
+/// Returns the end of a job that was cancelled while no gang of it could run.
+pub(crate) fn cancelled(may_have_run: bool) -> JobEnd {
+    match may_have_run {
+        true => JobEnd::Cancelled,
+        false => JobEnd::NotRun { reason: "the job was cancelled before it started".to_owned() },
+    }
+}
--- /dev/null
+++ b/src/scheduler/members.rs
@@ -0,0 +1,269 @@
+//! Workers that come and go, takeover from an earlier leader, and start permits.
+
+use super::message::{Output, RunningShare, WorkerSpec};
+use super::state::{LEASE_MS, Scheduler, Stray};
+use super::work::{Gang, GangShare, Leave, Rights, ShareState, Stage};
+use crate::placement::{Holding, JobKey, WorkerState};
+use crate::prelude::*;
+
+impl Scheduler {
+    /// Notes a worker and what runs there.
+    ///
+    /// The report is complete: a gang that is not in it has no task on the worker.
+    pub(crate) fn worker_up(
+        &mut self,
+        now_ms: u64,
+        spec: &WorkerSpec,
+        running: &[RunningShare],
+        out: &mut Vec<Output>,
+    ) {
+        let worker = self.pool.announce(spec);
+        let entry = self.pool.worker_mut(worker);
+        if entry.state != WorkerState::Quarantined {
+            entry.state = WorkerState::Up;
+        }
+        self.dirty = true;
+        self.drop_unreported(now_ms, worker, running, out);
+        for share in running {
+            self.adopt(now_ms, worker, share, out);
+        }
+    }
+
+    /// Ends the shares on a worker that its agent does not report any more.
+    fn drop_unreported(
+        &mut self,
+        now_ms: u64,
+        worker: u32,
+        running: &[RunningShare],
+        out: &mut Vec<Output>,
+    ) {
+        let reported = |gang: &GangId| running.iter().any(|share| &share.gang == gang);
+        let gone: Vec<usize> = (0..self.strays.len())
+            .filter(|i| self.strays[*i].worker == worker && !reported(&self.strays[*i].gang))
+            .collect();
+        for index in gone.into_iter().rev() {
+            self.drop_stray(index);
+        }
+        for key in self.jobs_on(worker) {
+            let id = self.gang_mut(key).id.clone();
+            if !reported(&id) {
+                self.share_gone(now_ms, key, worker, out);
+            }
+        }
+    }
+
+    /// Returns the jobs whose gangs have a share on a worker that has not ended.
+    fn jobs_on(&self, worker: u32) -> Vec<JobKey> {
+        let on = |gang: &Gang| {
+            gang.shares.iter().any(|s| s.worker == worker && s.state != ShareState::Ended)
+        };
+        self.active
+            .iter()
+            .copied()
+            .filter(|key| self.jobs[key].gang.as_ref().is_some_and(on))
+            .collect()
+    }
+
+    /// Notes that a gang certainly has no task and no reservation on a worker any more.
+    fn share_gone(&mut self, now_ms: u64, key: JobKey, worker: u32, out: &mut Vec<Output>) {
+        if self.gang_mut(key).was_told_to_start() {
+            self.lose_share(key, worker);
+        }
+        self.leave(now_ms, key, Leave::Lost, out);
+        self.finish_if_over(now_ms, key, out);
+    }
+
+    /// Takes up a share that runs on a worker, or stops it if it belongs to no gang.
+    fn adopt(&mut self, now_ms: u64, worker: u32, share: &RunningShare, out: &mut Vec<Output>) {
+        if let Some(key) = self.find(&share.gang) {
+            self.join_gang(now_ms, key, worker, share);
+            return;
+        }
+        let known = self.keys.get(&share.gang.job).copied();
+        let ended = self.ended.get(&share.gang.job).is_some();
+        let newer = known.is_some_and(|key| self.jobs[&key].gang.is_some());
+        if ended || newer {
+            self.stop_stray(now_ms, worker, share, out);
+            return;
+        }
+        let rights = self.rights(&share.job).unwrap_or(Rights {
+            organisation: 0,
+            class: Class::Normal,
+            borrows: false,
+            reclaimable: false,
+        });
+        let key = match known {
+            Some(key) => {
+                self.leave_queue(key);
+                key
+            }
+            None => {
+                let rights =
+                    Rights { organisation: self.organisation(&share.job.organisation), ..rights };
+                self.add_job(now_ms, &share.job, rights)
+            }
+        };
+        let job = self.job_mut(key);
+        job.attempts = job.attempts.max(share.gang.number);
+        job.may_have_run = true;
+        job.gang = Some(Gang {
+            id: share.gang.clone(),
+            stage: Stage::Adopting,
+            shares: Vec::new(),
+            deadline_ms: now_ms + LEASE_MS,
+            started_ms: now_ms,
+            ran: true,
+            leaves: None,
+            backfill: false,
+        });
+        self.active.insert(key);
+        self.join_gang(now_ms, key, worker, share);
+    }
+
+    /// Adds a reported share to the gang that it belongs to.
+    fn join_gang(&mut self, now_ms: u64, key: JobKey, worker: u32, share: &RunningShare) {
+        let job = &self.jobs[&key];
+        let (rights, task, expected) = (job.rights, job.demand.task, job.spec.tasks as usize);
+        let gang = self.gang_mut(key);
+        gang.ran = true;
+        if let Some(known) = gang.share_mut(worker) {
+            if known.state == ShareState::Starting {
+                known.state = ShareState::Running;
+            }
+        } else if gang.stage == Stage::Adopting {
+            gang.shares.push(GangShare::new(worker, share.tasks.clone(), ShareState::Running));
+            let tasks = share.tasks.len() as u32;
+            let mask = share.tasks.iter().fold(0, |all, cell| all | cell.accelerator_mask);
+            self.pool.hold(
+                worker,
+                Holding {
+                    job: key,
+                    mask,
+                    cores: tasks * task.cores,
+                    memory_mb: u64::from(tasks) * task.memory_mb,
+                    organisation: rights.organisation,
+                    class: rights.class,
+                    reclaimable: rights.reclaimable,
+                },
+            );
+            self.organisations[rights.organisation as usize].used += tasks * task.accelerators;
+        }
+        let gang = self.gang_mut(key);
+        let found: usize = gang.shares.iter().map(|share| share.tasks.len()).sum();
+        let whole = gang.stage == Stage::Adopting && found == expected;
+        let started = gang.stage == Stage::Starting && gang.all_reached(ShareState::Running);
+        if whole || started {
+            gang.stage = Stage::Running;
+            gang.deadline_ms = u64::MAX;
+            gang.started_ms = now_ms;
+        }
+    }
+
+    /// Stops tasks that belong to no gang of the scheduler.
+    fn stop_stray(
+        &mut self,
+        now_ms: u64,
+        worker: u32,
+        share: &RunningShare,
+        out: &mut Vec<Output>,
+    ) {
+        out.push(Output::Stop { gang: share.gang.clone(), worker: self.worker_id(worker) });
+        if self.strays.iter().any(|stray| stray.worker == worker && stray.gang == share.gang) {
+            return;
+        }
+        let key = self.new_key();
+        let organisation = self.organisation(&share.job.organisation);
+        let tasks = share.tasks.len() as u32;
+        self.pool.hold(
+            worker,
+            Holding {
+                job: key,
+                mask: share.tasks.iter().fold(0, |all, cell| all | cell.accelerator_mask),
+                cores: tasks * share.job.task.cores,
+                memory_mb: u64::from(tasks) * share.job.task.memory_mb,
+                organisation,
+                class: Class::Batch,
+                reclaimable: true,
+            },
+        );
+        self.strays.push(Stray {
+            key,
+            gang: share.gang.clone(),
+            worker,
+            tasks: share.tasks.clone(),
+            ended: 0,
+            deadline_ms: now_ms + self.stop_ms(),
+        });
+    }
+
+    /// Notes the end of a task that belongs to no gang.
+    pub(crate) fn stray_ended(&mut self, gang: &GangId, worker: u32, task: u32) {
+        let is = |stray: &Stray| stray.worker == worker && &stray.gang == gang;
+        let Some(index) = self.strays.iter().position(is) else { return };
+        let stray = &mut self.strays[index];
+        if let Some(position) = stray.tasks.iter().position(|cell| cell.task == task) {
+            stray.ended |= 1 << position;
+        }
+        if stray.ended.count_ones() as usize == stray.tasks.len() {
+            self.drop_stray(index);
+        }
+    }
+
+    fn drop_stray(&mut self, index: usize) {
+        let stray = self.strays.swap_remove(index);
+        self.pool.release(stray.worker, stray.key);
+        self.dirty = true;
+    }
+
+    /// Fences workers that did not stop stray tasks in time.
+    pub(crate) fn check_strays(&mut self, now_ms: u64, out: &mut Vec<Output>) {
+        for index in (0..self.strays.len()).rev() {
+            if self.strays[index].deadline_ms > now_ms {
+                continue;
+            }
+            let worker = self.strays[index].worker;
+            if self.pool.worker(worker).state == WorkerState::Fenced {
+                self.drop_stray(index);
+            } else {
+                self.strays[index].deadline_ms = now_ms + LEASE_MS;
+                self.fence(worker, out);
+            }
+        }
+    }
+
+    /// Notes that a worker was silent for its lease, so that all its tasks ended.
+    pub(crate) fn worker_lost(&mut self, now_ms: u64, worker: &WorkerId, out: &mut Vec<Output>) {
+        let Some(worker) = self.pool.position(worker) else { return };
+        self.pool.worker_mut(worker).state = WorkerState::Lost;
+        self.drop_unreported(now_ms, worker, &[], out);
+    }
+
+    /// Notes whether gangs may start.
+    pub(crate) fn starts_permitted(
+        &mut self,
+        now_ms: u64,
+        permitted: bool,
+        leaving: bool,
+        out: &mut Vec<Output>,
+    ) {
+        self.permitted = permitted;
+        self.dirty = true;
+        if permitted {
+            return;
+        }
+        let active: Vec<JobKey> = self.active.iter().copied().collect();
+        for key in active {
+            let job = &self.jobs[&key];
+            let moves = job.spec.can_checkpoint && job.repeats();
+            match self.gang_mut(key).stage {
+                Stage::Claiming | Stage::Reserving | Stage::Writing => {
+                    self.leave(now_ms, key, Leave::DataCentreOut, out);
+                }
+                Stage::Starting | Stage::Running | Stage::Adopting if leaving && moves => {
+                    self.vacate(now_ms, key, Leave::DataCentreOut, out);
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -1,8 +1,25 @@
-//! The scheduler of one capacity group: queue, gangs, reclaim and blame. See docs/design.md, section 4.
+//! The scheduler of one capacity group: queue, gangs, reclaim and failure attribution. See docs/design.md, section 4.
 
+mod finish;
+mod gang;
+mod members;
 mod message;
+mod place;
+mod queue;
+mod reclaim;
+mod state;
+mod view;
+mod work;
 
 pub use message::{
     Block, GroupGuarantee, GroupRules, Input, Output, ReserveResult, RunningShare, Share, TICK_MS,
     TaskCell, TaskEnd, WorkerSpec, WriteResult,
 };
+pub use state::{LEASE_MS, Scheduler};
+pub use view::{CapacitySummary, JobView, Violation};
+pub use work::{Stage, Wait};
+
+pub use crate::placement::Policy;
+
+#[cfg(test)]
+mod tests;
