Add the leader lease, the members of a group and the leader's outbox

A group needs one leader whose successor never acts at the same time. The lease counts durations on one clock each, with 1 % for drift; a failed read starts a candidate's wait again, so an outage of the table causes no takeovers; a shutdown releases the row. Candidates order themselves by a hash of group, epoch and name, because they do not know each other.

Members renews leases and permits in answers to heartbeats. A gang that misses a part is not renewed, and its other parts end when a part's lease has lapsed, so the second lease that a leader waits before it declares most of its group lost never keeps a partial gang. A leader past its own lease renews only while more than half of the group follows it, because its successor counts on the leases of the others to lapse.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod id;
 pub mod intake;
 pub mod job;
+pub mod membership;
 pub mod platform;
 pub mod prelude;
 pub mod process;
--- /dev/null
+++ b/src/membership/lease.rs
@@ -0,0 +1,418 @@
+//! The lease by which one agent leads its group.
+//!
+//! Clocks of two machines are never compared. The holder trusts its lease for the lease less 1 % after it sent the
+//! renewal; a candidate waits for the lease plus 1 % after it received a row that then did not change.
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use super::rendezvous::Place;
+use super::{
+    EpochRow, LeaseConfig, LeaseInput, LeaseOutput, LeaseRow, Versioned, epoch_key, lease_key,
+    more_drift,
+};
+use crate::prelude::*;
+use crate::store::{Commit, Condition, OperationId, RowVersion, Write};
+use crate::worker::less_drift;
+
+/// The renewals in one lease, so that two lost ones do not end it.
+const RENEWALS_PER_LEASE: u64 = 3;
+/// The reads of a watching candidate in one lease.
+const READS_PER_LEASE: u64 = 4;
+/// The time after a failed read or commit at which the next is tried.
+const RETRY_MS: u64 = 250;
+
+/// A candidate for, or the holder of, the lease of a group's leader.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeaderLease {
+    config: LeaseConfig,
+    role: Role,
+    /// The lease row as it was read or written last.
+    lease: Versioned<LeaseRow>,
+    epoch: Versioned<EpochRow>,
+    heard_ms: Option<u64>,
+    next_ms: u64,
+    call: Option<Call>,
+}
+
+/// A call of the table that is not answered yet. There is never more than one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "call")]
+enum Call {
+    Read,
+    Claim { sent_ms: u64 },
+    Renew { sent_ms: u64 },
+    Release,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "role")]
+enum Role {
+    /// Another process leads, or none.
+    Candidate {
+        /// Since when the row has been seen unchanged, without a failed read in between.
+        since_ms: Option<u64>,
+        /// When the first claim of an epoch was sent whose result is not known.
+        claim: Option<Claim>,
+    },
+    /// This process leads.
+    Holder { trusted_until_ms: u64 },
+    /// The process shuts down, and gives the lease up when the call under way is answered.
+    Leaving,
+    /// The process gave up.
+    Done,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Claim {
+    epoch: Epoch,
+    sent_ms: u64,
+}
+
+impl LeaderLease {
+    /// Creates a candidate.
+    pub fn new(config: LeaseConfig) -> Self {
+        Self {
+            config,
+            role: Role::Candidate { since_ms: None, claim: None },
+            lease: Versioned::absent(),
+            epoch: Versioned::absent(),
+            heard_ms: None,
+            next_ms: 0,
+            call: None,
+        }
+    }
+
+    /// Handles one input at a time of the process's own monotonic clock.
+    pub fn handle<R>(&mut self, now_ms: u64, input: &LeaseInput, random: &mut R) -> Vec<LeaseOutput>
+    where
+        R: Rng,
+    {
+        let mut outputs = Vec::new();
+        match input {
+            LeaseInput::Read { lease, epoch } => {
+                self.call = None;
+                self.compare(now_ms, lease, epoch, &mut outputs);
+            }
+            LeaseInput::ReadFailed => self.note_failed_read(now_ms),
+            LeaseInput::Durable => self.note_durable(now_ms, random, &mut outputs),
+            LeaseInput::NotDurable => self.note_not_durable(now_ms, &mut outputs),
+            LeaseInput::LeaderHeard => self.heard_ms = Some(now_ms),
+            LeaseInput::Shutdown => self.shut_down(random, &mut outputs),
+            LeaseInput::Tick => {}
+        }
+        self.act(now_ms, random, &mut outputs);
+        outputs
+    }
+
+    /// Returns the epoch in which this process leads, if its lease certainly holds now. Checked before each act.
+    pub fn leads(&self, now_ms: u64) -> Option<Epoch> {
+        match self.role {
+            Role::Holder { trusted_until_ms } if now_ms < trusted_until_ms => self.held_epoch(),
+            _ => None,
+        }
+    }
+
+    /// Returns the epoch in which this process leads, even if its lease may have lapsed.
+    pub fn held_epoch(&self) -> Option<Epoch> {
+        let is_holder = matches!(self.role, Role::Holder { .. });
+        self.epoch.row.as_ref().filter(|_| is_holder).map(|row| row.epoch)
+    }
+
+    /// Returns the epoch and the address of the leader as the table named it last.
+    pub fn known_leader(&self) -> Option<(Epoch, std::net::SocketAddr)> {
+        let row = self.lease.row.as_ref()?;
+        (!row.released).then_some((row.epoch, row.address))
+    }
+
+    fn is_own(&self, row: Option<&LeaseRow>) -> bool {
+        row.is_some_and(|row| {
+            row.holder == self.config.holder
+                && row.incarnation == self.config.incarnation
+                && !row.released
+        })
+    }
+
+    /// Compares what the table holds with what this process believes.
+    fn compare(
+        &mut self,
+        now_ms: u64,
+        lease: &Versioned<LeaseRow>,
+        epoch: &Versioned<EpochRow>,
+        outputs: &mut Vec<LeaseOutput>,
+    ) {
+        // Answers may be stale; a row never goes back to an earlier version.
+        if lease.version < self.lease.version || epoch.version < self.epoch.version {
+            self.next_ms = now_ms + RETRY_MS;
+            return;
+        }
+        let changed = lease.version != self.lease.version;
+        self.lease = lease.clone();
+        self.epoch = epoch.clone();
+        let is_own = self.is_own(lease.row.as_ref());
+        match self.role {
+            Role::Holder { .. } if is_own => self.next_ms = now_ms,
+            Role::Holder { .. } => {
+                self.role = Role::Candidate { since_ms: Some(now_ms), claim: None };
+                outputs.push(LeaseOutput::Resign);
+            }
+            Role::Candidate { claim: Some(claim), .. }
+                if is_own && epoch.row.as_ref().is_some_and(|row| row.epoch == claim.epoch) =>
+            {
+                self.lead(claim.sent_ms, outputs);
+            }
+            Role::Candidate { since_ms, claim } => {
+                let since_ms = if changed { None } else { since_ms };
+                let since_ms = Some(since_ms.unwrap_or(now_ms));
+                self.role = Role::Candidate { since_ms, claim };
+                self.next_ms = now_ms + self.read_delay_ms(now_ms);
+            }
+            Role::Leaving | Role::Done => {}
+        }
+    }
+
+    /// Takes the lead after the table confirmed a claim that was sent at `sent_ms`.
+    fn lead(&mut self, sent_ms: u64, outputs: &mut Vec<LeaseOutput>) {
+        self.trust(sent_ms);
+        let Some(row) = &self.epoch.row else { return };
+        outputs.push(LeaseOutput::Lead {
+            epoch: row.epoch,
+            epoch_version: self.epoch.version,
+            first: row.epoch == Epoch::default().next(),
+        });
+    }
+
+    /// After a failed read the observation starts again: while the table is down the holder cannot renew either, and
+    /// it gets a whole lease to do so afterwards.
+    fn note_failed_read(&mut self, now_ms: u64) {
+        self.call = None;
+        self.next_ms = now_ms + RETRY_MS;
+        if let Role::Candidate { since_ms, .. } = &mut self.role {
+            *since_ms = None;
+        }
+    }
+
+    fn note_durable<R>(&mut self, now_ms: u64, random: &mut R, outputs: &mut Vec<LeaseOutput>)
+    where
+        R: Rng,
+    {
+        let call = self.call.take();
+        match call {
+            Some(Call::Claim { .. }) => {
+                self.epoch.row = Some(self.own_epoch_row(self.next_epoch()));
+                self.epoch.version = RowVersion(self.epoch.version.0 + 1);
+                self.note_lease_row(0);
+            }
+            Some(Call::Renew { .. }) => {
+                let renewal = self.lease.row.as_ref().map_or(0, |row| row.renewal);
+                self.note_lease_row(renewal + 1);
+            }
+            Some(Call::Release) => return self.finish(outputs),
+            Some(Call::Read) | None => self.next_ms = now_ms,
+        }
+        match (call, self.role) {
+            (_, Role::Leaving) => self.release(random, outputs),
+            (Some(Call::Claim { .. }), Role::Candidate { claim: Some(claim), .. }) => {
+                self.lead(claim.sent_ms, outputs);
+            }
+            (Some(Call::Renew { sent_ms }), Role::Holder { .. }) => self.trust(sent_ms),
+            _ => {}
+        }
+    }
+
+    /// Records the lease row that this process wrote.
+    fn note_lease_row(&mut self, renewal: u64) {
+        self.lease.version = RowVersion(self.lease.version.0 + 1);
+        self.lease.row = Some(self.own_lease_row(renewal));
+    }
+
+    /// Trusts the lease that a commit sent at `sent_ms` gave.
+    fn trust(&mut self, sent_ms: u64) {
+        let trusted_until_ms = sent_ms + less_drift(self.config.lease_ms);
+        self.role = Role::Holder { trusted_until_ms };
+        self.next_ms = sent_ms + self.config.lease_ms / RENEWALS_PER_LEASE;
+    }
+
+    /// Whatever the reason, the next read tells what the table holds.
+    fn note_not_durable(&mut self, now_ms: u64, outputs: &mut Vec<LeaseOutput>) {
+        self.call = None;
+        if matches!(self.role, Role::Leaving | Role::Done) {
+            return self.finish(outputs);
+        }
+        self.next_ms = now_ms + RETRY_MS;
+        if let Role::Candidate { since_ms, .. } = &mut self.role {
+            *since_ms = None;
+        }
+        if matches!(self.role, Role::Holder { .. }) {
+            // Forces a read before the next commit.
+            self.lease.row = None;
+        }
+    }
+
+    fn finish(&mut self, outputs: &mut Vec<LeaseOutput>) {
+        self.role = Role::Done;
+        outputs.push(LeaseOutput::Done);
+    }
+
+    fn shut_down<R>(&mut self, random: &mut R, outputs: &mut Vec<LeaseOutput>)
+    where
+        R: Rng,
+    {
+        if matches!(self.role, Role::Leaving | Role::Done) {
+            return;
+        }
+        let is_holder = matches!(self.role, Role::Holder { .. });
+        if is_holder {
+            outputs.push(LeaseOutput::Resign);
+        }
+        match self.call {
+            Some(Call::Claim { .. } | Call::Renew { .. }) => self.role = Role::Leaving,
+            _ if is_holder && self.lease.row.is_some() => self.release(random, outputs),
+            _ => self.finish(outputs),
+        }
+    }
+
+    fn release<R>(&mut self, random: &mut R, outputs: &mut Vec<LeaseOutput>)
+    where
+        R: Rng,
+    {
+        let renewal = self.lease.row.as_ref().map_or(0, |row| row.renewal);
+        let row = LeaseRow { released: true, ..self.own_lease_row(renewal + 1) };
+        self.role = Role::Leaving;
+        self.call = Some(Call::Release);
+        outputs.push(self.commit(&row, None, random));
+    }
+
+    /// Sends the next call of the table when it is due.
+    fn act<R>(&mut self, now_ms: u64, random: &mut R, outputs: &mut Vec<LeaseOutput>)
+    where
+        R: Rng,
+    {
+        if self.call.is_some() || now_ms < self.next_ms {
+            return;
+        }
+        match self.role {
+            Role::Holder { .. } if self.lease.row.is_none() => self.read(outputs),
+            Role::Holder { .. } => {
+                let renewal = self.lease.row.as_ref().map_or(0, |row| row.renewal);
+                let row = self.own_lease_row(renewal + 1);
+                self.call = Some(Call::Renew { sent_ms: now_ms });
+                outputs.push(self.commit(&row, None, random));
+            }
+            Role::Candidate { claim, .. } if !self.watches(now_ms) => {
+                self.role = Role::Candidate { since_ms: None, claim };
+                self.next_ms = now_ms + RETRY_MS;
+            }
+            Role::Candidate { since_ms: Some(since_ms), claim }
+                if now_ms >= self.claim_ms(since_ms) =>
+            {
+                self.claim(now_ms, since_ms, claim, random, outputs);
+            }
+            Role::Candidate { .. } => self.read(outputs),
+            Role::Leaving | Role::Done => {}
+        }
+    }
+
+    fn read(&mut self, outputs: &mut Vec<LeaseOutput>) {
+        self.call = Some(Call::Read);
+        outputs.push(LeaseOutput::Read);
+    }
+
+    fn claim<R>(
+        &mut self,
+        now_ms: u64,
+        since_ms: u64,
+        claim: Option<Claim>,
+        random: &mut R,
+        outputs: &mut Vec<LeaseOutput>,
+    ) where
+        R: Rng,
+    {
+        let epoch = self.next_epoch();
+        // An earlier claim of the same epoch may take effect as well; the lease then counts from that one.
+        let first = claim.filter(|claim| claim.epoch == epoch);
+        let claim = first.unwrap_or(Claim { epoch, sent_ms: now_ms });
+        self.role = Role::Candidate { since_ms: Some(since_ms), claim: Some(claim) };
+        self.call = Some(Call::Claim { sent_ms: now_ms });
+        let lease_row = LeaseRow { epoch, ..self.own_lease_row(0) };
+        let epoch_row = self.own_epoch_row(epoch);
+        outputs.push(self.commit(&lease_row, Some(&epoch_row), random));
+    }
+
+    /// Returns the earliest time of a claim on the row that has been seen unchanged since `since_ms`.
+    fn claim_ms(&self, since_ms: u64) -> u64 {
+        let wait_ms = match &self.lease.row {
+            Some(row) if !row.released => more_drift(self.config.lease_ms),
+            _ => 0,
+        };
+        since_ms + wait_ms + self.place().delay_ms()
+    }
+
+    fn read_delay_ms(&self, now_ms: u64) -> u64 {
+        let interval_ms = self.config.lease_ms / READS_PER_LEASE;
+        match self.role {
+            Role::Candidate { since_ms: Some(since_ms), .. } => {
+                // The last wait ends with the claim instead of a read.
+                self.claim_ms(since_ms).saturating_sub(now_ms).clamp(1, interval_ms)
+            }
+            _ => interval_ms,
+        }
+    }
+
+    fn watches(&self, now_ms: u64) -> bool {
+        let is_silent =
+            self.heard_ms.is_none_or(|heard_ms| now_ms >= heard_ms + self.config.lease_ms / 2);
+        is_silent || self.place().watches()
+    }
+
+    fn place(&self) -> Place {
+        let config = &self.config;
+        Place::new(&config.group, self.next_epoch(), &config.holder, config.group_workers)
+    }
+
+    fn next_epoch(&self) -> Epoch {
+        self.epoch.row.as_ref().map_or_else(Epoch::default, |row| row.epoch).next()
+    }
+
+    fn own_lease_row(&self, renewal: u64) -> LeaseRow {
+        LeaseRow {
+            holder: self.config.holder.clone(),
+            incarnation: self.config.incarnation,
+            epoch: self.epoch.row.as_ref().map_or_else(Epoch::default, |row| row.epoch),
+            renewal,
+            address: self.config.address,
+            released: false,
+        }
+    }
+
+    fn own_epoch_row(&self, epoch: Epoch) -> EpochRow {
+        let LeaseConfig { holder, incarnation, .. } = &self.config;
+        EpochRow { epoch, holder: holder.clone(), incarnation: *incarnation }
+    }
+
+    /// Makes a commit of the lease row. It is conditional on both rows, so it fails after any takeover.
+    fn commit<R>(&self, lease: &LeaseRow, epoch: Option<&EpochRow>, random: &mut R) -> LeaseOutput
+    where
+        R: Rng,
+    {
+        let lease_key = lease_key(&self.config.group);
+        let epoch_key = epoch_key(&self.config.group);
+        let mut writes = vec![Write { key: lease_key.clone(), value: to_value(lease) }];
+        writes.extend(epoch.map(|row| Write { key: epoch_key.clone(), value: to_value(row) }));
+        let conditions = vec![
+            Condition { key: lease_key, version: self.lease.version },
+            Condition { key: epoch_key, version: self.epoch.version },
+        ];
+        let operation = OperationId::random(random);
+        LeaseOutput::Commit { commit: Commit { operation, conditions, writes } }
+    }
+}
+
+fn to_value<T>(row: &T) -> serde_json::Value
+where
+    T: Serialize,
+{
+    serde_json::to_value(row).expect("rows have string keys and no failing serializer")
+}
--- /dev/null
+++ b/src/membership/members.rs
@@ -0,0 +1,421 @@
+//! The leader's view of the members of its group.
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::gangs::GangParts;
+use super::{Joined, MembersConfig, MembersInput, MembersOutput, more_drift};
+use crate::prelude::*;
+use crate::scheduler::{RunningShare, WorkerSpec};
+use crate::wire::LeaderMessage;
+use crate::worker::less_drift;
+
+/// The intervals of silence after which a member is suspected.
+const SUSPECT_INTERVALS: u64 = 3;
+
+/// The members of a group in one epoch of its leader.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Members {
+    config: MembersConfig,
+    epoch: Epoch,
+    members: BTreeMap<WorkerId, Member>,
+    gangs: GangParts,
+    /// The start of the epoch, while the members' answers are collected.
+    recovering_since_ms: Option<u64>,
+    permit_until_ms: u64,
+    trusted: bool,
+    tick_ms: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Member {
+    worker: WorkerSpec,
+    incarnation: Incarnation,
+    state: MemberState,
+    heard_ms: u64,
+    /// The number of the last heartbeat, and when it arrived.
+    sequence: u64,
+    sequence_ms: u64,
+    /// The parts of a join that is not whole yet.
+    joining: Option<Joining>,
+    /// What it told a new leader that still collects the answers of others.
+    running: Vec<RunningShare>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum MemberState {
+    /// Parts of its join are missing.
+    Joining,
+    /// It is a member.
+    Up,
+    /// The scheduler does not use it any more; its tasks end, at the latest with its lease.
+    Fenced,
+    /// Its lease lapsed, and it is not declared lost yet because it is one of many.
+    Lapsed,
+    /// It was declared lost, and must join again under a new incarnation.
+    Lost,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Joining {
+    incarnation: Incarnation,
+    parts: u16,
+    received: BTreeMap<u16, Vec<RunningShare>>,
+}
+
+impl Members {
+    /// Begins an epoch. Unless it is the group's first, all members are asked for what runs there.
+    pub fn new(config: MembersConfig, epoch: Epoch, now_ms: u64, first: bool) -> Self {
+        Self {
+            config,
+            epoch,
+            members: BTreeMap::new(),
+            gangs: GangParts::default(),
+            recovering_since_ms: (!first).then_some(now_ms),
+            permit_until_ms: 0,
+            trusted: true,
+            tick_ms: now_ms,
+        }
+    }
+
+    /// Handles one input at a time of the process's own monotonic clock.
+    pub fn handle(&mut self, now_ms: u64, input: &MembersInput) -> Vec<MembersOutput> {
+        let mut outputs = Vec::new();
+        match input {
+            MembersInput::Heartbeat { worker, incarnation, epoch, sequence } => {
+                match epoch.cmp(&self.epoch) {
+                    Ordering::Greater => outputs.push(MembersOutput::Deposed { epoch: *epoch }),
+                    Ordering::Equal => {
+                        self.hear(now_ms, worker, *incarnation, *sequence, &mut outputs);
+                    }
+                    Ordering::Less => {}
+                }
+            }
+            MembersInput::Join { part, parts, worker, incarnation, epoch, running } => {
+                if *epoch == self.epoch {
+                    let joining = self.note_part(worker, *incarnation, *part, *parts, running);
+                    self.join(now_ms, worker, *incarnation, joining, &mut outputs);
+                }
+            }
+            MembersInput::Permit { remaining_ms } => {
+                self.permit_until_ms = now_ms + less_drift(*remaining_ms);
+            }
+            MembersInput::Trusted { trusted } => self.trusted = *trusted,
+            MembersInput::GangOn { gang, worker } => self.gangs.add(gang, worker),
+            MembersInput::GangOver { gang } => self.gangs.remove(gang),
+            MembersInput::Fence { worker } => self.fence(worker, &mut outputs),
+            MembersInput::Tick => self.tick(now_ms, &mut outputs),
+        }
+        outputs
+    }
+
+    /// Returns whether the answers of the members to a new leader are still collected; nothing may start until then.
+    pub fn is_recovering(&self) -> bool {
+        self.recovering_since_ms.is_some()
+    }
+
+    /// Returns whether starts are permitted.
+    pub fn permits_starts(&self, now_ms: u64) -> bool {
+        self.trusted && !self.is_recovering() && now_ms < self.permit_until_ms
+    }
+
+    /// Returns the incarnation of a live member.
+    pub fn incarnation(&self, worker: &WorkerId) -> Option<Incarnation> {
+        self.members.get(worker).filter(|member| member.is_live()).map(|member| member.incarnation)
+    }
+
+    /// Returns the number of live members.
+    pub fn live(&self) -> usize {
+        self.members.values().filter(|member| member.is_live()).count()
+    }
+
+    /// Fills the start permit into a start message that is about to be sent to a member.
+    pub fn stamp(&self, now_ms: u64, worker: &WorkerId, message: &mut LeaderMessage) {
+        let LeaderMessage::Start { sequence, permit_ms, .. } = message else { return };
+        let Some(member) = self.members.get(worker) else { return };
+        *sequence = member.sequence;
+        // Counted from the heartbeat's sending, which is earlier than its arrival here.
+        let age_ms = less_drift(now_ms.saturating_sub(member.sequence_ms));
+        *permit_ms = match self.permit_left_ms(now_ms) {
+            0 => 0,
+            left_ms => clamp_u32(left_ms + age_ms),
+        };
+    }
+
+    fn permit_left_ms(&self, now_ms: u64) -> u64 {
+        if self.permits_starts(now_ms) { self.permit_until_ms - now_ms } else { 0 }
+    }
+
+    fn hear(
+        &mut self,
+        now_ms: u64,
+        id: &WorkerId,
+        incarnation: Incarnation,
+        sequence: u64,
+        outputs: &mut Vec<MembersOutput>,
+    ) {
+        let may_grant = self.may_grant(now_ms);
+        let Some(member) = self.members.get_mut(id) else { return };
+        if member.incarnation != incarnation {
+            return;
+        }
+        match member.state {
+            MemberState::Joining => return,
+            MemberState::Up => {}
+            // Its leases lapsed, so it has nothing that is worth keeping and must tell so by a new join.
+            MemberState::Lapsed | MemberState::Lost | MemberState::Fenced => {
+                return self.fence(id, outputs);
+            }
+        }
+        if sequence <= member.sequence {
+            return;
+        }
+        member.heard_ms = now_ms;
+        member.sequence = sequence;
+        member.sequence_ms = now_ms;
+        if may_grant {
+            let message = self.acknowledgement(now_ms, id, sequence);
+            outputs.push(MembersOutput::Send { worker: id.clone(), incarnation, message });
+        }
+    }
+
+    fn acknowledgement(&self, now_ms: u64, worker: &WorkerId, sequence: u64) -> LeaderMessage {
+        let is_lapsed = |other: &WorkerId| {
+            self.members.get(other).is_none_or(|m| matches!(m.state, MemberState::Lapsed))
+        };
+        LeaderMessage::HeartbeatAck {
+            sequence,
+            lease_ms: clamp_u32(self.config.gang_lease_ms),
+            permit_ms: clamp_u32(self.permit_left_ms(now_ms)),
+            withheld: self.gangs.withheld(worker, is_lapsed),
+        }
+    }
+
+    /// Returns whether gang leases may be renewed. A leader whose own lease may have lapsed keeps work alive only while
+    /// more than half of the group's members still follow its epoch, because a successor that more than half have
+    /// joined counts on the leases of the others to lapse.
+    fn may_grant(&self, now_ms: u64) -> bool {
+        let following = self.members.values().filter(|m| m.is_up() && !self.is_suspect(now_ms, m));
+        self.trusted || following.count() * 2 > self.group_size()
+    }
+
+    fn group_size(&self) -> usize {
+        (self.config.group_workers as usize).max(self.members.len())
+    }
+
+    fn is_suspect(&self, now_ms: u64, member: &Member) -> bool {
+        now_ms >= member.heard_ms + SUSPECT_INTERVALS * self.config.heartbeat_ms
+    }
+
+    /// Notes a part of a join, and returns what runs on the worker once all parts are there.
+    fn note_part(
+        &mut self,
+        worker: &WorkerSpec,
+        incarnation: Incarnation,
+        part: u16,
+        parts: u16,
+        running: &[RunningShare],
+    ) -> Option<Vec<RunningShare>> {
+        let member = self.members.entry(worker.id.clone()).or_insert_with(|| Member {
+            worker: worker.clone(),
+            incarnation,
+            state: MemberState::Joining,
+            heard_ms: 0,
+            sequence: 0,
+            sequence_ms: 0,
+            joining: None,
+            running: Vec::new(),
+        });
+        let fits = |joining: &Joining| joining.incarnation == incarnation && joining.parts == parts;
+        let mut joining = member.joining.take().filter(fits).unwrap_or_else(|| Joining {
+            incarnation,
+            parts,
+            received: BTreeMap::new(),
+        });
+        joining.received.insert(part, running.to_vec());
+        if joining.received.len() < usize::from(parts) {
+            member.joining = Some(joining);
+            return None;
+        }
+        Some(joining.received.into_values().flatten().collect())
+    }
+
+    /// Takes a member in whose join is whole.
+    fn join(
+        &mut self,
+        now_ms: u64,
+        worker: &WorkerSpec,
+        incarnation: Incarnation,
+        joined: Option<Vec<RunningShare>>,
+        outputs: &mut Vec<MembersOutput>,
+    ) {
+        let Some(running) = joined else { return };
+        let Some(member) = self.members.get_mut(&worker.id) else { return };
+        let send =
+            |message| MembersOutput::Send { worker: worker.id.clone(), incarnation, message };
+        if incarnation < member.incarnation {
+            return;
+        }
+        if incarnation == member.incarnation {
+            match member.state {
+                MemberState::Joining => {}
+                MemberState::Up => return outputs.push(send(LeaderMessage::Joined)),
+                MemberState::Lapsed | MemberState::Lost | MemberState::Fenced => {
+                    return outputs.push(send(LeaderMessage::Fence));
+                }
+            }
+        }
+        let was_counted = !matches!(member.state, MemberState::Joining | MemberState::Lost);
+        let is_late = self.recovering_since_ms.is_none() && !running.is_empty();
+        member.worker = worker.clone();
+        member.incarnation = incarnation;
+        member.heard_ms = now_ms;
+        member.sequence = 0;
+        member.state = if is_late { MemberState::Lost } else { MemberState::Up };
+        if was_counted {
+            self.drop_parts(&worker.id, outputs);
+            self.note_lost(&worker.id, outputs);
+        }
+        if is_late {
+            // Its gangs were given up when its lease had to have lapsed.
+            return outputs.push(send(LeaderMessage::Fence));
+        }
+        outputs.push(send(LeaderMessage::Joined));
+        self.welcome(now_ms, Joined { worker: worker.clone(), running }, outputs);
+    }
+
+    fn welcome(&mut self, now_ms: u64, member: Joined, outputs: &mut Vec<MembersOutput>) {
+        if self.recovering_since_ms.is_none() {
+            return outputs.push(MembersOutput::Up { member });
+        }
+        for share in &member.running {
+            self.gangs.add_told(&member.worker.id, share);
+        }
+        if let Some(known) = self.members.get_mut(&member.worker.id) {
+            known.running = member.running;
+        }
+        self.recover_if_done(now_ms, outputs);
+    }
+
+    /// Ends the collection when all members answered, or the leases of those that did not have lapsed. A leader that
+    /// hears less than half of its group waits a second lease, since it is probably cut off itself.
+    fn recover_if_done(&mut self, now_ms: u64, outputs: &mut Vec<MembersOutput>) {
+        let Some(since_ms) = self.recovering_since_ms else { return };
+        let live = self.live();
+        let lease_ms = more_drift(self.config.gang_lease_ms);
+        let wait_ms = match live {
+            live if live >= self.config.group_workers as usize => 0,
+            live if live * 2 >= self.config.group_workers as usize => lease_ms,
+            _ => 2 * lease_ms,
+        };
+        if now_ms < since_ms + wait_ms {
+            return;
+        }
+        self.recovering_since_ms = None;
+        self.gangs.close_told();
+        let mut members = Vec::new();
+        for member in self.members.values_mut().filter(|member| member.is_up()) {
+            let running = std::mem::take(&mut member.running);
+            members.push(Joined { worker: member.worker.clone(), running });
+        }
+        outputs.push(MembersOutput::Recovered { members });
+    }
+
+    /// Tells a member to end everything. It is lost when it joins again or its lease lapsed.
+    fn fence(&mut self, id: &WorkerId, outputs: &mut Vec<MembersOutput>) {
+        let Some(member) = self.members.get_mut(id) else { return };
+        let state = std::mem::replace(&mut member.state, MemberState::Lost);
+        let incarnation = member.incarnation;
+        let message = LeaderMessage::Fence;
+        outputs.push(MembersOutput::Send { worker: id.clone(), incarnation, message });
+        match state {
+            MemberState::Up | MemberState::Fenced => member.state = MemberState::Fenced,
+            MemberState::Lapsed => self.note_lost(id, outputs),
+            MemberState::Joining | MemberState::Lost => {}
+        }
+    }
+
+    fn tick(&mut self, now_ms: u64, outputs: &mut Vec<MembersOutput>) {
+        self.allow_for_pause(now_ms);
+        self.recover_if_done(now_ms, outputs);
+        let lease_ms = more_drift(self.config.gang_lease_ms);
+        let silent = |member: &Member, wait_ms| now_ms >= member.heard_ms + wait_ms;
+        let known = self.members.values().filter(|member| member.is_live()).count();
+        let suspects =
+            self.members.values().filter(|m| m.is_live() && self.is_suspect(now_ms, m)).count();
+        // Most of the group silent at once means that probably this leader is cut off.
+        let wait_ms = if suspects * 2 > known { 2 * lease_ms } else { lease_ms };
+        let ids: Vec<WorkerId> = self.members.keys().cloned().collect();
+        for id in ids {
+            let Some(member) = self.members.get_mut(&id) else { continue };
+            let has_lapsed = silent(member, lease_ms);
+            let is_lost = match member.state {
+                MemberState::Up | MemberState::Lapsed => silent(member, wait_ms),
+                MemberState::Fenced => has_lapsed,
+                MemberState::Joining | MemberState::Lost => false,
+            };
+            if member.is_up() && has_lapsed {
+                member.state = MemberState::Lapsed;
+                self.drop_parts(&id, outputs);
+            }
+            if is_lost {
+                self.note_lost(&id, outputs);
+            }
+        }
+    }
+
+    /// Counts time during which this process was paused as not observed: the heartbeats wait in its socket.
+    fn allow_for_pause(&mut self, now_ms: u64) {
+        let gap_ms = now_ms.saturating_sub(self.tick_ms);
+        self.tick_ms = now_ms;
+        if gap_ms <= self.config.heartbeat_ms {
+            return;
+        }
+        for member in self.members.values_mut() {
+            member.heard_ms += gap_ms;
+        }
+        if let Some(since_ms) = &mut self.recovering_since_ms {
+            *since_ms += gap_ms;
+        }
+    }
+
+    /// Ends the other parts of the gangs of a member whose lease lapsed, so that no gang runs partially.
+    fn drop_parts(&mut self, id: &WorkerId, outputs: &mut Vec<MembersOutput>) {
+        let lapsed: BTreeSet<(GangId, WorkerId)> = self.gangs.other_parts(id).into_iter().collect();
+        let ends = lapsed.into_iter().map(|(gang, worker)| MembersOutput::EndGang { gang, worker });
+        outputs.extend(ends);
+    }
+
+    fn note_lost(&mut self, id: &WorkerId, outputs: &mut Vec<MembersOutput>) {
+        self.gangs.remove_worker(id);
+        if let Some(member) = self.members.get_mut(id) {
+            member.state = match member.state {
+                MemberState::Lapsed | MemberState::Fenced => MemberState::Lost,
+                state => state,
+            };
+        }
+        if self.recovering_since_ms.is_none() {
+            outputs.push(MembersOutput::Lost { worker: id.clone() });
+        }
+    }
+}
+
+impl Member {
+    fn is_up(&self) -> bool {
+        self.state == MemberState::Up
+    }
+
+    fn is_live(&self) -> bool {
+        matches!(self.state, MemberState::Up | MemberState::Lapsed)
+    }
+}
+
+fn clamp_u32(duration_ms: u64) -> u32 {
+    u32::try_from(duration_ms).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,26 @@
+//! Who leads a capacity group, and which members live. See docs/design.md, section 3.
+//!
+//! [`LeaderLease`] decides when an agent may lead its group. [`Members`] is the leader's view of the members, and
+//! [`Outbox`] repeats the leader's messages until they are answered.
+
+mod gangs;
+mod lease;
+mod members;
+mod message;
+mod outbox;
+mod rendezvous;
+#[cfg(test)]
+mod tests;
+
+pub use lease::LeaderLease;
+pub use members::Members;
+pub use message::{
+    EpochRow, Joined, LeaseConfig, LeaseInput, LeaseOutput, LeaseRow, MembersConfig, MembersInput,
+    MembersOutput, Versioned, epoch_key, lease_key,
+};
+pub use outbox::Outbox;
+
+/// Lengthens a duration that another process granted by the assumed clock drift of 1 %.
+fn more_drift(duration_ms: u64) -> u64 {
+    duration_ms + duration_ms.div_ceil(100)
+}
