--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -4,9 +4,10 @@
 use rand_chacha::rand_core::SeedableRng;
 use serde_json::json;
 
-use super::{ConnectionId, Directory, Input, Output};
+use super::{Directory, Input, Output};
 use crate::bundle::Bundle;
 use crate::prelude::*;
+use crate::request::ConnectionId;
 use crate::wire::{GroupSummary, ServiceState};
 
 const OLD: ConnectionId = ConnectionId(1);
