--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,10 +4,17 @@
 //! standard terms of the field.
 
 pub mod bundle;
+pub mod directory;
+pub mod guarantee;
 pub mod id;
+pub mod intake;
 pub mod job;
+pub mod placement;
+pub mod platform;
 pub mod prelude;
 pub mod replay;
+pub mod process;
 pub mod scheduler;
+pub mod settings;
 pub mod store;
 pub mod wire;
