--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -264,7 +264,7 @@
 
     /// Returns permit and withheld gangs of the last answer to a heartbeat, and forgets all outputs.
     fn last_ack(&mut self) -> Option<(u32, Vec<GangId>)> {
-        let acks =
+        let mut acks =
             std::mem::take(&mut self.outputs).into_iter().filter_map(|output| match output {
                 MembersOutput::Send {
                     message: LeaderMessage::HeartbeatAck { permit_ms, withheld, .. },
