--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -85,6 +85,15 @@
         self.tasks * self.task.accelerators
     }
 
+    /// Returns whether whatever has no room for `other` has no room for this demand either.
+    pub fn needs_at_least(&self, other: &Self) -> bool {
+        self.tasks >= other.tasks
+            && self.adjacency <= other.adjacency
+            && self.task.accelerators >= other.task.accelerators
+            && self.task.cores >= other.task.cores
+            && self.task.memory_mb >= other.task.memory_mb
+    }
+
     /// Returns how many tasks fit into what a worker offers.
     pub fn slots(&self, candidate: &Candidate) -> u32 {
         let mut slots = self.tasks;
@@ -264,12 +273,14 @@
     let mut plan = Vec::with_capacity(rooms.len());
     for room in rooms {
         let mut mask = room.candidate.mask;
-        let mut free = pool.worker(room.worker).free;
+        let mut free = pool.worker(room.worker).open();
         let mut cells = Vec::new();
         for _ in 0..room.slots.min(demand.tasks - task) {
             let accelerator_mask = match demand.task.accelerators {
                 0 => 0,
-                size => take_block(mask, free, size).unwrap_or(0),
+                size => take_block(mask & free, free, size)
+                    .or_else(|| take_block(mask, free, size))
+                    .unwrap_or(0),
             };
             mask &= !accelerator_mask;
             free &= !accelerator_mask;
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -55,6 +55,8 @@
     pub class: Class,
     /// Whether the gang may be stopped to give its cells back.
     pub reclaimable: bool,
+    /// The accelerators of the whole gang, which are all lost when the gang is stopped.
+    pub weight: u32,
 }
 
 /// One worker of a group.
@@ -69,12 +71,26 @@
     pub state: WorkerState,
     /// Until when the worker gets no new work because its agent refused some.
     pub avoid_until_ms: u64,
+    /// Distinct jobs that failed on the worker since a task last succeeded there.
+    pub failed_jobs: Vec<JobKey>,
+    /// How often the worker was found at fault.
+    pub quarantines: u32,
+    /// When the worker is probed next while it is in quarantine.
+    pub probe_at_ms: u64,
+    /// When all tasks of a fenced worker have certainly ended.
+    pub fenced_until_ms: u64,
     /// Who holds cells.
     pub holdings: Vec<Holding>,
     /// Accelerators that no gang holds.
     pub free: u64,
     /// Accelerators that wait for a gang whose plan is fixed.
     pub claimed: u64,
+    /// Cores that wait for such a gang.
+    pub claimed_cores: u32,
+    /// Memory that waits for such a gang, in mebibytes.
+    pub claimed_memory_mb: u64,
+    /// Accelerators that are reserved for a job that has waited long.
+    pub reserved: u64,
     /// Cores that no gang holds.
     pub free_cores: u32,
     /// Memory that no gang holds, in mebibytes.
@@ -113,6 +129,16 @@
         self.free & !self.claimed
     }
 
+    /// Returns the cores that are neither held nor claimed.
+    pub fn open_cores(&self) -> u32 {
+        self.free_cores.saturating_sub(self.claimed_cores)
+    }
+
+    /// Returns the memory that is neither held nor claimed, in mebibytes.
+    pub fn open_memory_mb(&self) -> u64 {
+        self.free_memory_mb.saturating_sub(self.claimed_memory_mb)
+    }
+
     /// Returns whether the worker may get new work.
     pub fn takes_work(&self, now_ms: u64) -> bool {
         self.state == WorkerState::Up && self.avoid_until_ms <= now_ms
@@ -126,20 +152,44 @@
         ((u64::from(shape.cores) * part / all) as u32, shape.memory_mb * part / all)
     }
 
-    /// Returns the cores and memory that non-reclaimable work of an organisation must leave to the guarantees of others.
+    /// Returns the cores and memory that work of an organisation must leave to the guarantees of others.
     pub fn kept_for_others(&self, organisation: u32) -> (u32, u64) {
-        let pinned = self.pinned();
-        let idle = self.bound_all & !self.bound_to(organisation) & !pinned;
-        let (cores, memory_mb) = self.share_of(idle.count_ones());
-        let lent = self.holdings.iter().filter(|h| h.reclaimable);
-        let (lent_cores, lent_mb) =
-            lent.fold((0, 0), |sum, h| (sum.0 + h.cores, sum.1 + h.memory_mb));
-        (cores.saturating_sub(lent_cores), memory_mb.saturating_sub(lent_mb))
+        let owners = self.bound.iter().enumerate().filter(|(index, (owner, _))| {
+            *owner != organisation
+                && !self.bound[..*index].iter().any(|(earlier, _)| earlier == owner)
+        });
+        owners.fold((0, 0), |sum, (_, (owner, _))| {
+            let (cores, memory_mb) = self.share_of(self.bound_to(*owner).count_ones());
+            let (used_cores, used_mb) = self.pinned_size(|other| other == *owner);
+            (sum.0 + cores.saturating_sub(used_cores), sum.1 + memory_mb.saturating_sub(used_mb))
+        })
+    }
+
+    /// Returns whether `accelerators` more can be kept for an organisation, with the cores and memory that go with them.
+    pub fn can_back(&self, organisation: u32, accelerators: u32) -> bool {
+        let (cores, memory_mb) =
+            self.share_of(accelerators + self.bound_to(organisation).count_ones());
+        let (kept_cores, kept_mb) = self.kept_for_others(organisation);
+        let (used_cores, used_mb) = self.pinned_size(|other| other != organisation);
+        let shape = self.spec.shape;
+        cores + kept_cores + used_cores <= shape.cores
+            && memory_mb + kept_mb + used_mb <= shape.memory_mb
+    }
+
+    /// Returns the cores and memory that non-reclaimable work of some organisations holds.
+    pub fn pinned_size<F>(&self, of: F) -> (u32, u64)
+    where
+        F: Fn(u32) -> bool,
+    {
+        let pinned = self.holdings.iter().filter(|h| !h.reclaimable && of(h.organisation));
+        pinned.fold((0, 0), |sum, h| (sum.0 + h.cores, sum.1 + h.memory_mb))
     }
 
-    /// Returns the accelerators held by gangs that cannot be made to give them back.
-    pub fn pinned(&self) -> u64 {
-        self.holdings.iter().filter(|h| !h.reclaimable).fold(0, |all, h| all | h.mask)
+    /// Returns the accelerators held by gangs of other organisations that cannot be made to give them back.
+    pub fn pinned_by_others(&self, organisation: u32) -> u64 {
+        let foreign =
+            self.holdings.iter().filter(|h| !h.reclaimable && h.organisation != organisation);
+        foreign.fold(0, |all, h| all | h.mask)
     }
 }
 
@@ -204,9 +254,16 @@
             rack,
             state: WorkerState::Up,
             avoid_until_ms: 0,
+            failed_jobs: Vec::new(),
+            quarantines: 0,
+            probe_at_ms: 0,
+            fenced_until_ms: 0,
             holdings: Vec::new(),
             free: low_bits(spec.shape.accelerators),
             claimed: 0,
+            claimed_cores: 0,
+            claimed_memory_mb: 0,
+            reserved: 0,
             free_cores: spec.shape.cores,
             free_memory_mb: spec.shape.memory_mb,
             bound: Vec::new(),
--- a/src/scheduler/finish.rs
+++ b/src/scheduler/finish.rs
@@ -2,14 +2,12 @@
 
 use super::gang::cancelled;
 use super::message::Output;
+use super::reclaim::URGENT_STOP_MS;
 use super::state::{LEASE_MS, Scheduler};
 use super::work::{Gang, Leave, ShareState, Stage};
 use crate::placement::{JobKey, WorkerState};
 use crate::prelude::*;
 
-/// The most failures of one job, on whatever workers, before it is given up.
-const MAX_FAILURES: u32 = 8;
-
 impl Scheduler {
     /// Cancels jobs; those that run are stopped.
     pub(crate) fn cancel(&mut self, now_ms: u64, jobs: &[JobId], out: &mut Vec<Output>) {
@@ -53,7 +51,8 @@
 
     /// Tells all agents of a gang to stop its tasks.
     pub(crate) fn stop(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
-        let stop_ms = self.stop_ms();
+        let urgent = self.gang_mut(key).for_urgent;
+        let stop_ms = if urgent { self.stop_ms().min(URGENT_STOP_MS) } else { self.stop_ms() };
         let gang = self.gang_mut(key);
         gang.stage = Stage::Stopping;
         gang.deadline_ms = now_ms + stop_ms;
@@ -99,6 +98,7 @@
         let gang = gang.clone();
         self.active.remove(&key);
         if gang.shares.iter().all(|share| share.has_succeeded()) {
+            self.learn_run(now_ms, key, &gang);
             self.end_job(key, JobEnd::Succeeded, out);
             return;
         }
@@ -117,15 +117,12 @@
         worker: u32,
         out: &mut Vec<Output>,
     ) {
+        let at_fault = self.attribute(now_ms, key, worker, out);
         let id = self.worker_id(worker);
-        let job = self.job_mut(key);
-        job.failures += 1;
-        let reason = match (job.repeats(), job.failures >= MAX_FAILURES) {
-            (false, _) => format!("a task failed on worker {id}, and the job may not be repeated"),
-            (true, true) => {
-                format!("the job failed {MAX_FAILURES} times, the last time on worker {id}")
-            }
-            (true, false) => return self.requeue(now_ms, key, gang, out),
+        let reason = match at_fault {
+            Some(reason) => reason,
+            None if self.jobs[&key].repeats() => return self.requeue(now_ms, key, gang, out),
+            None => format!("a task failed on worker {id}, and the job may not be repeated"),
         };
         self.end_job(key, JobEnd::Failed { reason }, out);
     }
@@ -171,6 +168,11 @@
             self.overdue(now_ms, key, out);
         }
         self.check_strays(now_ms, out);
+        if self.bindings.is_reduced() {
+            self.bindings.repair(&mut self.pool);
+        }
+        self.check_quarantine(now_ms, out);
+        self.renew_reservation(now_ms);
         self.dirty = true;
     }
 
@@ -204,19 +206,29 @@
         gang.deadline_ms = now_ms + LEASE_MS;
         let gang = gang.clone();
         for share in gang.shares.iter().filter(|share| share.state != ShareState::Ended) {
-            let worker = share.worker;
-            if self.pool.worker(worker).state == WorkerState::Fenced {
-                self.lose_share(key, worker);
+            let worker = self.pool.worker(share.worker);
+            if worker.state != WorkerState::Fenced {
+                self.fence(now_ms, share.worker, out);
+            } else if worker.fenced_until_ms <= now_ms {
+                self.lose_share(key, share.worker);
             } else {
-                self.fence(worker, out);
+                let end_ms = worker.fenced_until_ms;
+                let current = self.gang_mut(key);
+                current.deadline_ms = current.deadline_ms.min(end_ms);
             }
         }
     }
 
-    /// Takes a worker out of use until its agent announces itself again.
-    pub(crate) fn fence(&mut self, worker: u32, out: &mut Vec<Output>) {
-        self.pool.worker_mut(worker).state = WorkerState::Fenced;
+    /// Takes a worker out of use until its agent announces itself again, and ends all gangs that run there.
+    pub(crate) fn fence(&mut self, now_ms: u64, worker: u32, out: &mut Vec<Output>) {
+        let entry = self.pool.worker_mut(worker);
+        entry.state = WorkerState::Fenced;
+        entry.fenced_until_ms = now_ms + LEASE_MS;
+        self.bindings.repair(&mut self.pool);
         out.push(Output::Fence { worker: self.worker_id(worker) });
+        for key in self.jobs_on(worker) {
+            self.leave(now_ms, key, Leave::Lost, out);
+        }
     }
 
     /// Notes that the tasks of a gang on a worker have ended without a report.
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -2,14 +2,14 @@
 
 use rand::Rng;
 
-use super::message::{Output, ReserveResult, Share, TaskEnd, WriteResult};
+use super::message::{Output, ReserveResult, Share, TaskCell, TaskEnd, WriteResult};
 use super::state::Scheduler;
-use super::work::{Gang, GangShare, Leave, Rights, ShareState, Stage, Wait};
+use super::work::{Gang, GangShare, Job, Leave, Rights, ShareState, Stage};
 use crate::placement::{Holding, JobKey, Plan};
 use crate::prelude::*;
 
 /// The time that agents have to answer a reservation; urgent work must start within 2,500 ms even after one retry.
-const RESERVE_MS: u64 = 800;
+pub(crate) const RESERVE_MS: u64 = 800;
 /// The time that agents have to start reserved tasks.
 const START_MS: u64 = 5_000;
 /// The time for which a worker gets no new work after its agent refused some.
@@ -38,7 +38,9 @@
         let refusal = self.refusal(spec);
         let rights = self.rights(spec).unwrap_or_else(|| self.unruled(spec));
         let key = self.add_job(now_ms, spec, rights);
+        let demand = self.expected_demand(spec, rights.organisation);
         let job = self.job_mut(key);
+        job.demand = demand;
         job.attempts = attempts;
         job.saved_ms = saved_ms;
         job.may_have_run = attempts > 0;
@@ -62,7 +64,25 @@
 
     /// Starts an attempt on cells that are free.
     pub(crate) fn begin(&mut self, now_ms: u64, key: JobKey, plan: Plan, out: &mut Vec<Output>) {
+        self.form_gang(now_ms, key, plan, Stage::Reserving, now_ms + RESERVE_MS);
+        self.reserve_shares(key, out);
+    }
+
+    /// Gives a waiting job a gang with planned cells.
+    pub(crate) fn form_gang(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        plan: Plan,
+        stage: Stage,
+        deadline_ms: u64,
+    ) {
         self.leave_queue(key);
+        let reserved = |(worker, tasks): &(u32, Vec<TaskCell>)| {
+            let mask = tasks.iter().fold(0, |all, cell| all | cell.accelerator_mask);
+            self.pool.worker(*worker).reserved & mask != 0
+        };
+        let backfill = plan.iter().any(reserved);
         let job = self.job_mut(key);
         let id = job.next_gang();
         job.attempts += 1;
@@ -72,16 +92,16 @@
             .collect();
         job.gang = Some(Gang {
             id,
-            stage: Stage::Reserving,
+            stage,
             shares,
-            deadline_ms: now_ms + RESERVE_MS,
+            deadline_ms,
             started_ms: now_ms,
             ran: false,
             leaves: None,
-            backfill: false,
+            backfill,
+            for_urgent: false,
         });
         self.active.insert(key);
-        self.reserve_shares(key, out);
     }
 
     /// Holds the cells of a gang and asks the agents for them.
@@ -106,39 +126,25 @@
         let job = &self.jobs[&key];
         let Some(gang) = &job.gang else { return };
         let rights = job.rights;
-        let task = job.demand.task;
+        let live = gang.shares.iter().filter(|share| share.state != ShareState::Ended);
+        let holdings: Vec<(u32, Holding)> =
+            live.map(|share| (share.worker, holding(job, &share.tasks))).collect();
         let mut used = 0;
-        for share in gang.shares.iter().filter(|share| share.state != ShareState::Ended) {
-            let tasks = share.tasks.len() as u32;
-            used += tasks * task.accelerators;
-            let holding = Holding {
-                job: key,
-                mask: share.mask(),
-                cores: tasks * task.cores,
-                memory_mb: u64::from(tasks) * task.memory_mb,
-                organisation: rights.organisation,
-                class: rights.class,
-                reclaimable: rights.reclaimable,
-            };
-            self.pool.hold(share.worker, holding);
+        for (worker, holding) in holdings {
+            used += holding.mask.count_ones();
+            self.pool.hold(worker, holding);
         }
         self.organisations[rights.organisation as usize].used += used;
     }
 
     /// Frees the cells of a job on one worker.
     pub(crate) fn free_share(&mut self, key: JobKey, worker: u32) {
-        let job = &self.jobs[&key];
-        let organisation = job.rights.organisation as usize;
-        let each = job.demand.task.accelerators;
-        let tasks = job
-            .gang
-            .iter()
-            .flat_map(|gang| gang.shares.iter().filter(|share| share.worker == worker))
-            .map(|share| share.tasks.len() as u32)
-            .sum::<u32>();
+        let held = self.pool.worker(worker).holdings.iter().filter(|h| h.job == key);
+        let freed = held.map(|h| h.mask.count_ones()).sum::<u32>();
         self.pool.release(worker, key);
-        let entry = &mut self.organisations[organisation];
-        entry.used = entry.used.saturating_sub(tasks * each);
+        let organisation = self.jobs[&key].rights.organisation;
+        let entry = &mut self.organisations[organisation as usize];
+        entry.used = entry.used.saturating_sub(freed);
         self.dirty = true;
     }
 
@@ -213,6 +219,7 @@
         let job = self.job_mut(key);
         job.conflicts = 0;
         job.may_have_run = true;
+        job.resumed_ms = job.saved_ms;
         let saved_ms = job.saved_ms;
         let gang = self.gang_mut(key);
         gang.stage = Stage::Starting;
@@ -251,6 +258,10 @@
     /// Releases all reservations of a gang that was not told to start.
     pub(crate) fn release_all(&mut self, key: JobKey, out: &mut Vec<Output>) {
         let gang = self.gang_mut(key).clone();
+        if gang.stage == Stage::Claiming {
+            self.unclaim(key);
+            return;
+        }
         for share in &gang.shares {
             self.free_share(key, share.worker);
             out.push(Output::Release {
@@ -291,10 +302,12 @@
 
     /// Puts a job whose attempt is over back into the queue, with its old age.
     pub(crate) fn wait_again(&mut self, key: JobKey, retry_at_ms: u64) {
+        let spec = self.jobs[&key].spec.clone();
+        let rights = self.rights(&spec);
         let job = self.job_mut(key);
         job.gang = None;
+        job.rights = rights.unwrap_or(job.rights);
         job.retry_at_ms = retry_at_ms;
-        job.waits = Wait::Retry;
         self.active.remove(&key);
         self.enter_queue(key);
         self.dirty = true;
@@ -350,8 +363,9 @@
             && let Some(position) = share.tasks.iter().position(|cell| cell.task == task)
         {
             share.succeeded |= 1 << position;
+            self.pool.worker_mut(worker).failed_jobs.clear();
         }
-        current.ran |= end != TaskEnd::Refused;
+        self.gang_mut(key).ran |= end != TaskEnd::Refused;
         self.after_task(now_ms, key, worker, end, out);
     }
 
@@ -386,6 +400,21 @@
     }
 }
 
+/// Returns what some tasks of a job hold.
+pub(crate) fn holding(job: &Job, tasks: &[TaskCell]) -> Holding {
+    let count = tasks.len() as u32;
+    Holding {
+        job: job.key,
+        mask: tasks.iter().fold(0, |all, cell| all | cell.accelerator_mask),
+        cores: count * job.demand.task.cores,
+        memory_mb: u64::from(count) * job.demand.task.memory_mb,
+        organisation: job.rights.organisation,
+        class: job.rights.class,
+        reclaimable: job.rights.reclaimable,
+        weight: job.demand.accelerators(),
+    }
+}
+
 /// Returns the end of a job that was cancelled while no gang of it could run.
 pub(crate) fn cancelled(may_have_run: bool) -> JobEnd {
     match may_have_run {
--- a/src/scheduler/members.rs
+++ b/src/scheduler/members.rs
@@ -1,5 +1,6 @@
 //! Workers that come and go, takeover from an earlier leader, and start permits.
 
+use super::gang::holding;
 use super::message::{Output, RunningShare, WorkerSpec};
 use super::state::{LEASE_MS, Scheduler, Stray};
 use super::work::{Gang, GangShare, Leave, Rights, ShareState, Stage};
@@ -27,6 +28,7 @@
         for share in running {
             self.adopt(now_ms, worker, share, out);
         }
+        self.bindings.repair(&mut self.pool);
     }
 
     /// Ends the shares on a worker that its agent does not report any more.
@@ -53,7 +55,7 @@
     }
 
     /// Returns the jobs whose gangs have a share on a worker that has not ended.
-    fn jobs_on(&self, worker: u32) -> Vec<JobKey> {
+    pub(crate) fn jobs_on(&self, worker: u32) -> Vec<JobKey> {
         let on = |gang: &Gang| {
             gang.shares.iter().any(|s| s.worker == worker && s.state != ShareState::Ended)
         };
@@ -115,6 +117,7 @@
             ran: true,
             leaves: None,
             backfill: false,
+            for_urgent: false,
         });
         self.active.insert(key);
         self.join_gang(now_ms, key, worker, share);
@@ -123,7 +126,7 @@
     /// Adds a reported share to the gang that it belongs to.
     fn join_gang(&mut self, now_ms: u64, key: JobKey, worker: u32, share: &RunningShare) {
         let job = &self.jobs[&key];
-        let (rights, task, expected) = (job.rights, job.demand.task, job.spec.tasks as usize);
+        let expected = job.spec.tasks as usize;
         let gang = self.gang_mut(key);
         gang.ran = true;
         if let Some(known) = gang.share_mut(worker) {
@@ -132,21 +135,9 @@
             }
         } else if gang.stage == Stage::Adopting {
             gang.shares.push(GangShare::new(worker, share.tasks.clone(), ShareState::Running));
-            let tasks = share.tasks.len() as u32;
-            let mask = share.tasks.iter().fold(0, |all, cell| all | cell.accelerator_mask);
-            self.pool.hold(
-                worker,
-                Holding {
-                    job: key,
-                    mask,
-                    cores: tasks * task.cores,
-                    memory_mb: u64::from(tasks) * task.memory_mb,
-                    organisation: rights.organisation,
-                    class: rights.class,
-                    reclaimable: rights.reclaimable,
-                },
-            );
-            self.organisations[rights.organisation as usize].used += tasks * task.accelerators;
+            let holding = holding(&self.jobs[&key], &share.tasks);
+            self.organisations[holding.organisation as usize].used += holding.mask.count_ones();
+            self.pool.hold(worker, holding);
         }
         let gang = self.gang_mut(key);
         let found: usize = gang.shares.iter().map(|share| share.tasks.len()).sum();
@@ -184,6 +175,7 @@
                 organisation,
                 class: Class::Batch,
                 reclaimable: true,
+                weight: 0,
             },
         );
         self.strays.push(Stray {
@@ -222,11 +214,12 @@
                 continue;
             }
             let worker = self.strays[index].worker;
-            if self.pool.worker(worker).state == WorkerState::Fenced {
-                self.drop_stray(index);
-            } else {
+            let entry = self.pool.worker(worker);
+            if entry.state != WorkerState::Fenced {
                 self.strays[index].deadline_ms = now_ms + LEASE_MS;
-                self.fence(worker, out);
+                self.fence(now_ms, worker, out);
+            } else if entry.fenced_until_ms <= now_ms {
+                self.drop_stray(index);
             }
         }
     }
@@ -236,6 +229,7 @@
         let Some(worker) = self.pool.position(worker) else { return };
         self.pool.worker_mut(worker).state = WorkerState::Lost;
         self.drop_unreported(now_ms, worker, &[], out);
+        self.bindings.repair(&mut self.pool);
     }
 
     /// Notes whether gangs may start.
@@ -249,8 +243,11 @@
         self.permitted = permitted;
         self.dirty = true;
         if permitted {
+            self.returned_ms = if self.out_of_service { Some(now_ms) } else { self.returned_ms };
+            self.out_of_service = false;
             return;
         }
+        self.out_of_service |= leaving;
         let active: Vec<JobKey> = self.active.iter().copied().collect();
         for key in active {
             let job = &self.jobs[&key];
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -1,12 +1,16 @@
 //! The scheduler of one capacity group: queue, gangs, reclaim and failure attribution. See docs/design.md, section 4.
 
+mod blame;
 mod finish;
 mod gang;
+mod learn;
 mod members;
 mod message;
 mod place;
 mod queue;
 mod reclaim;
+mod reserve;
+mod search;
 mod state;
 mod view;
 mod work;
--- a/src/scheduler/place.rs
+++ b/src/scheduler/place.rs
@@ -1,36 +1,89 @@
-//! The search for cells for waiting jobs.
+//! The order in which waiting jobs are tried.
 
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 use super::message::Output;
-use super::queue::CLASSES;
+use super::queue::{CLASSES, Waiting};
+use super::search::Scope;
 use super::state::{LEASE_MS, Scheduler};
-use super::work::Wait;
-use crate::placement::{Candidate, JobKey, Plan, Policy, Reach, Worker, choose};
+use super::work::{Rights, Wait};
+use crate::placement::{Candidate, Demand, JobKey, Policy};
 use crate::prelude::*;
 
+/// The most searches for cells in one pass over the queue; one takes about a microsecond for each hundred workers.
+///
+/// A pass that needs more goes on with the next input.
+const SEARCHES_PER_PASS: u32 = 16;
+
+/// A demand for which there was no room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Hopeless {
+    rights: Rights,
+    demand: Demand,
+}
+
+/// The waiting jobs of one organisation and class, and how many of them were tried.
+struct Line {
+    organisation: u32,
+    jobs: Vec<(JobKey, Waiting)>,
+    tried: usize,
+}
+
 impl Scheduler {
     /// Returns why a job can never run in this group, or `None`.
     pub(crate) fn refusal(&self, spec: &JobSpec) -> Option<String> {
-        if spec.tasks == 0 || spec.tasks > crate::job::MAX_GANG_TASKS {
-            return Some(format!(
-                "a gang has 1 to {} tasks, not {}",
-                crate::job::MAX_GANG_TASKS,
-                spec.tasks
-            ));
+        let most = crate::job::MAX_GANG_TASKS;
+        if spec.tasks == 0 || spec.tasks > most {
+            return Some(format!("a gang has 1 to {most} tasks, not {}", spec.tasks));
         }
         let rules = self.rules.as_ref()?;
-        if !rules.kinds.iter().any(|rule| rule.id == spec.kind) {
-            return Some(format!(
-                "bundle version {} has no rule for kind {:?}",
-                rules.version,
-                spec.kind.as_str()
-            ));
+        let Some(rule) = rules.kinds.iter().find(|rule| rule.id == spec.kind) else {
+            let kind = spec.kind.as_str();
+            return Some(format!("bundle version {} has no rule for kind {kind:?}", rules.version));
+        };
+        if let Some(reason) = self.too_large(spec) {
+            return Some(reason);
         }
-        None
+        let (limit, waiting) = (self.queue_limit(rule.class)?, self.queue.class_len(rule.class));
+        (waiting >= limit as usize)
+            .then(|| format!("{waiting} {} jobs wait, and the limit is {limit}", rule.class))
+    }
+
+    /// Returns why a task is larger than every worker, whatever runs there.
+    fn too_large(&self, spec: &JobSpec) -> Option<String> {
+        let fits = |worker: &crate::placement::Worker| {
+            let shape = worker.spec.shape;
+            let empty = Candidate {
+                mask: worker.whole(),
+                cores: shape.cores,
+                memory_mb: shape.memory_mb,
+                cost: 0,
+            };
+            Demand { tasks: 1, ..Demand::of(spec) }.slots(&empty) > 0
+        };
+        if self.pool.workers.is_empty() || self.pool.workers.iter().any(fits) {
+            return None;
+        }
+        let TaskSpec { cores, memory_mb, accelerators } = spec.task;
+        Some(format!(
+            "no worker has {cores} cores, {memory_mb} MB and {accelerators} adjacent accelerators for a task"
+        ))
+    }
+
+    fn queue_limit(&self, class: Class) -> Option<u32> {
+        let limits = self.limits()?;
+        Some(match class {
+            Class::Urgent => limits.queue_limit_urgent,
+            Class::Normal => limits.queue_limit_normal,
+            Class::Batch => limits.queue_limit_batch,
+        })
     }
 
     /// Tries a job that has just arrived.
+    ///
+    /// Jobs before it in the queue were tried when cells last became free, so it overtakes none that could start.
     pub(crate) fn try_new<R>(
         &mut self,
         now_ms: u64,
@@ -40,8 +93,11 @@
     ) where
         R: Rng,
     {
-        if self.policy != Policy::FirstComeFirstFit || self.queue.len() == 1 {
-            self.try_job(now_ms, key, random, out);
+        if self.policy == Policy::FirstComeFirstFit && self.queue.len() > 1 {
+            return;
+        }
+        if self.blocked(now_ms, key).is_none() && !self.unfinished {
+            self.try_job(now_ms, key, Scope::All, random, out);
         }
     }
 
@@ -50,15 +106,23 @@
     where
         R: Rng,
     {
-        if !self.dirty || !self.permitted {
+        if !self.permitted || !(self.dirty || self.unfinished) {
             return;
         }
+        if self.dirty {
+            self.hopeless.clear();
+        }
         self.dirty = false;
-        if self.policy == Policy::Product {
-            self.serve_by_class(now_ms, random, out);
-        } else {
+        self.unfinished = false;
+        if self.policy != Policy::Product {
             self.serve_by_age(now_ms, random, out);
+            return;
+        }
+        let mut searches = 0;
+        if self.ramp_limit(now_ms).is_some() {
+            self.serve_by_class(now_ms, Scope::Guaranteed, &mut searches, random, out);
         }
+        self.serve_by_class(now_ms, Scope::All, &mut searches, random, out);
     }
 
     fn serve_by_age<R>(&mut self, now_ms: u64, random: &mut R, out: &mut Vec<Output>)
@@ -68,88 +132,159 @@
         let mut keys: Vec<JobKey> = self.queue.iter().map(|(key, _)| key).collect();
         keys.sort_unstable();
         for key in keys {
-            let placed = self.try_job(now_ms, key, random, out);
+            let placed = self.blocked(now_ms, key).is_none()
+                && self.try_job(now_ms, key, Scope::All, random, out);
             if !placed && self.policy == Policy::FirstComeFirstFit {
                 break;
             }
         }
     }
 
-    fn serve_by_class<R>(&mut self, now_ms: u64, random: &mut R, out: &mut Vec<Output>)
-    where
+    fn serve_by_class<R>(
+        &mut self,
+        now_ms: u64,
+        scope: Scope,
+        searches: &mut u32,
+        random: &mut R,
+        out: &mut Vec<Output>,
+    ) where
         R: Rng,
     {
         for class in CLASSES {
-            let keys: Vec<JobKey> =
-                self.queue.lines(class).values().flat_map(|line| line.keys().copied()).collect();
-            for key in keys {
-                self.try_job(now_ms, key, random, out);
+            let mut lines: Vec<Line> = self.queue.lines(class).iter().map(line).collect();
+            while let Some(next) = self.neediest(&lines) {
+                let line = &mut lines[next];
+                let placed = self.serve_line(now_ms, line, scope, searches, random, out);
+                if !placed && *searches >= SEARCHES_PER_PASS {
+                    self.unfinished = true;
+                    return;
+                }
             }
         }
     }
 
-    /// Starts an attempt of a waiting job if it may start and cells for all its tasks are free.
-    fn try_job<R>(
+    /// Returns the line whose organisation uses the least in relation to its guarantee.
+    fn neediest(&self, lines: &[Line]) -> Option<usize> {
+        let rest = (0..lines.len()).filter(|index| lines[*index].tried < lines[*index].jobs.len());
+        rest.min_by_key(|index| {
+            let line = &lines[*index];
+            (self.relative_use(line.organisation), line.jobs[line.tried].0)
+        })
+    }
+
+    /// Returns what an organisation uses in relation to its guarantee, in thousandths.
+    fn relative_use(&self, organisation: u32) -> u64 {
+        let organisation = &self.organisations[organisation as usize];
+        u64::from(organisation.used) * 1_000 / u64::from(organisation.guaranteed.max(1))
+    }
+
+    /// Tries the jobs of a line until one is placed, and returns whether one was.
+    fn serve_line<R>(
         &mut self,
         now_ms: u64,
-        key: JobKey,
+        line: &mut Line,
+        scope: Scope,
+        searches: &mut u32,
         random: &mut R,
         out: &mut Vec<Output>,
     ) -> bool
     where
         R: Rng,
     {
-        if let Some(wait) = self.blocked(now_ms, key) {
-            self.job_mut(key).waits = wait;
-            return false;
-        }
-        match self.find_cells(now_ms, key, random) {
-            Some(plan) => {
-                self.begin(now_ms, key, plan, out);
-                true
+        while let Some((key, waiting)) = line.jobs.get(line.tried).copied() {
+            if self.is_hopeless(&waiting) || self.waits_for(now_ms, &waiting).is_some() {
+                line.tried += 1;
+                continue;
             }
-            None => {
-                self.job_mut(key).waits = Wait::Capacity;
-                false
+            if *searches >= SEARCHES_PER_PASS {
+                return false;
+            }
+            line.tried += 1;
+            *searches += 1;
+            if self.try_job(now_ms, key, scope, random, out) {
+                return true;
             }
         }
+        false
+    }
+
+    /// Starts an attempt of a waiting job if cells for all its tasks are free or can be taken back.
+    fn try_job<R>(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        scope: Scope,
+        random: &mut R,
+        out: &mut Vec<Output>,
+    ) -> bool
+    where
+        R: Rng,
+    {
+        let job = &self.jobs[&key];
+        let missed = Hopeless { rights: job.rights, demand: job.demand };
+        let general = scope == Scope::All && self.reservation.as_ref().is_none_or(|r| r.job != key);
+        let placed = self.place(now_ms, key, scope, random, out);
+        if !placed && general {
+            self.hopeless.push(missed);
+        }
+        placed
+    }
+
+    /// Returns whether there was no room for a demand that is no larger and has the same rights.
+    pub(crate) fn is_hopeless(&self, waiting: &Waiting) -> bool {
+        let covers = |missed: &Hopeless| {
+            missed.rights == waiting.rights && waiting.demand.needs_at_least(&missed.demand)
+        };
+        self.hopeless.iter().any(covers)
     }
 
     /// Returns why a job may not start now, whatever cells are free.
-    fn blocked(&self, now_ms: u64, key: JobKey) -> Option<Wait> {
+    pub(crate) fn blocked(&self, now_ms: u64, key: JobKey) -> Option<Wait> {
         let job = &self.jobs[&key];
-        let organisation = &self.organisations[job.rights.organisation as usize];
-        let settled = self.since_ms.unwrap_or(now_ms) + LEASE_MS <= now_ms;
         if !self.permitted || self.rules.is_none() {
-            Some(Wait::Permit)
-        } else if job.retry_at_ms > now_ms {
+            return Some(Wait::Permit);
+        }
+        let lines = self.queue.lines(job.rights.class);
+        let waiting = lines.get(&job.rights.organisation)?.get(&key)?;
+        self.waits_for(now_ms, waiting)
+    }
+
+    fn waits_for(&self, now_ms: u64, waiting: &Waiting) -> Option<Wait> {
+        let organisation = &self.organisations[waiting.rights.organisation as usize];
+        let accelerators = waiting.demand.accelerators();
+        let settled = self.since_ms.unwrap_or(now_ms) + LEASE_MS <= now_ms;
+        let ramp =
+            |limit| waiting.rights.class != Class::Urgent && self.used() + accelerators > limit;
+        if waiting.retry_at_ms > now_ms {
             Some(Wait::Retry)
-        } else if job.may_have_run && !settled {
+        } else if waiting.after_takeover && !settled {
             Some(Wait::Takeover)
-        } else if organisation
-            .quota
-            .is_some_and(|quota| organisation.used + job.demand.accelerators() > quota)
-        {
+        } else if organisation.quota.is_some_and(|quota| organisation.used + accelerators > quota) {
             Some(Wait::Quota)
+        } else if self.ramp_limit(now_ms).is_some_and(ramp) {
+            Some(Wait::Ramp)
         } else {
             None
         }
     }
 
-    fn find_cells<R>(&self, now_ms: u64, key: JobKey, random: &mut R) -> Option<Plan>
-    where
-        R: Rng,
-    {
-        let job = &self.jobs[&key];
-        let reach = Reach::Any;
-        let offer = |_: u32, worker: &Worker| {
-            worker.takes_work(now_ms).then(|| Candidate {
-                mask: worker.open() & worker.reachable(job.rights.organisation, reach),
-                cores: worker.free_cores,
-                memory_mb: worker.free_memory_mb,
-                cost: 0,
-            })
-        };
-        choose(&self.pool, &job.demand, self.policy, random, offer)
+    fn used(&self) -> u32 {
+        self.organisations.iter().map(|organisation| organisation.used).sum()
+    }
+
+    /// Returns the accelerators that may be used while a data centre that came back refills.
+    fn ramp_limit(&self, now_ms: u64) -> Option<u32> {
+        let ramp_ms = self.limits()?.return_ramp_ms;
+        let passed_ms = now_ms.saturating_sub(self.returned_ms?);
+        if passed_ms >= ramp_ms {
+            return None;
+        }
+        let total: u64 = self.pool.workers.iter().map(|w| u64::from(w.whole().count_ones())).sum();
+        Some((total * passed_ms / ramp_ms) as u32)
     }
 }
+
+fn line((organisation, jobs): (&u32, &std::collections::BTreeMap<JobKey, Waiting>)) -> Line {
+    let jobs = jobs.iter().map(|(key, waiting)| (*key, *waiting)).collect();
+    Line { organisation: *organisation, jobs, tried: 0 }
+}
--- a/src/scheduler/reclaim.rs
+++ b/src/scheduler/reclaim.rs
@@ -1,14 +1,23 @@
-//! Cells that gangs give back before their work is done.
+//! Cells that gangs give back before their work is done, and those who wait for them.
 
+use super::gang::RESERVE_MS;
 use super::message::Output;
+use super::search::mask_of;
 use super::state::Scheduler;
-use super::work::{Leave, ShareState, Stage};
-use crate::placement::JobKey;
+use super::work::{GangShare, Leave, ShareState, Stage};
+use crate::placement::{JobKey, Plan, WorkerState};
+use crate::prelude::*;
 
 /// The time that a task has to stop if no bundle says how long.
 const DEFAULT_STOP_MS: u64 = 1_000;
 /// The time that a task has to write a checkpoint if no bundle says how long.
 const DEFAULT_CHECKPOINT_MS: u64 = 1_000;
+/// The longest time to stop for urgent work, which has 2,500 ms for checkpoint, stop, reservation, intent and start.
+pub(crate) const URGENT_STOP_MS: u64 = 500;
+/// The longest time for a checkpoint for urgent work.
+const URGENT_CHECKPOINT_MS: u64 = 1_000;
+/// The time beyond the deadlines of its victims after which a claim is given up.
+const CLAIM_MARGIN_MS: u64 = 400;
 
 impl Scheduler {
     /// Returns the time that a task has to stop.
@@ -16,33 +25,124 @@
         self.limits().map_or(DEFAULT_STOP_MS, |limits| limits.reclaim_stop_ms)
     }
 
+    fn checkpoint_ms(&self) -> u64 {
+        self.limits().map_or(DEFAULT_CHECKPOINT_MS, |limits| limits.reclaim_checkpoint_ms)
+    }
+
     /// Makes a gang leave its cells, after a checkpoint if it can write one.
     pub(crate) fn vacate(&mut self, now_ms: u64, key: JobKey, why: Leave, out: &mut Vec<Output>) {
-        let checkpoint_ms =
-            self.limits().map_or(DEFAULT_CHECKPOINT_MS, |limits| limits.reclaim_checkpoint_ms);
         let can_checkpoint = self.jobs[&key].spec.can_checkpoint;
+        let checkpoint_ms = self.checkpoint_ms();
         let gang = self.gang_mut(key);
-        if gang.stage == Stage::Checkpointing {
+        if matches!(gang.stage, Stage::Checkpointing | Stage::Stopping) {
             return;
         }
-        if !can_checkpoint || !matches!(gang.stage, Stage::Running | Stage::Adopting) {
+        if !can_checkpoint || gang.stage != Stage::Running {
             self.leave(now_ms, key, why, out);
             return;
         }
+        let checkpoint_ms =
+            if gang.for_urgent { checkpoint_ms.min(URGENT_CHECKPOINT_MS) } else { checkpoint_ms };
         gang.leaves = gang.leaves.or(Some(why));
         gang.stage = Stage::Checkpointing;
         gang.deadline_ms = now_ms + checkpoint_ms;
-        for share in gang.shares.iter_mut() {
-            if share.state != ShareState::Ended {
-                share.saved_ms = None;
-            }
-        }
         let gang = gang.clone();
         for share in gang.shares.iter().filter(|share| share.state != ShareState::Ended) {
-            out.push(Output::Checkpoint {
-                gang: gang.id.clone(),
-                worker: self.worker_id(share.worker),
-            });
+            let worker = self.worker_id(share.worker);
+            out.push(Output::Checkpoint { gang: gang.id.clone(), worker });
+        }
+        for share in &mut self.gang_mut(key).shares {
+            share.saved_ms = share.has_succeeded().then_some(u64::MAX);
+        }
+    }
+
+    /// Fixes the cells of a job and makes the gangs that hold some of them leave.
+    pub(crate) fn claim(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        plan: Plan,
+        victims: &[JobKey],
+        out: &mut Vec<Output>,
+    ) {
+        let deadline_ms = now_ms + self.checkpoint_ms() + self.stop_ms() + CLAIM_MARGIN_MS;
+        let urgent = self.jobs[&key].rights.class == Class::Urgent;
+        self.form_gang(now_ms, key, plan, Stage::Claiming, deadline_ms);
+        self.mark_claim(key, true);
+        for victim in victims {
+            if self.jobs.get(victim).is_some_and(|job| job.gang.is_some()) {
+                self.gang_mut(*victim).for_urgent |= urgent;
+                self.vacate(now_ms, *victim, Leave::Reclaimed, out);
+            }
+        }
+        self.claims = true;
+    }
+
+    /// Gives the cells that a job waits for up.
+    pub(crate) fn unclaim(&mut self, key: JobKey) {
+        self.mark_claim(key, false);
+        self.dirty = true;
+    }
+
+    fn mark_claim(&mut self, key: JobKey, claimed: bool) {
+        let job = &self.jobs[&key];
+        let (organisation, task) = (job.rights.organisation as usize, job.demand.task);
+        let shares = job.gang.as_ref().map(|gang| gang.shares.clone()).unwrap_or_default();
+        for GangShare { worker, tasks, .. } in shares {
+            let (mask, count) = (mask_of(&tasks), tasks.len() as u32);
+            let (cores, memory_mb) = (count * task.cores, u64::from(count) * task.memory_mb);
+            let worker = self.pool.worker_mut(worker);
+            let used = &mut self.organisations[organisation].used;
+            if claimed {
+                worker.claimed |= mask;
+                worker.claimed_cores += cores;
+                worker.claimed_memory_mb += memory_mb;
+                *used += mask.count_ones();
+            } else {
+                worker.claimed &= !mask;
+                worker.claimed_cores -= cores;
+                worker.claimed_memory_mb -= memory_mb;
+                *used = used.saturating_sub(mask.count_ones());
+            }
+        }
+    }
+
+    /// Goes on with jobs whose cells were given back.
+    pub(crate) fn serve_claims(&mut self, now_ms: u64, out: &mut Vec<Output>) {
+        if !self.claims {
+            return;
+        }
+        let claiming = |key: &JobKey| {
+            self.jobs[key].gang.as_ref().is_some_and(|gang| gang.stage == Stage::Claiming)
+        };
+        let keys: Vec<JobKey> = self.active.iter().copied().filter(claiming).collect();
+        self.claims = !keys.is_empty();
+        for key in keys {
+            self.serve_claim(now_ms, key, out);
+        }
+    }
+
+    fn serve_claim(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
+        let task = self.jobs[&key].demand.task;
+        let shares = self.gang_mut(key).shares.clone();
+        let up = |share: &GangShare| self.pool.worker(share.worker).state == WorkerState::Up;
+        if !shares.iter().all(up) {
+            self.give_up(now_ms, key, Leave::Overdue, false, out);
+            return;
+        }
+        let free = |share: &GangShare| {
+            let worker = self.pool.worker(share.worker);
+            let (mask, count) = (mask_of(&share.tasks), share.tasks.len() as u32);
+            worker.free & mask == mask
+                && worker.free_cores >= count * task.cores
+                && worker.free_memory_mb >= u64::from(count) * task.memory_mb
+        };
+        if shares.iter().all(free) {
+            self.mark_claim(key, false);
+            let gang = self.gang_mut(key);
+            gang.stage = Stage::Reserving;
+            gang.deadline_ms = now_ms + RESERVE_MS;
+            self.reserve_shares(key, out);
         }
     }
 }
--- /dev/null
+++ b/src/scheduler/reserve.rs
@@ -0,0 +1,176 @@
+//! The reservation of cells for a large job that has waited long, and backfill beside it.
+
+use serde::{Deserialize, Serialize};
+
+use super::queue::CLASSES;
+use super::search::mask_of;
+use super::state::Scheduler;
+use super::work::Job;
+use crate::placement::{Candidate, Holding, JobKey, Plan, Policy, Reach, Worker, choose};
+use crate::prelude::*;
+
+/// The longest expected time, in seconds, that the cost of a cell tells apart.
+const MAX_COST_SECONDS: u64 = 1_000_000;
+
+/// Cells that are kept for one job until all of them are free or can be taken back.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Reservation {
+    pub job: JobKey,
+    pub plan: Plan,
+    /// When the work that must end by itself is expected to have ended.
+    pub start_ms: u64,
+}
+
+impl Scheduler {
+    /// Drops a reservation that is no longer needed, and reserves for the job that has waited longest.
+    pub(crate) fn renew_reservation(&mut self, now_ms: u64) {
+        if self.policy != Policy::Product {
+            return;
+        }
+        let stands = |r: &Reservation| {
+            self.jobs.get(&r.job).is_some_and(|job| job.gang.is_none())
+                && r.plan.iter().all(|(worker, _)| self.pool.worker(*worker).takes_work(now_ms))
+        };
+        if self.reservation.as_ref().is_some_and(stands) {
+            let cells = self.reservation.as_ref().map(|r| cells_of(&r.plan)).unwrap_or_default();
+            let start_ms = self.expected_end(now_ms, &cells);
+            if let Some(reservation) = &mut self.reservation {
+                reservation.start_ms = start_ms;
+            }
+            return;
+        }
+        self.drop_reservation();
+        if let Some(key) = self.longest_waiting(now_ms) {
+            self.reserve_for(now_ms, key);
+        }
+    }
+
+    fn drop_reservation(&mut self) {
+        if self.reservation.take().is_some() {
+            for worker in &mut self.pool.workers {
+                worker.reserved = 0;
+            }
+            self.dirty = true;
+        }
+    }
+
+    /// Returns the first job in the order of the queue that has waited for cells for longer than the rules allow.
+    fn longest_waiting(&self, now_ms: u64) -> Option<JobKey> {
+        let age_ms = self.limits()?.reservation_age_ms;
+        CLASSES.into_iter().find_map(|class| {
+            let lines = self.queue.lines(class).values();
+            let old = lines.flatten().filter(|(key, waiting)| {
+                waiting.arrived_ms + age_ms <= now_ms && self.is_waiting_for_cells(**key)
+            });
+            old.min_by_key(|(_, waiting)| waiting.arrived_ms).map(|(key, _)| *key)
+        })
+    }
+
+    /// Returns whether there was no room for a job when cells last became free.
+    pub(crate) fn is_waiting_for_cells(&self, key: JobKey) -> bool {
+        let rights = self.jobs[&key].rights;
+        let line = self.queue.lines(rights.class).get(&rights.organisation);
+        line.and_then(|line| line.get(&key)).is_some_and(|waiting| self.is_hopeless(waiting))
+    }
+
+    fn reserve_for(&mut self, now_ms: u64, key: JobKey) {
+        let job = &self.jobs[&key];
+        let rights = job.rights;
+        let reach = if rights.borrows { Reach::Any } else { Reach::Spare };
+        let offer = |_: u32, worker: &Worker| {
+            let shape = worker.spec.shape;
+            worker.takes_work(now_ms).then(|| Candidate {
+                mask: worker.reachable(rights.organisation, reach),
+                cores: shape.cores,
+                memory_mb: shape.memory_mb,
+                cost: self.wait_cost(now_ms, job, worker),
+            })
+        };
+        // No random number is drawn under the product policy.
+        let mut random = NoRandom;
+        let Some(plan) = choose(&self.pool, &job.demand, self.policy, &mut random, offer) else {
+            return;
+        };
+        let cells = cells_of(&plan);
+        for (worker, mask) in &cells {
+            self.pool.worker_mut(*worker).reserved = *mask;
+        }
+        let start_ms = self.expected_end(now_ms, &cells);
+        self.reservation = Some(Reservation { job: key, plan, start_ms });
+    }
+
+    /// Returns the seconds until a worker is expected to be free for a job.
+    fn wait_cost(&self, now_ms: u64, job: &Job, worker: &Worker) -> u32 {
+        let ends = worker.holdings.iter().map(|h| match yields_to(h, job.rights.class, false) {
+            true => 1,
+            false => {
+                (self.holding_end(now_ms, h).saturating_sub(now_ms) / 1_000).min(MAX_COST_SECONDS)
+            }
+        });
+        ends.max().unwrap_or(0) as u32
+    }
+
+    /// Returns when a gang is expected to end; one that is overdue is expected to run for as long again.
+    fn holding_end(&self, now_ms: u64, holding: &Holding) -> u64 {
+        let Some(job) = self.jobs.get(&holding.job) else { return now_ms };
+        let Some(gang) = &job.gang else { return now_ms };
+        let end_ms = gang.started_ms + self.expected_run_ms(job);
+        if end_ms > now_ms { end_ms } else { now_ms + (now_ms - gang.started_ms) }
+    }
+
+    fn expected_end(&self, now_ms: u64, cells: &[(u32, u64)]) -> u64 {
+        let holdings = cells.iter().flat_map(|(worker, mask)| {
+            self.pool.worker(*worker).holdings.iter().filter(move |h| h.mask & mask != 0)
+        });
+        holdings.map(|h| self.holding_end(now_ms, h)).max().unwrap_or(now_ms)
+    }
+
+    /// Returns whether a job may use cells that are reserved for another.
+    pub(crate) fn may_backfill(&self, now_ms: u64, key: JobKey) -> bool {
+        let job = &self.jobs[&key];
+        let Some(reservation) = &self.reservation else { return true };
+        if reservation.job == key || job.rights.reclaimable || job.rights.class == Class::Urgent {
+            return true;
+        }
+        self.certain_run_ms(job).is_some_and(|run_ms| now_ms + run_ms <= reservation.start_ms)
+    }
+
+    /// Returns whether a gang on reserved cells leaves them when the reserved job can start.
+    pub(crate) fn gives_way(&self, holding: &Holding, class: Class) -> bool {
+        let backfill = self
+            .jobs
+            .get(&holding.job)
+            .and_then(|job| job.gang.as_ref())
+            .is_some_and(|gang| gang.backfill);
+        yields_to(holding, class, backfill)
+    }
+}
+
+fn cells_of(plan: &Plan) -> Vec<(u32, u64)> {
+    plan.iter().map(|(worker, tasks)| (*worker, mask_of(tasks))).collect()
+}
+
+fn yields_to(holding: &Holding, class: Class, backfill: bool) -> bool {
+    holding.reclaimable && (backfill || holding.class > class)
+}
+
+/// A source of random numbers for choices that draw none.
+struct NoRandom;
+
+impl rand::TryRng for NoRandom {
+    type Error = std::convert::Infallible;
+
+    fn try_next_u32(&mut self) -> Result<u32, Self::Error> {
+        Ok(0)
+    }
+
+    fn try_next_u64(&mut self) -> Result<u64, Self::Error> {
+        Ok(0)
+    }
+
+    fn try_fill_bytes(&mut self, target: &mut [u8]) -> Result<(), Self::Error> {
+        target.fill(0);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/scheduler/search.rs
@@ -0,0 +1,305 @@
+//! The search for cells of one job, from the cells that disturb nobody to those that must be taken back.
+
+use rand::Rng;
+
+use super::message::{Output, TaskCell};
+use super::state::Scheduler;
+use super::work::Job;
+use crate::placement::{Candidate, Holding, JobKey, Plan, Policy, Reach, Worker, choose};
+use crate::prelude::*;
+
+/// The cost of a worker on which the job failed before; such a worker is taken only if there is no other.
+const FAILED_BEFORE_COST: u32 = 1_000_000;
+
+/// Which ways to find cells are tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Scope {
+    /// Only cells that are guaranteed to the job's organisation.
+    Guaranteed,
+    /// All cells.
+    All,
+}
+
+/// Whose cells may be taken back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evict {
+    /// Nobody's.
+    Nothing,
+    /// Those of work on cells that are guaranteed to the job's organisation.
+    FromOwn,
+    /// Also those of work of a lower class that is not on its own organisation's cells.
+    LowerClass,
+}
+
+/// One way to find cells.
+#[derive(Clone, Copy, Debug)]
+struct Way {
+    reach: Reach,
+    evict: Evict,
+    /// Whether guaranteed blocks that their owners do not use may be moved away.
+    moves_blocks: bool,
+}
+
+const fn way(reach: Reach, evict: Evict) -> Way {
+    Way { reach, evict, moves_blocks: false }
+}
+
+impl Scheduler {
+    /// Finds cells for all tasks of a waiting job and starts an attempt, or takes cells back for it.
+    ///
+    /// Returns whether the job left the queue.
+    pub(crate) fn place<R>(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        scope: Scope,
+        random: &mut R,
+        out: &mut Vec<Output>,
+    ) -> bool
+    where
+        R: Rng,
+    {
+        for way in self.ways(key, scope) {
+            let Some(plan) = self.find_cells(now_ms, key, way, random) else { continue };
+            if way.moves_blocks && !self.make_room(key, &plan) {
+                continue;
+            }
+            match way.evict {
+                Evict::Nothing => self.begin(now_ms, key, plan, out),
+                _ => {
+                    let victims = self.victims(key, &plan, way.evict);
+                    self.claim(now_ms, key, plan, &victims, out);
+                }
+            }
+            return true;
+        }
+        self.place_reserved(now_ms, key, out)
+    }
+
+    /// Returns the ways to find cells, those that disturb others least first.
+    fn ways(&self, key: JobKey, scope: Scope) -> Vec<Way> {
+        if self.policy != Policy::Product {
+            return vec![way(Reach::Any, Evict::Nothing)];
+        }
+        let rights = self.jobs[&key].rights;
+        let guaranteed = self.organisations[rights.organisation as usize].guaranteed > 0;
+        let mut ways = Vec::with_capacity(6);
+        if guaranteed {
+            ways.push(way(Reach::Own, Evict::Nothing));
+        }
+        if scope == Scope::Guaranteed {
+            return ways;
+        }
+        ways.push(way(Reach::Spare, Evict::Nothing));
+        if rights.borrows {
+            ways.push(way(Reach::Any, Evict::Nothing));
+        }
+        if guaranteed {
+            ways.push(way(Reach::Spare, Evict::FromOwn));
+        }
+        if !rights.borrows && !self.bindings.is_reduced() && !self.bindings.blocks.is_empty() {
+            ways.push(Way { reach: Reach::Any, evict: Evict::Nothing, moves_blocks: true });
+        }
+        if rights.class == Class::Urgent {
+            let reach = if rights.borrows { Reach::Any } else { Reach::Spare };
+            ways.push(way(reach, Evict::LowerClass));
+        }
+        ways
+    }
+
+    fn find_cells<R>(&self, now_ms: u64, key: JobKey, way: Way, random: &mut R) -> Option<Plan>
+    where
+        R: Rng,
+    {
+        let job = &self.jobs[&key];
+        let backfills = self.may_backfill(now_ms, key) || way.reach == Reach::Own;
+        let idle = if way.moves_blocks { self.bindings.idle_masks(&self.pool) } else { Vec::new() };
+        let offer = |position: u32, worker: &Worker| {
+            if !worker.takes_work(now_ms) {
+                return None;
+            }
+            let mut candidate = self.offer(job, worker, way);
+            if way.moves_blocks {
+                let movable = idle.get(position as usize).copied().unwrap_or(0);
+                let owned = worker.reachable(job.rights.organisation, Reach::Spare);
+                candidate.mask &= owned | movable;
+            }
+            if !backfills {
+                candidate.mask &= !worker.reserved;
+            }
+            if job.failed_on.contains(&position) {
+                candidate.cost += FAILED_BEFORE_COST;
+            }
+            Some(candidate)
+        };
+        choose(&self.pool, &job.demand, self.policy, random, offer)
+    }
+
+    /// Returns what a job may use on a worker.
+    fn offer(&self, job: &Job, worker: &Worker, way: Way) -> Candidate {
+        let rights = job.rights;
+        let reachable = worker.reachable(rights.organisation, way.reach);
+        let mut offer = Candidate {
+            mask: worker.open() & reachable,
+            cores: worker.open_cores(),
+            memory_mb: worker.open_memory_mb(),
+            cost: 0,
+        };
+        if way.evict != Evict::Nothing {
+            for holding in &worker.holdings {
+                if self.evictable(job, worker, holding, way.evict) {
+                    offer.mask |= holding.mask & reachable & !worker.claimed;
+                    offer.cores += holding.cores;
+                    offer.memory_mb += holding.memory_mb;
+                    offer.cost += holding.weight;
+                }
+            }
+        }
+        let keeps = self.policy == Policy::Product && !rights.reclaimable && !way.moves_blocks;
+        if keeps && !(way.reach == Reach::Own && in_proportion(job, worker)) {
+            let (cores, memory_mb) = worker.kept_for_others(rights.organisation);
+            offer.cores = offer.cores.saturating_sub(cores);
+            offer.memory_mb = offer.memory_mb.saturating_sub(memory_mb);
+        }
+        offer
+    }
+
+    /// Returns whether a job may take the cells of a gang back.
+    fn evictable(&self, job: &Job, worker: &Worker, holding: &Holding, evict: Evict) -> bool {
+        if !holding.reclaimable || !self.jobs.contains_key(&holding.job) {
+            return false;
+        }
+        let rights = job.rights;
+        let lower = holding.class > rights.class;
+        let same = holding.organisation == rights.organisation;
+        let borrowed_from_us = !same && holding.mask & worker.bound_to(rights.organisation) != 0;
+        let at_home =
+            holding.mask & !worker.bound_to(holding.organisation) == 0 && holding.mask != 0;
+        match evict {
+            Evict::Nothing => false,
+            Evict::FromOwn => borrowed_from_us || (same && lower),
+            Evict::LowerClass => borrowed_from_us || (lower && (same || !at_home)),
+        }
+    }
+
+    /// Returns the gangs that must leave so that a plan can be carried out.
+    fn victims(&self, key: JobKey, plan: &Plan, evict: Evict) -> Vec<JobKey> {
+        let job = &self.jobs[&key];
+        let mut victims = Vec::new();
+        for (position, tasks) in plan {
+            let worker = self.pool.worker(*position);
+            let may = |h: &&Holding| self.evictable(job, worker, h, evict);
+            victims.extend(victims_on(job, worker, tasks, worker.holdings.iter().filter(may)));
+        }
+        victims.sort_unstable();
+        victims.dedup();
+        victims
+    }
+
+    /// Moves guaranteed blocks away from a plan's cells, and returns whether all guarantees still hold.
+    fn make_room(&mut self, key: JobKey, plan: &Plan) -> bool {
+        let job = &self.jobs[&key];
+        let (organisation, task) = (job.rights.organisation, job.demand.task);
+        let cells: Vec<(u32, u64)> =
+            plan.iter().map(|(worker, tasks)| (*worker, mask_of(tasks))).collect();
+        let fits = |pool: &crate::placement::Pool| {
+            plan.iter().all(|(position, tasks)| {
+                let worker = pool.worker(*position);
+                let (cores, memory_mb) = worker.kept_for_others(organisation);
+                let count = tasks.len() as u32;
+                worker.open_cores() >= cores + count * task.cores
+                    && worker.open_memory_mb() >= memory_mb + u64::from(count) * task.memory_mb
+            })
+        };
+        self.bindings.make_room(&mut self.pool, organisation, &cells, fits)
+    }
+
+    /// Starts the job that holds the reservation if all its cells are free or can be taken back.
+    fn place_reserved(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) -> bool {
+        let Some(reservation) = &self.reservation else { return false };
+        if reservation.job != key {
+            return false;
+        }
+        let job = &self.jobs[&key];
+        let class = job.rights.class;
+        let mut victims = Vec::new();
+        for (position, tasks) in &reservation.plan {
+            let worker = self.pool.worker(*position);
+            let mask = mask_of(tasks);
+            let mut holders = worker.holdings.iter().filter(|h| h.mask & mask != 0);
+            let reach = if job.rights.borrows { Reach::Any } else { Reach::Spare };
+            let allowed = mask & !worker.reachable(job.rights.organisation, reach) == 0;
+            if !allowed || worker.claimed & mask != 0 || holders.any(|h| !self.gives_way(h, class))
+            {
+                return false;
+            }
+            let giving = worker.holdings.iter().filter(|h| self.gives_way(h, class));
+            victims.extend(victims_on(job, worker, tasks, giving));
+            if !has_size_after(job, worker, tasks, &victims) {
+                return false;
+            }
+        }
+        let plan = reservation.plan.clone();
+        victims.sort_unstable();
+        victims.dedup();
+        self.claim(now_ms, key, plan, &victims, out);
+        true
+    }
+}
+
+/// Returns the gangs that hold accelerators of some tasks on a worker, and as many more as hold the missing cores and
+/// memory.
+fn victims_on<'a, I>(job: &Job, worker: &Worker, tasks: &[TaskCell], may: I) -> Vec<JobKey>
+where
+    I: Iterator<Item = &'a Holding>,
+{
+    let mask = mask_of(tasks);
+    let count = tasks.len() as u32;
+    let (mut cores, mut memory_mb) = (worker.open_cores(), worker.open_memory_mb());
+    let (need_cores, need_mb) =
+        (count * job.demand.task.cores, u64::from(count) * job.demand.task.memory_mb);
+    let (direct, others): (Vec<&Holding>, Vec<&Holding>) = may.partition(|h| h.mask & mask != 0);
+    let mut victims = Vec::new();
+    for holding in direct {
+        cores += holding.cores;
+        memory_mb += holding.memory_mb;
+        victims.push(holding.job);
+    }
+    for holding in others {
+        if cores >= need_cores && memory_mb >= need_mb {
+            break;
+        }
+        cores += holding.cores;
+        memory_mb += holding.memory_mb;
+        victims.push(holding.job);
+    }
+    victims
+}
+
+/// Returns whether the cores and the memory for some tasks are free once some gangs left.
+fn has_size_after(job: &Job, worker: &Worker, tasks: &[TaskCell], victims: &[JobKey]) -> bool {
+    let leaving = worker.holdings.iter().filter(|h| victims.contains(&h.job));
+    let (cores, memory_mb) = leaving
+        .fold((worker.open_cores(), worker.open_memory_mb()), |sum, h| {
+            (sum.0 + h.cores, sum.1 + h.memory_mb)
+        });
+    let (kept_cores, kept_mb) = match job.rights.reclaimable {
+        true => (0, 0),
+        false => worker.kept_for_others(job.rights.organisation),
+    };
+    let count = tasks.len() as u32;
+    cores >= kept_cores + count * job.demand.task.cores
+        && memory_mb >= kept_mb + u64::from(count) * job.demand.task.memory_mb
+}
+
+/// Returns whether a task needs no more cores and memory than go with its accelerators.
+fn in_proportion(job: &Job, worker: &Worker) -> bool {
+    let task = job.demand.task;
+    let (cores, memory_mb) = worker.share_of(task.accelerators);
+    task.cores <= cores && task.memory_mb <= memory_mb
+}
+
+/// Returns the accelerators of some tasks.
+pub(crate) fn mask_of(tasks: &[TaskCell]) -> u64 {
+    tasks.iter().fold(0, |all, cell| all | cell.accelerator_mask)
+}
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -5,10 +5,14 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use super::message::{GroupRules, Input, Output, TaskCell};
+use super::learn::Learned;
+use super::message::{Block, GroupRules, Input, Output, TaskCell};
+use super::place::Hopeless;
 use super::queue::{Queue, Waiting};
-use super::work::{Job, Rights, Wait};
+use super::reserve::Reservation;
+use super::work::{Job, Rights};
 use crate::bundle::KindRule;
+use crate::guarantee::Bindings;
 use crate::placement::{Demand, JobKey, Policy, Pool};
 use crate::prelude::*;
 
@@ -43,6 +47,21 @@
     pub(crate) since_ms: Option<u64>,
     /// Whether cells became free since the queue was last gone through.
     pub(crate) dirty: bool,
+    /// Whether the last pass over the queue was cut short.
+    pub(crate) unfinished: bool,
+    /// Whether any job waits for cells that others are giving back.
+    pub(crate) claims: bool,
+    /// When the data centre came back into service.
+    pub(crate) returned_ms: Option<u64>,
+    /// Whether operators took the data centre out.
+    pub(crate) out_of_service: bool,
+    /// The time of the latest input.
+    pub(crate) last_ms: u64,
+    pub(crate) bindings: Bindings,
+    pub(crate) reservation: Option<Reservation>,
+    /// Demands for which there was no room since cells last became free.
+    pub(crate) hopeless: Vec<Hopeless>,
+    pub(crate) learned: Learned,
 }
 
 /// What an organisation uses in the group.
@@ -114,6 +133,15 @@
             permitted: false,
             since_ms: None,
             dirty: false,
+            unfinished: false,
+            claims: false,
+            returned_ms: None,
+            out_of_service: false,
+            last_ms: 0,
+            bindings: Bindings::default(),
+            reservation: None,
+            hopeless: Vec::new(),
+            learned: Learned::default(),
         }
     }
 
@@ -126,6 +154,7 @@
     {
         let mut out = Vec::new();
         self.since_ms.get_or_insert(now_ms);
+        self.last_ms = now_ms;
         match input {
             Input::Rules { rules } => self.apply_rules(rules),
             Input::WorkerUp { worker, running } => {
@@ -149,13 +178,16 @@
             Input::Checkpointed { gang, worker, saved_ms } => {
                 self.checkpointed(now_ms, gang, worker, *saved_ms, &mut out);
             }
-            Input::Usage { .. } => {}
-            Input::Probed { .. } => {}
+            Input::Usage { gang, cores_per_mille, memory_mb } => {
+                self.note_usage(gang, *cores_per_mille, *memory_mb);
+            }
+            Input::Probed { worker, succeeded } => self.probed(worker, *succeeded),
             Input::StartsPermitted { permitted, leaving } => {
                 self.starts_permitted(now_ms, *permitted, *leaving, &mut out);
             }
             Input::Tick => self.tick(now_ms, &mut out),
         }
+        self.serve_claims(now_ms, &mut out);
         self.serve_queue(now_ms, random, &mut out);
         out
     }
@@ -164,6 +196,7 @@
         if self.rules.as_ref().is_some_and(|old| old.version > rules.version) {
             return;
         }
+        let first = self.rules.is_none();
         self.rules = Some(rules.clone());
         for organisation in &mut self.organisations {
             organisation.guaranteed = 0;
@@ -175,27 +208,51 @@
             entry.guaranteed = guarantee.blocks.iter().map(|block| block.accelerators).sum();
             entry.quota = guarantee.quota_accelerators;
         }
-        self.renew_rights();
+        let blocks = self.guaranteed_blocks(rules);
+        self.renew_rights(first);
+        self.bindings.replace(&mut self.pool, blocks);
         self.dirty = true;
     }
 
-    /// Applies changed rules to jobs that wait or run.
-    fn renew_rights(&mut self) {
+    fn guaranteed_blocks(&mut self, rules: &GroupRules) -> Vec<(u32, Block)> {
+        if self.policy != Policy::Product {
+            return Vec::new();
+        }
+        let mut blocks = Vec::new();
+        for guarantee in &rules.guarantees {
+            let owner = self.organisation(&guarantee.organisation);
+            blocks.extend(guarantee.blocks.iter().map(|block| (owner, *block)));
+        }
+        blocks
+    }
+
+    /// Applies changed rules to jobs that wait; gangs keep the rights under which their cells were chosen.
+    ///
+    /// Gangs that were adopted before any rules were known get their rights from the first.
+    fn renew_rights(&mut self, first: bool) {
         let keys: Vec<JobKey> = self.jobs.keys().copied().collect();
         for key in keys {
             let spec = self.jobs[&key].spec.clone();
             let Some(rights) = self.rights(&spec) else { continue };
-            let queued = self.jobs[&key].gang.is_none();
-            if queued {
+            if self.jobs[&key].gang.is_none() {
                 self.leave_queue(key);
-            }
-            self.job_mut(key).rights = rights;
-            if queued {
+                self.job_mut(key).rights = rights;
                 self.enter_queue(key);
+            } else if first {
+                self.job_mut(key).rights = rights;
+                self.renew_holdings(key, &rights);
             }
         }
     }
 
+    fn renew_holdings(&mut self, key: JobKey, rights: &Rights) {
+        let holdings = self.pool.workers.iter_mut().flat_map(|worker| &mut worker.holdings);
+        for holding in holdings.filter(|holding| holding.job == key) {
+            holding.class = rights.class;
+            holding.reclaimable = rights.reclaimable;
+        }
+    }
+
     /// Returns the index of an organisation, which is created when it is new.
     pub(crate) fn organisation(&mut self, id: &OrganisationId) -> u32 {
         if let Some(found) = self.organisations.iter().position(|o| &o.id == id) {
@@ -250,7 +307,7 @@
                 failures: 0,
                 failed_on: Vec::new(),
                 gang: None,
-                waits: Wait::Turn,
+                resumed_ms: 0,
             },
         );
         key
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -8,6 +8,7 @@
 use crate::prelude::*;
 
 mod gangs;
+mod guarantees;
 
 /// A scheduler, a seeded source of random numbers and a clock.
 pub(super) struct Bench {
@@ -166,3 +167,17 @@
 pub(super) fn ended(gang: &GangId, worker: &str, task: u32, end: TaskEnd) -> Input {
     Input::TaskEnded { gang: gang.clone(), worker: WorkerId::from(worker), task, end }
 }
+
+/// A guarantee of `count` blocks of `accelerators` for an organisation.
+pub(super) fn guarantee(
+    organisation: &str,
+    accelerators: u32,
+    adjacency: Adjacency,
+    count: usize,
+) -> GroupGuarantee {
+    GroupGuarantee {
+        organisation: OrganisationId::from(organisation),
+        blocks: vec![Block { accelerators, adjacency }; count],
+        quota_accelerators: None,
+    }
+}
--- /dev/null
+++ b/src/scheduler/tests/guarantees.rs
@@ -0,0 +1,78 @@
+//! Guarantees can always be taken, whoever borrows.
+
+use super::*;
+
+/// Guards against guaranteed cells that stay with a borrower.
+#[test]
+fn a_guaranteed_job_takes_its_cells_back_by_checkpoint_and_stop() {
+    let mut bench = Bench::new(Policy::Product, 4, vec![guarantee("a", 32, Adjacency::Rack, 1)]);
+    for number in 0..4 {
+        bench.run(job(&format!("b{number}"), "b", "batch", 1, 8));
+    }
+    let borrowed = bench.scheduler.summary().free_accelerators;
+
+    let checkpoints = bench.submit(job("j", "a", "run", 4, 8));
+    let stops = bench.pass(1_000);
+    let claiming = bench.stage("j");
+    let mut out = Vec::new();
+    for (number, worker) in bench.workers_of("j").iter().enumerate() {
+        let borrower = borrower_on(&bench, worker);
+        out = bench.send(ended(&gang(&borrower, 1), worker.as_str(), 0, TaskEnd::Stopped));
+        assert!(number == 3 || out.iter().all(|o| !matches!(o, Output::Reserve { .. })));
+    }
+    bench.obey(out);
+
+    assert_eq!(borrowed, 0);
+    assert_eq!(checkpoints.iter().filter(|o| matches!(o, Output::Checkpoint { .. })).count(), 4);
+    assert_eq!(stops.iter().filter(|o| matches!(o, Output::Stop { .. })).count(), 4);
+    assert_eq!(claiming, Some(Stage::Claiming));
+    assert_eq!(bench.stage("j"), Some(Stage::Running));
+}
+
+fn borrower_on(bench: &Bench, worker: &WorkerId) -> String {
+    let names = (0..4).map(|number| format!("b{number}"));
+    names.into_iter().find(|name| bench.workers_of(name).contains(worker)).unwrap_or_default()
+}
+
+/// Guards against a worker that keeps guaranteed cells by not stopping.
+#[test]
+fn a_worker_that_does_not_stop_a_borrower_is_fenced() {
+    let mut bench = Bench::new(Policy::Product, 1, vec![guarantee("a", 8, Adjacency::Worker, 1)]);
+    bench.run(job("b", "b", "batch", 1, 8));
+
+    bench.submit(job("j", "a", "run", 1, 8));
+    let out = bench.pass(1_600);
+
+    assert!(out.contains(&Output::Fence { worker: WorkerId::from("w000") }));
+    assert_eq!(bench.scheduler.reduced_guarantees().len(), 1);
+}
+
+/// Guards against work that cannot be stopped on cells that a guarantee may need.
+#[test]
+fn work_that_cannot_be_stopped_never_borrows() {
+    let mut bench = Bench::new(Policy::Product, 2, vec![guarantee("a", 16, Adjacency::Rack, 1)]);
+    let mut once = job("once", "b", "batch", 1, 8);
+    once.repeat = Repeat::Never;
+
+    bench.run(once);
+    bench.run(job("pinned", "b", "run", 1, 8));
+
+    assert_eq!(bench.stage("once"), None);
+    assert_eq!(bench.stage("pinned"), None);
+    assert!(matches!(
+        bench.scheduler.job(&JobId::from("pinned")),
+        Some(JobView::Queued { waits: Wait::Capacity, .. })
+    ));
+}
+
+/// Guards against spare capacity that is lost because idle guarantees are kept on fixed cells.
+#[test]
+fn an_idle_guarantee_moves_when_spare_cells_are_scattered() {
+    let mut bench = Bench::new(Policy::Product, 8, vec![guarantee("a", 8, Adjacency::Worker, 4)]);
+    let rack = bench.run(job("wide", "b", "run", 4, 8));
+    let more = bench.submit(job("more", "b", "run", 1, 8));
+
+    assert_eq!(rack, Vec::new());
+    assert_eq!(bench.stage("wide"), Some(Stage::Running));
+    assert_eq!(more, Vec::new());
+}
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::message::Block;
 use super::state::Scheduler;
 use super::work::{Gang, ShareState, Stage, Wait};
 use crate::placement::{JobKey, Worker, WorkerState, aligned_blocks};
@@ -58,14 +59,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "violation")]
 pub enum Violation {
-    /// A guaranteed cell is held by work of another organisation that cannot be made to give it back.
+    /// A guaranteed block cannot be taken by its owner, although no worker was lost.
     NotReclaimable {
         /// The organisation that holds the guarantee.
         organisation: OrganisationId,
-        /// The worker.
-        worker: WorkerId,
-        /// The accelerators.
-        accelerator_mask: u64,
+        /// The block that it could not take now.
+        block: Block,
     },
     /// Two gangs hold the same accelerators.
     HeldTwice {
@@ -149,9 +148,11 @@
         };
         let job = &self.jobs[key];
         Some(match &job.gang {
-            None => {
-                JobView::Queued { waits: job.waits, attempts: job.attempts, saved_ms: job.saved_ms }
-            }
+            None => JobView::Queued {
+                waits: self.wait_reason(*key),
+                attempts: job.attempts,
+                saved_ms: job.saved_ms,
+            },
             Some(gang) => JobView::Active {
                 gang: gang.id.clone(),
                 stage: gang.stage,
@@ -160,15 +161,28 @@
         })
     }
 
+    fn wait_reason(&self, key: JobKey) -> Wait {
+        if let Some(wait) = self.blocked(self.last_ms, key) {
+            return wait;
+        }
+        if self.is_waiting_for_cells(key) { Wait::Capacity } else { Wait::Turn }
+    }
+
+    /// Returns the guaranteed blocks that cannot be taken now because workers are missing.
+    pub fn reduced_guarantees(&self) -> Vec<(OrganisationId, Block)> {
+        let reduced = self.bindings.blocks.iter().filter(|block| block.reduced);
+        reduced
+            .map(|block| (self.organisations[block.organisation as usize].id.clone(), block.block))
+            .collect()
+    }
+
     /// Checks the invariants and returns all that do not hold.
     pub fn violations(&self) -> Vec<Violation> {
         let mut violations = Vec::new();
         for worker in &self.pool.workers {
             self.check_cells(worker, &mut violations);
-            if self.policy == super::Policy::Product {
-                self.check_guarantees(worker, &mut violations);
-            }
         }
+        self.check_guarantees(&mut violations);
         for key in &self.active {
             if let Some(gang) = &self.jobs[key].gang {
                 self.check_gang(*key, gang, &mut violations);
@@ -195,17 +209,23 @@
         }
     }
 
-    fn check_guarantees(&self, worker: &Worker, violations: &mut Vec<Violation>) {
-        for (owner, mask) in &worker.bound {
-            let foreign =
-                worker.holdings.iter().filter(|h| !h.reclaimable && h.organisation != *owner);
-            let lost = foreign.fold(0, |all, h| all | (h.mask & mask));
-            if lost != 0 {
-                violations.push(Violation::NotReclaimable {
-                    organisation: self.organisations[*owner as usize].id.clone(),
-                    worker: worker.spec.id.clone(),
-                    accelerator_mask: lost,
-                });
+    fn check_guarantees(&self, violations: &mut Vec<Violation>) {
+        let mut taken: Vec<u64> = vec![0; self.pool.workers.len()];
+        for block in self.bindings.blocks.iter().filter(|block| !block.reduced) {
+            let covered: u32 = block.cells.iter().map(|(_, mask)| mask.count_ones()).sum();
+            let mut lost = covered != block.block.accelerators;
+            for (position, mask) in &block.cells {
+                let worker = self.pool.worker(*position);
+                let seen = &mut taken[*position as usize];
+                lost |= *seen & mask != 0
+                    || worker.state != WorkerState::Up
+                    || worker.pinned_by_others(block.organisation) & mask != 0
+                    || !worker.can_back(block.organisation, 0);
+                *seen |= mask;
+            }
+            if lost {
+                let organisation = self.organisations[block.organisation as usize].id.clone();
+                violations.push(Violation::NotReclaimable { organisation, block: block.block });
             }
         }
     }
--- a/src/scheduler/work.rs
+++ b/src/scheduler/work.rs
@@ -46,8 +46,8 @@
     pub failed_on: Vec<u32>,
     /// The gang, unless the job is queued.
     pub gang: Option<Gang>,
-    /// Why the job still waits.
-    pub waits: Wait,
+    /// Progress from which the present attempt resumed.
+    pub resumed_ms: u64,
 }
 
 /// Why a job waits.
@@ -66,8 +66,8 @@
     Retry,
     /// Whether an attempt under an earlier leader runs is not known yet.
     Takeover,
-    /// Free cells are kept for an older, larger job.
-    Reservation,
+    /// The data centre came back a moment ago and is refilled gradually.
+    Ramp,
 }
 
 /// One attempt to run a job.
@@ -86,6 +86,8 @@
     pub leaves: Option<Leave>,
     /// Whether the gang runs on cells that wait for a reservation.
     pub backfill: bool,
+    /// Whether its cells are wanted for urgent work, which cannot wait for long deadlines.
+    pub for_urgent: bool,
 }
 
 /// How far a gang is.
@@ -224,9 +226,4 @@
     pub fn is_over(&self) -> bool {
         self.ended.count_ones() as usize == self.tasks.len()
     }
-
-    /// Returns the accelerators of all tasks.
-    pub fn mask(&self) -> u64 {
-        self.tasks.iter().fold(0, |all, cell| all | cell.accelerator_mask)
-    }
 }
