Add the shells of the request path

Entry: actor around Router, POST /v1/requests, claims and records of idempotency keys, listener for agents. Agent: actor around EndpointAgent, connections to all entries, forwarding on loopback, POST /v1/announce and POST /v1/drain.

An announcement of a process that drains is ignored if it names its instance or the drain has not ended.

--- /dev/null
+++ b/src/agent/endpoint.rs
@@ -0,0 +1,356 @@
+//! The actor around [`EndpointAgent`], and the connections to the entries.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use rand::RngExt;
+use reqwest::Url;
+use serde::Serialize;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use xtra::WeakAddress;
+use xtra::prelude::*;
+
+use super::forward;
+use crate::endpoint::{AgentInput, AgentOutput, EndpointAgent, Forward};
+use crate::prelude::*;
+use crate::process::{Clock, Metrics};
+use crate::request::ConnectionId;
+use crate::wire::{
+    AgentMessage, EndpointSpec, EntryMessage, Link, LinkError, LinkSender, LinkSettings,
+    ServiceState,
+};
+
+/// The interval at which deadlines are checked.
+const TICK_INTERVAL: Duration = Duration::from_millis(5);
+/// The most messages that wait for the actor.
+const MAILBOX_MESSAGES: usize = 4_096;
+/// The shortest and the longest pause before a lost connection is opened again.
+const RECONNECT_MS: std::ops::RangeInclusive<u64> = 50..=250;
+
+/// The actor beside one endpoint.
+#[derive(xtra::Actor)]
+pub struct Endpoint {
+    agent: EndpointAgent,
+    clock: Clock,
+    metrics: Metrics,
+    target: Option<Target>,
+    connections: HashMap<ConnectionId, LinkSender<AgentMessage>>,
+    forwards: HashMap<AttemptId, oneshot::Sender<()>>,
+    drains: Vec<oneshot::Sender<()>>,
+}
+
+/// Where the endpoint listens.
+struct Target {
+    client: reqwest::Client,
+    url: Url,
+    connections: u32,
+}
+
+/// An input that a task of the actor reports.
+pub(super) struct Report(pub(super) AgentInput);
+
+/// The endpoint announced itself.
+pub struct Announce {
+    /// The endpoint.
+    pub endpoint: EndpointSpec,
+    /// Where it listens.
+    pub url: Url,
+    /// The name of its process, if it gives one.
+    pub instance: Option<String>,
+}
+
+/// The endpoint is shutting down. The answer is a receiver that fires when no request is in flight.
+pub struct Drain;
+
+/// A bundle came into force at this agent.
+pub struct BundleApplied {
+    /// Its version.
+    pub version: BundleVersion,
+}
+
+/// Asks for what operators may see.
+pub struct Dump;
+
+/// What operators may see of an agent beside an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct EndpointSummary {
+    /// The endpoint, if it announced itself.
+    pub endpoint: Option<EndpointSpec>,
+    /// Whether it is shutting down.
+    pub draining: bool,
+    /// Whether its data centre is out of service.
+    pub data_centre_out: bool,
+    /// Requests that it works on.
+    pub running: u64,
+    /// Connections to entries.
+    pub connections: u64,
+}
+
+struct Tick;
+
+struct Connected {
+    connection: ConnectionId,
+    entry: Incarnation,
+    sender: LinkSender<AgentMessage>,
+}
+
+struct Disconnected {
+    connection: ConnectionId,
+}
+
+/// Starts the actor, and the task that keeps its time.
+pub fn spawn(clock: Clock, metrics: &Metrics) -> Address<Endpoint> {
+    let actor = Endpoint {
+        agent: EndpointAgent::new(),
+        clock,
+        metrics: metrics.clone(),
+        target: None,
+        connections: HashMap::new(),
+        forwards: HashMap::new(),
+        drains: Vec::new(),
+    };
+    let address = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_MESSAGES));
+    let weak = address.downgrade();
+    tokio::spawn(async move {
+        let mut interval = tokio::time::interval(TICK_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            if weak.send(Tick).await.is_err() {
+                return;
+            }
+        }
+    });
+    address
+}
+
+/// Keeps a connection to each entry. Signed bundles go to `bundles`; see [`BundleApplied`].
+pub fn connect_entries(
+    address: &Address<Endpoint>,
+    entries: &[SocketAddr],
+    settings: &LinkSettings,
+    bundles: &mpsc::Sender<String>,
+) {
+    let last_connection = Arc::new(AtomicU64::new(0));
+    for entry in entries {
+        let connector = Connector {
+            endpoint: address.downgrade(),
+            entry: *entry,
+            settings: settings.clone(),
+            bundles: bundles.clone(),
+            last_connection: last_connection.clone(),
+        };
+        tokio::spawn(connector.run());
+    }
+}
+
+/// Keeps the connection to one entry; a new one is opened only after the one before has ended.
+struct Connector {
+    endpoint: WeakAddress<Endpoint>,
+    entry: SocketAddr,
+    settings: LinkSettings,
+    bundles: mpsc::Sender<String>,
+    last_connection: Arc<AtomicU64>,
+}
+
+impl Connector {
+    async fn run(self) {
+        while self.endpoint.is_connected() {
+            if let Err(error) = self.connect().await {
+                log::debug!(entry = self.entry.to_string(); "connection to an entry ended: {error}");
+            }
+            let pause_ms = rand::rng().random_range(RECONNECT_MS);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    async fn connect(&self) -> Result<(), LinkError> {
+        let limit = Duration::from_millis(self.settings.idle_ms);
+        let opened = tokio::time::timeout(limit, TcpStream::connect(self.entry)).await;
+        let idle = |_| LinkError::Idle { idle_ms: self.settings.idle_ms };
+        let stream = opened.map_err(idle)?.map_err(|source| LinkError::Socket { source })?;
+        let mut link: Link<AgentMessage, EntryMessage> =
+            Link::connect(stream, &self.settings).await?;
+        let Some(EntryMessage::Hello { incarnation }) = link.receiver.receive().await? else {
+            return Err(LinkError::Closed);
+        };
+        let connection = ConnectionId(self.last_connection.fetch_add(1, Ordering::Relaxed) + 1);
+        let connected = Connected { connection, entry: incarnation, sender: link.sender };
+        let stopping = |_| LinkError::Closed;
+        self.endpoint.send(connected).await.map_err(stopping)?;
+        log::info!(entry = self.entry.to_string(), connection = connection.0; "connected to an entry");
+        let result = self.receive(connection, &mut link.receiver).await;
+        self.endpoint.send(Disconnected { connection }).await.map_err(stopping)?;
+        result
+    }
+
+    async fn receive(
+        &self,
+        connection: ConnectionId,
+        receiver: &mut crate::wire::LinkReceiver<EntryMessage>,
+    ) -> Result<(), LinkError> {
+        while let Some(message) = receiver.receive().await? {
+            if let EntryMessage::Config { signed, .. } = message {
+                let _ = self.bundles.send(signed).await;
+                continue;
+            }
+            let report = Report(AgentInput::Received { connection, message });
+            self.endpoint.send(report).await.map_err(|_| LinkError::Closed)?;
+        }
+        Ok(())
+    }
+}
+
+impl Endpoint {
+    fn apply(&mut self, input: AgentInput, context: &Context<Self>) {
+        for output in self.agent.handle(self.clock.now_ms(), input) {
+            match output {
+                AgentOutput::Send { connection, message } => self.send(connection, message),
+                AgentOutput::Forward(forward) => self.forward(forward, context),
+                AgentOutput::Abort { attempt } => {
+                    self.metrics.count("endpoint", "aborted");
+                    self.forwards.remove(&attempt);
+                }
+                AgentOutput::Drained => {
+                    log::info!("endpoint is drained");
+                    for drain in self.drains.drain(..) {
+                        let _ = drain.send(());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Queues a message for an entry. A connection whose queue is full is given up, since an answer with a missing part
+    /// is of no use; the entry then knows that its attempts there have no answer.
+    fn send(&mut self, connection: ConnectionId, message: AgentMessage) {
+        let open = self.connections.get(&connection);
+        if open.is_some_and(|sender| sender.try_send(message).is_err()) {
+            self.connections.remove(&connection);
+            self.metrics.count("endpoint", "connection_given_up");
+        }
+    }
+
+    fn forward(&mut self, forward: Forward, context: &Context<Self>) {
+        let Some(target) = &self.target else { return };
+        self.metrics.count("endpoint", "forwarded");
+        let (abort, aborted) = oneshot::channel();
+        let attempt = forward.attempt;
+        let connection = self.agent.connection_of(attempt);
+        let path = forward::Path {
+            client: target.client.clone(),
+            url: target.url.clone(),
+            address: context.mailbox().address(),
+            sender: connection.and_then(|connection| self.connections.get(&connection).cloned()),
+        };
+        self.forwards.insert(attempt, abort);
+        tokio::spawn(forward::run(path, forward, aborted));
+    }
+
+    fn set_target(&mut self, url: Url, connections: u32) -> reqwest::Result<()> {
+        let known = self.target.as_ref();
+        if known.is_some_and(|known| known.url == url && known.connections == connections) {
+            return Ok(());
+        }
+        self.target = Some(Target { client: forward::client(connections)?, url, connections });
+        Ok(())
+    }
+}
+
+impl Handler<Announce> for Endpoint {
+    type Return = Result<(), String>;
+
+    async fn handle(
+        &mut self,
+        announce: Announce,
+        context: &mut Context<Self>,
+    ) -> Result<(), String> {
+        let Announce { endpoint, url, instance } = announce;
+        self.set_target(url, endpoint.connections).map_err(|error| error.to_string())?;
+        self.apply(AgentInput::Announced { endpoint, instance }, context);
+        Ok(())
+    }
+}
+
+impl Handler<Drain> for Endpoint {
+    type Return = oneshot::Receiver<()>;
+
+    async fn handle(&mut self, _: Drain, context: &mut Context<Self>) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let is_drained = self.agent.is_draining() && self.agent.running() == 0;
+        if is_drained {
+            let _ = sender.send(());
+        } else {
+            self.drains.push(sender);
+            self.apply(AgentInput::Drain, context);
+        }
+        receiver
+    }
+}
+
+impl Handler<BundleApplied> for Endpoint {
+    type Return = ();
+
+    async fn handle(&mut self, applied: BundleApplied, context: &mut Context<Self>) {
+        self.apply(AgentInput::Bundle { version: applied.version }, context);
+    }
+}
+
+impl Handler<Connected> for Endpoint {
+    type Return = ();
+
+    async fn handle(&mut self, connected: Connected, context: &mut Context<Self>) {
+        let Connected { connection, entry, sender } = connected;
+        self.connections.insert(connection, sender);
+        self.apply(AgentInput::Connected { connection, entry }, context);
+    }
+}
+
+impl Handler<Disconnected> for Endpoint {
+    type Return = ();
+
+    async fn handle(&mut self, lost: Disconnected, context: &mut Context<Self>) {
+        self.connections.remove(&lost.connection);
+        self.apply(AgentInput::Disconnected { connection: lost.connection }, context);
+    }
+}
+
+impl Handler<Report> for Endpoint {
+    type Return = ();
+
+    async fn handle(&mut self, report: Report, context: &mut Context<Self>) {
+        if let AgentInput::End { attempt }
+        | AgentInput::Failed { attempt, .. }
+        | AgentInput::Unreachable { attempt } = &report.0
+        {
+            self.forwards.remove(attempt);
+        }
+        self.apply(report.0, context);
+    }
+}
+
+impl Handler<Tick> for Endpoint {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, context: &mut Context<Self>) {
+        self.apply(AgentInput::Tick, context);
+    }
+}
+
+impl Handler<Dump> for Endpoint {
+    type Return = EndpointSummary;
+
+    async fn handle(&mut self, _: Dump, _: &mut Context<Self>) -> EndpointSummary {
+        EndpointSummary {
+            endpoint: self.agent.endpoint().cloned(),
+            draining: self.agent.is_draining(),
+            data_centre_out: self.agent.service() == ServiceState::Out,
+            running: self.agent.running() as u64,
+            connections: self.connections.len() as u64,
+        }
+    }
+}
--- a/src/endpoint/agent.rs
+++ b/src/endpoint/agent.rs
@@ -17,6 +17,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointAgent {
     endpoint: Option<EndpointSpec>,
+    instance: Option<String>,
     draining: bool,
     drain_reported: bool,
     service: ServiceState,
@@ -50,6 +51,7 @@
     pub fn new() -> Self {
         Self {
             endpoint: None,
+            instance: None,
             draining: false,
             drain_reported: false,
             service: ServiceState::In,
@@ -70,16 +72,28 @@
         self.draining
     }
 
+    /// Returns the state of the data centre, as the entry with the newest view told it.
+    pub fn service(&self) -> ServiceState {
+        self.service
+    }
+
     /// Returns the number of requests that the endpoint works on.
     pub fn running(&self) -> usize {
         self.running.len()
     }
 
+    /// Returns the connection on which a running attempt arrived.
+    pub fn connection_of(&self, attempt: AttemptId) -> Option<ConnectionId> {
+        self.running.get(&attempt).map(|running| running.connection)
+    }
+
     /// Handles one input at a time of the agent's own clock, and returns what is to be done, in order.
     pub fn handle(&mut self, now_ms: u64, input: AgentInput) -> Vec<AgentOutput> {
         let mut outputs = Vec::new();
         match input {
-            AgentInput::Announced(spec) => self.announced(spec, &mut outputs),
+            AgentInput::Announced { endpoint, instance } => {
+                self.announced(endpoint, instance, &mut outputs);
+            }
             AgentInput::Drain => self.drain(&mut outputs),
             AgentInput::Connected { connection, entry } => {
                 self.connected(connection, entry, &mut outputs);
@@ -107,11 +121,24 @@
         outputs
     }
 
-    fn announced(&mut self, spec: EndpointSpec, outputs: &mut Vec<AgentOutput>) {
+    fn announced(
+        &mut self,
+        endpoint: EndpointSpec,
+        instance: Option<String>,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        let same_process = instance.is_some() && instance == self.instance;
+        if self.draining && (same_process || !self.drain_reported) {
+            return;
+        }
+        let is_known = self.endpoint.as_ref() == Some(&endpoint);
+        if self.draining || !is_known {
+            self.send_to_all(&AgentMessage::Announce(endpoint.clone()), outputs);
+        }
         self.draining = false;
         self.drain_reported = false;
-        self.send_to_all(&AgentMessage::Announce(spec.clone()), outputs);
-        self.endpoint = Some(spec);
+        self.endpoint = Some(endpoint);
+        self.instance = instance;
     }
 
     fn drain(&mut self, outputs: &mut Vec<AgentOutput>) {
--- a/src/endpoint/message.rs
+++ b/src/endpoint/message.rs
@@ -13,8 +13,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AgentInput {
-    /// The endpoint announced itself, for the first time or after a restart.
-    Announced(EndpointSpec),
+    /// The endpoint announced itself. It does so again and again, so that an agent that restarts learns of it.
+    Announced {
+        /// The endpoint.
+        endpoint: EndpointSpec,
+        /// The name of the endpoint's process, if it gives one. A process that drains takes no new work, even if an
+        /// announcement of it arrives late; a process without name that announces itself after a drain is a new one.
+        instance: Option<String>,
+    },
     /// The endpoint is shutting down.
     Drain,
     /// A connection to an entry is open. Numbers rise and are never used again.
--- /dev/null
+++ b/src/entry/listener.rs
@@ -0,0 +1,239 @@
+//! Accepts the connections of agents, and gives their messages to the actors that handle them.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use xtra::Address;
+
+use super::groups::{self, Groups};
+use super::requests::{EndpointConnected, EndpointDisconnected, FromEndpoint, Requests};
+use crate::prelude::*;
+use crate::request::ConnectionId;
+use crate::store::Table;
+use crate::wire::{
+    AgentMessage, EndpointSpec, EntryMessage, Link, LinkError, LinkReceiver, LinkSender,
+    LinkSettings,
+};
+
+/// The most connections whose handshake or first message is awaited.
+const MAX_NEW_CONNECTIONS: usize = 256;
+/// The pause after a failed accept, which usually means that the process has too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Where the messages of agents go.
+#[derive(Debug)]
+pub struct Actors<T>
+where
+    T: Table + Clone,
+{
+    /// The actor for requests.
+    pub requests: Address<Requests<T>>,
+    /// The actor for groups.
+    pub groups: Address<Groups>,
+    /// What concerns configuration.
+    pub config: mpsc::Sender<ConfigEvent>,
+}
+
+impl<T> Clone for Actors<T>
+where
+    T: Table + Clone,
+{
+    fn clone(&self) -> Self {
+        let (requests, groups) = (self.requests.clone(), self.groups.clone());
+        Self { requests, groups, config: self.config.clone() }
+    }
+}
+
+/// What the distribution of configuration needs to know of a connection.
+#[derive(Debug)]
+pub enum ConfigEvent {
+    /// An agent connected and said what it is.
+    Connected {
+        /// The connection.
+        connection: ConnectionId,
+        /// Its data centre, if it is known. A leader's messages do not name it.
+        data_centre: Option<DataCentreId>,
+        /// The sending side.
+        sender: LinkSender<EntryMessage>,
+    },
+    /// The agent confirmed what is in force there.
+    Applied {
+        /// The connection.
+        connection: ConnectionId,
+        /// The version of the bundle.
+        bundle: BundleVersion,
+        /// The version of the data centre's state.
+        service_version: u64,
+    },
+    /// The connection ended.
+    Disconnected {
+        /// The connection.
+        connection: ConnectionId,
+    },
+}
+
+/// Accepts connections until the actors stop.
+pub async fn serve<T>(
+    listener: TcpListener,
+    settings: LinkSettings,
+    incarnation: Incarnation,
+    actors: Actors<T>,
+) where
+    T: Table + Clone,
+{
+    let last_connection = AtomicU64::new(0);
+    let new_connections = Arc::new(Semaphore::new(MAX_NEW_CONNECTIONS));
+    while actors.requests.is_connected() {
+        let Ok(permit) = new_connections.clone().acquire_owned().await else { return };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("connection of an agent could not be accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let connection = ConnectionId(last_connection.fetch_add(1, Ordering::Relaxed) + 1);
+        let (settings, actors) = (settings.clone(), actors.clone());
+        tokio::spawn(async move {
+            let opened = open(stream, &settings, incarnation).await;
+            drop(permit);
+            let result = match opened {
+                Ok((link, first)) => handle(connection, link, first, &actors).await,
+                Err(error) => Err(error),
+            };
+            if let Err(error) = result {
+                log::info!(connection = connection.0; "connection of an agent ended: {error}");
+            }
+        });
+    }
+}
+
+type AgentLink = Link<EntryMessage, AgentMessage>;
+
+async fn open(
+    stream: TcpStream,
+    settings: &LinkSettings,
+    incarnation: Incarnation,
+) -> Result<(AgentLink, AgentMessage), LinkError> {
+    let mut link = AgentLink::accept(stream, settings).await?;
+    link.sender.send(EntryMessage::Hello { incarnation }).await?;
+    let first =
+        tokio::time::timeout(Duration::from_millis(settings.idle_ms), link.receiver.receive());
+    let first = first.await.map_err(|_| LinkError::Idle { idle_ms: settings.idle_ms })??;
+    Ok((link, first.ok_or(LinkError::Closed)?))
+}
+
+async fn handle<T>(
+    connection: ConnectionId,
+    link: AgentLink,
+    first: AgentMessage,
+    actors: &Actors<T>,
+) -> Result<(), LinkError>
+where
+    T: Table + Clone,
+{
+    let data_centre = match &first {
+        AgentMessage::Announce(endpoint) => Some(endpoint.data_centre.clone()),
+        AgentMessage::FindLeader { data_centre, .. } => Some(data_centre.clone()),
+        _ => None,
+    };
+    let sender = link.sender.clone();
+    let event = ConfigEvent::Connected { connection, data_centre, sender };
+    let _ = actors.config.send(event).await;
+    let result = match first {
+        AgentMessage::Announce(endpoint) => {
+            handle_endpoint(connection, link, endpoint, actors).await
+        }
+        first => handle_worker(connection, link, first, actors).await,
+    };
+    let _ = actors.config.send(ConfigEvent::Disconnected { connection }).await;
+    result
+}
+
+async fn handle_endpoint<T>(
+    connection: ConnectionId,
+    link: AgentLink,
+    endpoint: EndpointSpec,
+    actors: &Actors<T>,
+) -> Result<(), LinkError>
+where
+    T: Table + Clone,
+{
+    let (close, mut closed) = oneshot::channel();
+    let connected = EndpointConnected { connection, sender: link.sender, close, endpoint };
+    let stopping = |_| LinkError::Closed;
+    actors.requests.send(connected).await.map_err(stopping)?;
+    let result = tokio::select! {
+        result = receive_endpoint(connection, link.receiver, actors) => result,
+        _ = &mut closed => Err(LinkError::Closed),
+    };
+    let lost = EndpointDisconnected { connection };
+    actors.requests.send(lost).await.map_err(stopping)?;
+    result
+}
+
+async fn receive_endpoint<T>(
+    connection: ConnectionId,
+    mut receiver: LinkReceiver<AgentMessage>,
+    actors: &Actors<T>,
+) -> Result<(), LinkError>
+where
+    T: Table + Clone,
+{
+    while let Some(message) = receiver.receive().await? {
+        if let AgentMessage::Applied { bundle, service_version } = message {
+            let event = ConfigEvent::Applied { connection, bundle, service_version };
+            let _ = actors.config.send(event).await;
+            continue;
+        }
+        let from = FromEndpoint { connection, message };
+        actors.requests.send(from).await.map_err(|_| LinkError::Closed)?;
+    }
+    Ok(())
+}
+
+async fn handle_worker<T>(
+    connection: ConnectionId,
+    link: AgentLink,
+    first: AgentMessage,
+    actors: &Actors<T>,
+) -> Result<(), LinkError>
+where
+    T: Table + Clone,
+{
+    let Link { sender, receiver } = link;
+    let stopping = |_| LinkError::Closed;
+    let connected = groups::Connected { connection, sender };
+    actors.groups.send(connected).await.map_err(stopping)?;
+    let result = receive_worker(connection, receiver, first, actors).await;
+    let lost = groups::Disconnected { connection };
+    actors.groups.send(lost).await.map_err(stopping)?;
+    result
+}
+
+async fn receive_worker<T>(
+    connection: ConnectionId,
+    mut receiver: LinkReceiver<AgentMessage>,
+    first: AgentMessage,
+    actors: &Actors<T>,
+) -> Result<(), LinkError>
+where
+    T: Table + Clone,
+{
+    let mut next = Some(first);
+    while let Some(message) = next {
+        if let AgentMessage::Applied { bundle, service_version } = message {
+            let event = ConfigEvent::Applied { connection, bundle, service_version };
+            let _ = actors.config.send(event).await;
+        } else {
+            let from = groups::FromAgent { connection, message };
+            actors.groups.send(from).await.map_err(|_| LinkError::Closed)?;
+        }
+        next = receiver.receive().await?;
+    }
+    Ok(())
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,3 +2,7 @@
 
 pub mod groups;
 pub mod jobs;
+mod keys;
+pub mod listener;
+pub mod request_routes;
+pub mod requests;
--- /dev/null
+++ b/src/entry/request_routes.rs
@@ -0,0 +1,337 @@
+//! The route for requests.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::{Buf, Bytes};
+use futures::{Stream, StreamExt};
+use serde::Deserialize;
+use tokio::sync::mpsc;
+use warp::http::StatusCode;
+use warp::reply::{Response, with_header, with_status};
+use warp::{Filter, Rejection, Reply};
+use xtra::Address;
+
+use super::requests::{CallerGone, Part, Requests, Submit, part_channel};
+use crate::api::{ApiError, ErrorCode};
+use crate::prelude::*;
+use crate::request::{Refusal, RequestEnd, RequestSpec};
+use crate::store::Table;
+
+/// The longest deadline of a request: a day.
+const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1_000;
+/// The longest idempotency key.
+const MAX_KEY_BYTES: usize = 256;
+/// The header with the outcome. Above an answer that is passed on as it arrives, it holds only if the body is whole.
+const OUTCOME_HEADER: &str = "x-teaselhall-outcome";
+/// The header that names the request in logs.
+const REQUEST_HEADER: &str = "x-teaselhall-request";
+
+/// What the route for requests needs.
+#[derive(Debug)]
+pub struct RequestRoute<T>
+where
+    T: Table + Clone,
+{
+    requests: Address<Requests<T>>,
+    incarnation: Incarnation,
+    body_limit_bytes: u64,
+    last_request: Arc<AtomicU64>,
+}
+
+impl<T> RequestRoute<T>
+where
+    T: Table + Clone,
+{
+    /// Creates the route of an entry. There may be only one, since it numbers the requests.
+    pub fn new(
+        requests: Address<Requests<T>>,
+        incarnation: Incarnation,
+        body_limit_bytes: u64,
+    ) -> Self {
+        Self { requests, incarnation, body_limit_bytes, last_request: Arc::default() }
+    }
+}
+
+impl<T> Clone for RequestRoute<T>
+where
+    T: Table + Clone,
+{
+    fn clone(&self) -> Self {
+        Self {
+            requests: self.requests.clone(),
+            incarnation: self.incarnation,
+            body_limit_bytes: self.body_limit_bytes,
+            last_request: self.last_request.clone(),
+        }
+    }
+}
+
+/// The query of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Query {
+    organisation: String,
+    kind: String,
+    deadline_ms: String,
+    #[serde(default)]
+    repeat: Option<String>,
+}
+
+/// Serves `POST /v1/requests`.
+pub fn routes<T>(
+    route: &RequestRoute<T>,
+) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<T>
+where
+    T: Table + Clone,
+{
+    let route = route.clone();
+    warp::path!("v1" / "requests")
+        .and(warp::post())
+        .and(warp::any().map(move || route.clone()))
+        .and(raw_query())
+        .and(warp::header::optional("idempotency-key"))
+        .and(warp::header::optional("content-length"))
+        .and(warp::body::stream())
+        .then(answer)
+}
+
+fn raw_query() -> impl Filter<Extract = (String,), Error = Infallible> + Clone {
+    warp::query::raw().or(warp::any().map(String::new)).unify()
+}
+
+async fn answer<T, S, B>(
+    route: RequestRoute<T>,
+    query: String,
+    key: Option<String>,
+    length: Option<u64>,
+    body: S,
+) -> Response
+where
+    T: Table + Clone,
+    S: Stream<Item = Result<B, warp::Error>> + Send,
+    B: Buf,
+{
+    let limit_bytes = route.body_limit_bytes;
+    let spec = match parse(&query, key) {
+        Ok(spec) => spec,
+        Err(error) => return error.into_response(),
+    };
+    let deadline = Duration::from_millis(spec.deadline_ms);
+    let begun = tokio::time::Instant::now();
+    let body = match tokio::time::timeout(deadline, collect(length, body, limit_bytes)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return error.into_response(),
+        Err(_) => return bad_input("the body did not arrive before the deadline").into_response(),
+    };
+    let spent_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let deadline_ms = spec.deadline_ms.saturating_sub(spent_ms);
+    submit(&route, RequestSpec { body, deadline_ms, ..spec }).await
+}
+
+fn bad_input(message: &str) -> ApiError {
+    ApiError::new(ErrorCode::BadInput, message)
+}
+
+fn parse(query: &str, key: Option<String>) -> Result<RequestSpec, ApiError> {
+    let query: Query = parse_query(query)?;
+    if key.as_ref().is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
+        let message = format!("header idempotency-key must have 1 to {MAX_KEY_BYTES} bytes");
+        return Err(bad_input(&message));
+    }
+    let deadline_ms = match query.deadline_ms.parse() {
+        Ok(deadline_ms @ 1..=MAX_DEADLINE_MS) => deadline_ms,
+        _ => {
+            let message = format!(
+                "field deadline_ms must be a number of milliseconds from 1 to {MAX_DEADLINE_MS}, not {:?}",
+                query.deadline_ms
+            );
+            return Err(bad_input(&message));
+        }
+    };
+    let repeat = match query.repeat.as_deref() {
+        None | Some("allowed") => Repeat::Allowed,
+        Some("never") => Repeat::Never,
+        Some(other) => {
+            let message = format!("field repeat must be allowed or never, not {other:?}");
+            return Err(bad_input(&message));
+        }
+    };
+    Ok(RequestSpec {
+        organisation: query.organisation.into(),
+        kind: query.kind.into(),
+        deadline_ms,
+        repeat,
+        key,
+        body: Vec::new(),
+    })
+}
+
+/// Decodes a query string through the URL parser, and names missing, unknown and repeated fields.
+fn parse_query(query: &str) -> Result<Query, ApiError> {
+    let url = format!("http://entry/?{query}");
+    let url = reqwest::Url::parse(&url).map_err(|error| bad_input(&error.to_string()))?;
+    let mut fields = serde_json::Map::new();
+    for (name, value) in url.query_pairs() {
+        if fields.insert(name.to_string(), value.into()).is_some() {
+            return Err(bad_input(&format!("field {name} is given twice")));
+        }
+    }
+    serde_json::from_value(fields.into()).map_err(|error| bad_input(&format!("query: {error}")))
+}
+
+/// Collects a body up to the limit, so that a larger one is never held in memory.
+async fn collect<S, B>(length: Option<u64>, body: S, limit_bytes: u64) -> Result<Vec<u8>, ApiError>
+where
+    S: Stream<Item = Result<B, warp::Error>> + Send,
+    B: Buf,
+{
+    let too_large = || {
+        let message = format!("the body is over the limit of {limit_bytes} bytes");
+        ApiError::new(ErrorCode::TooLarge, &message)
+    };
+    if length.is_some_and(|length| length > limit_bytes) {
+        return Err(too_large());
+    }
+    let mut collected = Vec::new();
+    futures::pin_mut!(body);
+    while let Some(part) = body.next().await {
+        let mut part = part.map_err(|error| bad_input(&format!("body broke off: {error}")))?;
+        if (collected.len() + part.remaining()) as u64 > limit_bytes {
+            return Err(too_large());
+        }
+        while part.has_remaining() {
+            collected.extend_from_slice(part.chunk());
+            part.advance(part.chunk().len());
+        }
+    }
+    Ok(collected)
+}
+
+async fn submit<T>(route: &RequestRoute<T>, spec: RequestSpec) -> Response
+where
+    T: Table + Clone,
+{
+    let request = route.last_request.fetch_add(1, Ordering::Relaxed) + 1;
+    let (sender, receiver) = part_channel();
+    let guard = Guard { requests: route.requests.clone(), request, armed: true };
+    let submit = Submit { request, spec, parts: sender };
+    if route.requests.send(submit).await.is_err() {
+        let error = ApiError::new(ErrorCode::Unavailable, "this entry is stopping");
+        return error.into_response();
+    }
+    let name = format!("{}-{request}", route.incarnation);
+    with_header(first_part(guard, receiver).await, REQUEST_HEADER, name).into_response()
+}
+
+async fn first_part<T>(mut guard: Guard<T>, mut parts: mpsc::Receiver<Part>) -> Response
+where
+    T: Table + Clone,
+{
+    match parts.recv().await {
+        Some(Part::Head { status }) => {
+            let answer = warp::reply::stream(stream(guard, parts));
+            done(answer.into_response(), status)
+        }
+        Some(Part::End(end)) => {
+            guard.armed = false;
+            end_response(end)
+        }
+        Some(Part::Chunk(_)) | None => unknown("this entry lost the request"),
+    }
+}
+
+fn done(answer: Response, status: u16) -> Response {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    let answer = with_header(answer, OUTCOME_HEADER, Outcome::Done.to_string());
+    with_status(answer, status).into_response()
+}
+
+/// Passes on the parts of an answer. An error in the stream breaks the caller's connection.
+fn stream<T>(
+    guard: Guard<T>,
+    parts: mpsc::Receiver<Part>,
+) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send + Sync + use<T>
+where
+    T: Table + Clone,
+{
+    futures::stream::unfold(Some((guard, parts)), |state| async move {
+        let (mut guard, mut parts) = state?;
+        match parts.recv().await {
+            Some(Part::Chunk(bytes)) => Some((Ok(Bytes::from(bytes)), Some((guard, parts)))),
+            Some(Part::End(RequestEnd::Streamed)) => {
+                guard.armed = false;
+                None
+            }
+            end => {
+                guard.armed = end.is_none();
+                let error = std::io::Error::other("the answer is not whole");
+                Some((Err(error), None))
+            }
+        }
+    })
+}
+
+fn end_response(end: RequestEnd) -> Response {
+    match end {
+        RequestEnd::Whole { status, body } => done(body.into_response(), status),
+        RequestEnd::Streamed => unknown("the answer's end came before its begin"),
+        RequestEnd::Unknown { reason } => unknown(&reason),
+        RequestEnd::NotRun(refusal) => {
+            ApiError::new(code_of(refusal), &refusal.to_string()).into_response()
+        }
+        RequestEnd::Recorded(outcome) => recorded(outcome).into_response(),
+    }
+}
+
+fn unknown(reason: &str) -> Response {
+    ApiError::new(ErrorCode::Unknown, reason).into_response()
+}
+
+fn recorded(outcome: Outcome) -> ApiError {
+    let message = format!("an earlier call with this idempotency key ended as {outcome}");
+    let code = match outcome {
+        Outcome::Done => ErrorCode::Conflict,
+        Outcome::NotRun => ErrorCode::Unavailable,
+        Outcome::Unknown => ErrorCode::Unknown,
+    };
+    ApiError { code, message, outcome }
+}
+
+fn code_of(refusal: Refusal) -> ErrorCode {
+    match refusal {
+        Refusal::UnknownOrganisation | Refusal::UnknownKind => ErrorCode::BadInput,
+        Refusal::KeyMismatch => ErrorCode::Conflict,
+        Refusal::QueueFull => ErrorCode::Overloaded,
+        Refusal::NotReady
+        | Refusal::TableUnavailable
+        | Refusal::DeadlinePassed
+        | Refusal::CallerGone
+        | Refusal::Attempts(_) => ErrorCode::Unavailable,
+    }
+}
+
+/// Tells the router that the caller is gone, if it is dropped before the request's end.
+struct Guard<T>
+where
+    T: Table + Clone,
+{
+    requests: Address<Requests<T>>,
+    request: u64,
+    armed: bool,
+}
+
+impl<T> Drop for Guard<T>
+where
+    T: Table + Clone,
+{
+    fn drop(&mut self) {
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+        if self.armed {
+            let (requests, request) = (self.requests.clone(), self.request);
+            runtime.spawn(async move { requests.send(CallerGone { request }).await });
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/requests.rs
@@ -0,0 +1,403 @@
+//! The actor around the entry's [`Router`]: gives its outputs to agents, callers and the table.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use xtra::prelude::*;
+
+use super::keys;
+use crate::prelude::*;
+use crate::process::{Clock, Metrics};
+use crate::request::{
+    ConnectionId, KeyClaim, RequestEnd, RequestSpec, Router, RouterInput, RouterOutput,
+    RouterRules, RouterSummary,
+};
+use crate::store::{Table, Writer};
+use crate::wire::{AgentMessage, EndpointSpec, EntryMessage, LinkSender, ServiceState};
+
+/// The interval at which deadlines are checked.
+const TICK_INTERVAL: Duration = Duration::from_millis(5);
+/// The most outcomes that wait to be recorded while the table is down.
+const MAX_RECORDS: usize = 256;
+/// The most messages that wait for the actor.
+const MAILBOX_MESSAGES: usize = 4_096;
+/// The most parts of an answer that wait for a caller. With parts of 32 KiB, a slow caller costs at most 8 MiB.
+const MAX_WAITING_PARTS: usize = 256;
+
+/// The actor that routes the requests of one entry.
+#[derive(xtra::Actor)]
+pub struct Requests<T>
+where
+    T: Table + Clone,
+{
+    router: Router,
+    incarnation: Incarnation,
+    writer: Writer<T>,
+    clock: Clock,
+    metrics: Metrics,
+    random: ChaCha8Rng,
+    callers: HashMap<u64, mpsc::Sender<Part>>,
+    connections: HashMap<ConnectionId, Connection>,
+    records: Arc<Semaphore>,
+}
+
+/// A connection of an agent beside an endpoint. Dropping it closes the connection.
+struct Connection {
+    sender: LinkSender<EntryMessage>,
+    _close: oneshot::Sender<()>,
+}
+
+/// What a caller gets, in order.
+#[derive(Debug)]
+pub enum Part {
+    /// An answer begins that is passed on as it arrives.
+    Head {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// A part of such an answer.
+    Chunk(Vec<u8>),
+    /// The end of the request.
+    End(RequestEnd),
+}
+
+/// A caller sends a request.
+pub struct Submit {
+    /// The number of the request, unique in this entry.
+    pub request: u64,
+    /// The request.
+    pub spec: RequestSpec,
+    /// Where its answer goes; see [`part_channel`].
+    pub parts: mpsc::Sender<Part>,
+}
+
+/// Creates the channel of an answer. It is bounded, and a caller that is too slow for it loses its connection.
+pub fn part_channel() -> (mpsc::Sender<Part>, mpsc::Receiver<Part>) {
+    mpsc::channel(MAX_WAITING_PARTS)
+}
+
+/// A caller disconnected before the end of its request.
+pub struct CallerGone {
+    /// The request.
+    pub request: u64,
+}
+
+/// An agent announced an endpoint as the first message of its connection.
+pub struct EndpointConnected {
+    /// The connection.
+    pub connection: ConnectionId,
+    /// Its sending side.
+    pub sender: LinkSender<EntryMessage>,
+    /// Closes the connection when it is dropped.
+    pub close: oneshot::Sender<()>,
+    /// The endpoint.
+    pub endpoint: EndpointSpec,
+}
+
+/// An agent beside an endpoint sent a further message.
+pub struct FromEndpoint {
+    /// The connection.
+    pub connection: ConnectionId,
+    /// The message.
+    pub message: AgentMessage,
+}
+
+/// The connection of an agent beside an endpoint ended.
+pub struct EndpointDisconnected {
+    /// The connection.
+    pub connection: ConnectionId,
+}
+
+/// A bundle came into force.
+pub struct ApplyRules {
+    /// What the router follows from it.
+    pub rules: RouterRules,
+}
+
+/// The state of a data centre is known.
+pub struct ApplyService {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// Its state.
+    pub state: ServiceState,
+}
+
+/// Asks for what operators may see.
+pub struct Dump;
+
+struct Tick;
+
+/// An input that a task of the actor reports.
+struct Report(RouterInput);
+
+/// Starts the actor, and the task that keeps its time.
+pub fn spawn<T>(
+    incarnation: Incarnation,
+    writer: Writer<T>,
+    clock: Clock,
+    metrics: &Metrics,
+    random: ChaCha8Rng,
+) -> Address<Requests<T>>
+where
+    T: Table + Clone,
+{
+    let actor = Requests {
+        router: Router::new(incarnation),
+        incarnation,
+        writer,
+        clock,
+        metrics: metrics.clone(),
+        random,
+        callers: HashMap::new(),
+        connections: HashMap::new(),
+        records: Arc::new(Semaphore::new(MAX_RECORDS)),
+    };
+    let address = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_MESSAGES));
+    let weak = address.downgrade();
+    tokio::spawn(async move {
+        let mut interval = tokio::time::interval(TICK_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            if weak.send(Tick).await.is_err() {
+                return;
+            }
+        }
+    });
+    address
+}
+
+impl<T> Requests<T>
+where
+    T: Table + Clone,
+{
+    /// Handles an input, and then what follows from messages that could not be sent.
+    fn apply(&mut self, input: RouterInput, context: &Context<Self>) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let now_ms = self.clock.now_ms();
+            for output in self.router.handle(now_ms, input, &mut self.random) {
+                inputs.extend(self.perform(output, context));
+            }
+        }
+    }
+
+    fn perform(&mut self, output: RouterOutput, context: &Context<Self>) -> Option<RouterInput> {
+        match output {
+            RouterOutput::Send { connection, message } => return self.send(connection, message),
+            RouterOutput::Close { connection } => {
+                self.connections.remove(&connection);
+            }
+            RouterOutput::Claim { request, claim } => self.claim(request, claim, context),
+            RouterOutput::Finish { request, claim, outcome } => {
+                self.record(request, claim, outcome);
+            }
+            RouterOutput::StreamHead { request, status } => {
+                return self.pass_on(request, Part::Head { status });
+            }
+            RouterOutput::StreamChunk { request, bytes } => {
+                return self.pass_on(request, Part::Chunk(bytes));
+            }
+            RouterOutput::End { request, end } => self.end(request, end),
+        }
+        None
+    }
+
+    /// Queues a message on its connection. An attempt that does not fit certainly never runs.
+    fn send(&self, connection: ConnectionId, message: EntryMessage) -> Option<RouterInput> {
+        let attempt = match &message {
+            EntryMessage::Attempt(request) => Some(request.attempt),
+            _ => None,
+        };
+        let open = self.connections.get(&connection);
+        if open.is_some_and(|open| open.sender.try_send(message).is_ok()) {
+            return None;
+        }
+        self.metrics.count("requests", "message_not_sent");
+        attempt.map(|attempt| RouterInput::NotSent { attempt })
+    }
+
+    /// Passes on a part of an answer. A caller that cannot keep up counts as gone.
+    fn pass_on(&mut self, request: u64, part: Part) -> Option<RouterInput> {
+        let caller = self.callers.get(&request)?;
+        if caller.try_send(part).is_ok() {
+            return None;
+        }
+        self.callers.remove(&request);
+        self.metrics.count("requests", "caller_too_slow");
+        Some(RouterInput::CallerGone { request })
+    }
+
+    /// Tells the caller the end. If that fails, the channel closes without an end, which breaks the connection.
+    fn end(&mut self, request: u64, end: RequestEnd) {
+        let outcome = end.outcome();
+        self.metrics.count("requests", &outcome.to_string());
+        if let RequestEnd::Unknown { reason } = &end {
+            log::info!(request = request; "outcome of a request is unknown: {reason}");
+        }
+        if let Some(caller) = self.callers.remove(&request) {
+            let _ = caller.try_send(Part::End(end));
+        }
+    }
+
+    fn claim(&self, request: u64, claim: KeyClaim, context: &Context<Self>) {
+        let (writer, entry) = (self.writer.clone(), self.incarnation);
+        let address = context.mailbox().address();
+        tokio::spawn(async move {
+            let result = keys::claim(&writer, entry, request, &claim).await;
+            let _ = address.send(Report(RouterInput::Claim { request, result })).await;
+        });
+    }
+
+    /// Records the outcome of a keyed request. The caller does not wait for it.
+    fn record(&self, request: u64, claim: KeyClaim, outcome: Outcome) {
+        let (writer, entry, metrics) =
+            (self.writer.clone(), self.incarnation, self.metrics.clone());
+        let Ok(permit) = self.records.clone().try_acquire_owned() else {
+            self.metrics.count("requests", "outcome_not_recorded");
+            log::warn!(request = request; "outcome of a keyed request is not recorded: too many wait for the table");
+            return;
+        };
+        tokio::spawn(async move {
+            let _permit = permit;
+            if !keys::finish(&writer, entry, request, &claim, outcome).await {
+                metrics.count("requests", "outcome_not_recorded");
+                log::warn!(request = request; "outcome of a keyed request could not be recorded");
+            }
+        });
+    }
+}
+
+impl<T> Handler<Submit> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = ();
+
+    async fn handle(&mut self, submit: Submit, context: &mut Context<Self>) {
+        let Submit { request, spec, parts } = submit;
+        self.callers.insert(request, parts);
+        self.apply(RouterInput::Submit { request, spec }, context);
+    }
+}
+
+impl<T> Handler<CallerGone> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = ();
+
+    async fn handle(&mut self, gone: CallerGone, context: &mut Context<Self>) {
+        if self.callers.remove(&gone.request).is_some() {
+            self.metrics.count("requests", "caller_gone");
+            self.apply(RouterInput::CallerGone { request: gone.request }, context);
+        }
+    }
+}
+
+impl<T> Handler<EndpointConnected> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = ();
+
+    async fn handle(&mut self, connected: EndpointConnected, context: &mut Context<Self>) {
+        let EndpointConnected { connection, sender, close, endpoint } = connected;
+        log::info!(endpoint = endpoint.id.as_str(), connection = connection.0; "endpoint connected");
+        self.connections.insert(connection, Connection { sender, _close: close });
+        self.apply(RouterInput::Announced { connection, endpoint }, context);
+    }
+}
+
+impl<T> Handler<FromEndpoint> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = ();
+
+    /// Ignores messages of a connection that was closed, which may still be on their way.
+    async fn handle(&mut self, from: FromEndpoint, context: &mut Context<Self>) {
+        let FromEndpoint { connection, message } = from;
+        if !self.connections.contains_key(&connection) {
+            return;
+        }
+        let input = match message {
+            AgentMessage::Announce(endpoint) => RouterInput::Announced { connection, endpoint },
+            message => RouterInput::Received { connection, message },
+        };
+        self.apply(input, context);
+    }
+}
+
+impl<T> Handler<EndpointDisconnected> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = ();
+
+    async fn handle(&mut self, lost: EndpointDisconnected, context: &mut Context<Self>) {
+        if self.connections.remove(&lost.connection).is_some() {
+            log::info!(connection = lost.connection.0; "endpoint disconnected");
+            self.apply(RouterInput::Disconnected { connection: lost.connection }, context);
+        }
+    }
+}
+
+impl<T> Handler<ApplyRules> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = ();
+
+    async fn handle(&mut self, apply: ApplyRules, context: &mut Context<Self>) {
+        self.apply(RouterInput::Rules(apply.rules), context);
+    }
+}
+
+impl<T> Handler<ApplyService> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = ();
+
+    async fn handle(&mut self, apply: ApplyService, context: &mut Context<Self>) {
+        let ApplyService { data_centre, state } = apply;
+        self.apply(RouterInput::Service { data_centre, state }, context);
+    }
+}
+
+impl<T> Handler<Tick> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, context: &mut Context<Self>) {
+        self.apply(RouterInput::Tick, context);
+    }
+}
+
+impl<T> Handler<Report> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = ();
+
+    async fn handle(&mut self, report: Report, context: &mut Context<Self>) {
+        self.apply(report.0, context);
+    }
+}
+
+impl<T> Handler<Dump> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = RouterSummary;
+
+    async fn handle(&mut self, _: Dump, _: &mut Context<Self>) -> RouterSummary {
+        self.router.summary()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! docs/design.md describes the slices and how they work together; docs/glossary.md maps the words of the code to the
 //! standard terms of the field.
 
+pub mod agent;
 pub mod api;
 pub mod bundle;
 pub mod directory;
@@ -14,9 +15,9 @@
 pub mod platform;
 pub mod prelude;
 pub mod process;
+pub mod registration;
 pub mod replay;
 pub mod request;
-pub mod registration;
 pub mod scheduler;
 pub mod settings;
 pub mod store;
--- a/src/request/message.rs
+++ b/src/request/message.rs
@@ -140,7 +140,7 @@
     Rules(RouterRules),
     /// A caller sends a request.
     Submit {
-        /// The number of the request; each is higher than the one before.
+        /// The number of the request, unique in this incarnation; a lower number means an older request.
         request: u64,
         /// The request.
         spec: RequestSpec,
@@ -327,20 +327,3 @@
     #[display("{_0}, and no attempts or retries are left")]
     Attempts(NotRunReason),
 }
-
-impl Refusal {
-    /// Returns the code of the API's error shape.
-    pub fn code(self) -> &'static str {
-        match self {
-            Self::NotReady => "not_ready",
-            Self::UnknownOrganisation => "unknown_organisation",
-            Self::UnknownKind => "unknown_kind",
-            Self::KeyMismatch => "key_mismatch",
-            Self::QueueFull => "queue_full",
-            Self::TableUnavailable => "table_unavailable",
-            Self::DeadlinePassed => "deadline_passed",
-            Self::CallerGone => "caller_gone",
-            Self::Attempts(_) => "refused",
-        }
-    }
-}
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -29,6 +29,9 @@
 /// Keep-alive frames sent in each idle time, so that two lost wake-ups do not end a connection.
 const KEEP_ALIVES_PER_IDLE: u32 = 3;
 
+/// The pause before a sender looks again whether the queue has room.
+const READY_PAUSE: Duration = Duration::from_millis(1);
+
 /// Why a connection ended.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -235,6 +238,15 @@
         })
     }
 
+    /// Waits until at least half of the queue is free, or the connection is closed.
+    ///
+    /// Senders that call this before each message, and have few messages under way, never find the queue full.
+    pub async fn ready(&self) {
+        while self.queue.capacity() < self.queue.max_capacity() / 2 && !self.queue.is_closed() {
+            tokio::time::sleep(READY_PAUSE).await;
+        }
+    }
+
     /// Waits until the connection can send no more.
     pub async fn closed(&self) {
         self.queue.closed().await;
--- a/tests/request_campaign/world.rs
+++ b/tests/request_campaign/world.rs
@@ -336,9 +336,10 @@
                 self.agent(agent, AgentInput::Drain);
             }
             Event::Announce(agent) => {
-                self.agents[agent].draining = false;
-                let spec = self.spec(agent);
-                self.agent(agent, AgentInput::Announced(spec));
+                let endpoint = self.spec(agent);
+                let instance = Some(self.id().to_string());
+                self.agent(agent, AgentInput::Announced { endpoint, instance });
+                self.agents[agent].draining = self.agents[agent].agent.is_draining();
             }
             Event::Service(state) => self.service(state),
             Event::Table(down) => self.table_down = down,
