--- a/src/wire/datagram.rs
+++ b/src/wire/datagram.rs
@@ -3,6 +3,8 @@
 //! ```text
 //! version: u8 | sender incarnation: varint | sequence: varint | payload: postcard | tag: 8 bytes
 //! ```
+//!
+//! The tag of a datagram for one incarnation of a receiver also covers that incarnation, which costs no bytes.
 
 use std::collections::HashMap;
 
@@ -25,6 +27,7 @@
 
 const WINDOW_DATAGRAMS: u64 = 128;
 const PURPOSE: &[u8] = b"teaselhall datagram";
+const ADDRESSED_PURPOSE: &[u8] = b"teaselhall addressed datagram";
 
 /// What precedes the payload of a datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,6 +57,25 @@
     ///
     /// [`super::FrameError::Oversized`] if the datagram would exceed [`MAX_DATAGRAM_BYTES`].
     pub fn encode<T>(&mut self, message: &T) -> Result<Vec<u8>>
+    where
+        T: Serialize,
+    {
+        self.encode_with(message, None)
+    }
+
+    /// Encodes one message that only this incarnation of its receiver accepts.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::encode`].
+    pub fn encode_for<T>(&mut self, message: &T, receiver: Incarnation) -> Result<Vec<u8>>
+    where
+        T: Serialize,
+    {
+        self.encode_with(message, Some(receiver))
+    }
+
+    fn encode_with<T>(&mut self, message: &T, receiver: Option<Incarnation>) -> Result<Vec<u8>>
     where
         T: Serialize,
     {
@@ -62,7 +84,7 @@
         let mut datagram = vec![PROTOCOL_VERSION];
         datagram = postcard::to_extend(&header, datagram).context(MalformedSnafu)?;
         datagram = postcard::to_extend(message, datagram).context(MalformedSnafu)?;
-        let tag = tag_of(&self.key, &datagram);
+        let tag = tag_of(&self.key, &datagram, receiver);
         datagram.extend_from_slice(&tag);
         check_size(datagram.len())?;
         self.header = header;
@@ -93,11 +115,38 @@
     ///
     /// Any [`super::FrameError`]; the datagram is to be dropped, and later ones can still be decoded.
     pub fn decode<T>(&mut self, datagram: &[u8]) -> Result<(DatagramHeader, T)>
+    where
+        T: DeserializeOwned,
+    {
+        self.decode_with(datagram, None)
+    }
+
+    /// Decodes one datagram that was encoded for this incarnation.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::decode`]; a datagram for another incarnation has a bad tag.
+    pub fn decode_for<T>(
+        &mut self,
+        datagram: &[u8],
+        receiver: Incarnation,
+    ) -> Result<(DatagramHeader, T)>
+    where
+        T: DeserializeOwned,
+    {
+        self.decode_with(datagram, Some(receiver))
+    }
+
+    fn decode_with<T>(
+        &mut self,
+        datagram: &[u8],
+        receiver: Option<Incarnation>,
+    ) -> Result<(DatagramHeader, T)>
     where
         T: DeserializeOwned,
     {
         check_size(datagram.len())?;
-        let covered = self.check_tag(datagram)?;
+        let covered = self.check_tag(datagram, receiver)?;
         let (header, payload): (DatagramHeader, _) =
             postcard::take_from_bytes(&covered[1..]).context(MalformedSnafu)?;
         let message = decode_payload(payload)?;
@@ -106,14 +155,14 @@
     }
 
     /// Returns the part of an authentic datagram that precedes its tag.
-    fn check_tag<'a>(&self, datagram: &'a [u8]) -> Result<&'a [u8]> {
+    fn check_tag<'a>(&self, datagram: &'a [u8], receiver: Option<Incarnation>) -> Result<&'a [u8]> {
         let smallest = 1 + DATAGRAM_TAG_BYTES;
         let missing_bytes = smallest.saturating_sub(datagram.len());
         ensure!(missing_bytes == 0, TruncatedSnafu { missing_bytes });
         let version = datagram[0];
         ensure!(version == PROTOCOL_VERSION, UnknownVersionSnafu { version });
         let (covered, tag) = datagram.split_at(datagram.len() - DATAGRAM_TAG_BYTES);
-        ensure!(same_bytes(&tag_of(&self.key, covered), tag), BadTagSnafu);
+        ensure!(same_bytes(&tag_of(&self.key, covered, receiver), tag), BadTagSnafu);
         Ok(covered)
     }
 
@@ -169,8 +218,15 @@
     Ok(())
 }
 
-fn tag_of(key: &FrameKey, covered: &[u8]) -> [u8; DATAGRAM_TAG_BYTES] {
-    let hash = key.hash(PURPOSE, &[covered]);
+fn tag_of(
+    key: &FrameKey,
+    covered: &[u8],
+    receiver: Option<Incarnation>,
+) -> [u8; DATAGRAM_TAG_BYTES] {
+    let hash = match receiver {
+        None => key.hash(PURPOSE, &[covered]),
+        Some(receiver) => key.hash(ADDRESSED_PURPOSE, &[&receiver.0.to_be_bytes(), covered]),
+    };
     let mut tag = [0; DATAGRAM_TAG_BYTES];
     tag.copy_from_slice(&hash.as_bytes()[..DATAGRAM_TAG_BYTES]);
     tag
