--- a/src/wire/datagram.rs
+++ b/src/wire/datagram.rs
@@ -32,7 +32,7 @@
 /// What precedes the payload of a datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DatagramHeader {
-    /// The sender. Incarnations are random numbers, so no two processes have the same.
+    /// The sender. Incarnations hold random bits, so no two processes have the same.
     pub incarnation: Incarnation,
     /// Rises with each datagram of the sender.
     pub sequence: u64,
