Add the leader of a group

The scheduler decides about gangs, the members about leases and permits, and the table about what is durable. The leader joins them: messages are repeated until answered, a job's changes of its row follow each other and are repeated until certain, and nothing is adopted or started before all members answered or their leases lapsed. A member's task ends are acknowledged only when they are durable, so that a later leader learns the others.

--- /dev/null
+++ b/src/leader/change.rs
@@ -0,0 +1,165 @@
+//! Changes of a job's row by the leader of its group.
+
+use std::time::Duration;
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::job::{JobRow, group_job_key, job_key};
+use crate::membership::epoch_key;
+use crate::prelude::*;
+use crate::store::{
+    Commit, CommitOutcome, Condition, OperationId, Row, RowVersion, Table, Write, Writer,
+};
+
+/// A change of a job's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "change")]
+pub enum Change {
+    /// An attempt is about to start.
+    Intent {
+        /// The attempt.
+        attempt: u32,
+    },
+    /// An attempt is over, and the job waits again.
+    Queued {
+        /// The attempt.
+        attempt: u32,
+        /// The run time that a checkpoint saves, in milliseconds.
+        saved_ms: u64,
+    },
+    /// The job is at its end.
+    Ended {
+        /// How.
+        end: JobEnd,
+    },
+}
+
+/// What is known of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChangeResult {
+    /// It is durable.
+    Durable,
+    /// The row does not allow it, and no try of it can take effect any more.
+    Conflict,
+    /// It certainly had no effect, and no try of it is under way.
+    NotApplied,
+    /// It may have taken effect or may still do so.
+    Unknown,
+    /// Another process leads the group, so it had no effect that counts.
+    Deposed,
+}
+
+/// On whose behalf a change is made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Place {
+    /// The group.
+    pub group: GroupId,
+    /// The version of the group's epoch row in the leader's epoch.
+    pub epoch_version: RowVersion,
+}
+
+/// What a row becomes by a change.
+enum Applied {
+    /// It becomes this.
+    Row(Box<JobRow>),
+    /// It is so already.
+    Already,
+    /// It does not allow the change.
+    Conflict,
+}
+
+/// Changes a job's row, on condition of the group's epoch and of the row's version as it was read.
+///
+/// The change may be repeated: a row that has it already counts as changed, whoever's try took effect.
+pub async fn change_job<T, R>(
+    writer: &Writer<T>,
+    place: &Place,
+    job: &JobId,
+    change: &Change,
+    limit: Duration,
+    random: &mut R,
+) -> ChangeResult
+where
+    T: Table,
+    R: Rng,
+{
+    let table = writer.table();
+    let (row_key, index_key) = (job_key(job), group_job_key(&place.group, job));
+    let read = futures::future::try_join(table.read(&row_key), table.read(&index_key));
+    let Ok((row, index)) = read.await else { return ChangeResult::NotApplied };
+    let Some(row) = row else { return ChangeResult::Conflict };
+    let Ok(old) = serde_json::from_value::<JobRow>(row.value.clone()) else {
+        return ChangeResult::Conflict;
+    };
+    let new = match apply(&old, change) {
+        Applied::Row(new) => new,
+        Applied::Already => return ChangeResult::Durable,
+        Applied::Conflict => return ChangeResult::Conflict,
+    };
+    let commit = commit_of(place, &row, index.as_ref(), &new, random);
+    match writer.commit(&commit, limit, random).await {
+        CommitOutcome::Durable(_) => ChangeResult::Durable,
+        CommitOutcome::NotApplied(_) => ChangeResult::NotApplied,
+        CommitOutcome::Unknown(_) => ChangeResult::Unknown,
+        CommitOutcome::Conflict(row) if row.key == epoch_key(&place.group) => ChangeResult::Deposed,
+        // The row changed after it was read; the next try reads it again.
+        CommitOutcome::Conflict(_) => ChangeResult::NotApplied,
+    }
+}
+
+fn commit_of<R>(
+    place: &Place,
+    row: &Row,
+    index: Option<&Row>,
+    new: &JobRow,
+    random: &mut R,
+) -> Commit
+where
+    R: Rng,
+{
+    let mut conditions = vec![
+        Condition { key: epoch_key(&place.group), version: place.epoch_version },
+        Condition { key: row.key.clone(), version: row.version },
+    ];
+    let value = serde_json::to_value(new).expect("job rows have string keys");
+    let mut writes = vec![Write { key: row.key.clone(), value }];
+    if let (JobState::Ended { .. }, Some(index)) = (&new.state, index) {
+        conditions.push(Condition { key: index.key.clone(), version: index.version });
+        writes.push(Write { key: index.key.clone(), value: serde_json::Value::Null });
+    }
+    Commit { operation: OperationId::random(random), conditions, writes }
+}
+
+fn apply(row: &JobRow, change: &Change) -> Applied {
+    if matches!(row.state, JobState::Ended { .. }) {
+        // The first end that became durable counts.
+        let is_end = matches!(change, Change::Ended { .. });
+        return if is_end { Applied::Already } else { Applied::Conflict };
+    }
+    let mut new = Box::new(row.clone());
+    match change {
+        Change::Intent { attempt } => match row.state {
+            JobState::Running { attempt: running } if running == *attempt => {
+                return Applied::Already;
+            }
+            JobState::Queued if !row.cancel_requested && row.attempts < *attempt => {
+                new.state = JobState::Running { attempt: *attempt };
+                new.attempts = *attempt;
+            }
+            _ => return Applied::Conflict,
+        },
+        Change::Queued { attempt, saved_ms } => {
+            if row.attempts > *attempt {
+                return Applied::Conflict;
+            }
+            new.state = JobState::Queued;
+            new.attempts = *attempt;
+            new.saved_ms = row.saved_ms.max(*saved_ms);
+        }
+        Change::Ended { end } => new.state = JobState::Ended { end: end.clone() },
+    }
+    if *new == *row { Applied::Already } else { Applied::Row(new) }
+}
--- /dev/null
+++ b/src/leader/orders.rs
@@ -0,0 +1,82 @@
+//! How the outputs of the scheduler become messages to members and changes of rows.
+
+use rand::Rng;
+
+use super::{Change, Leader};
+use crate::membership::MembersInput;
+use crate::prelude::*;
+use crate::scheduler::{self, Output};
+use crate::wire::LeaderMessage;
+
+/// The time for which members hold a reservation: long enough for a slow table to answer about the intent.
+const HOLD_MS: u32 = 10_000;
+
+impl Leader {
+    /// Gives the scheduler an input and carries out what it wants.
+    pub(super) fn schedule<R>(&mut self, now_ms: u64, input: &scheduler::Input, random: &mut R)
+    where
+        R: Rng,
+    {
+        for output in self.scheduler.handle(now_ms, input, random) {
+            self.order(now_ms, output);
+        }
+    }
+
+    fn order(&mut self, now_ms: u64, output: Output) {
+        match output {
+            Output::Reserve { gang, job, share } => {
+                self.shares.add(&gang, &share.worker, &share.tasks);
+                let worker = share.worker.clone();
+                let message = LeaderMessage::Reserve { gang, job, share, hold_ms: HOLD_MS };
+                self.outbox.add(now_ms, &worker, message, Vec::new());
+            }
+            Output::Release { gang, worker } => {
+                self.outbox.add(now_ms, &worker, LeaderMessage::Release { gang }, Vec::new());
+            }
+            Output::WriteIntent { gang } => {
+                self.changes.add(&gang.job, Change::Intent { attempt: gang.number });
+            }
+            Output::Start { gang, worker, saved_ms } => {
+                let on = MembersInput::GangOn { gang: gang.clone(), worker: worker.clone() };
+                self.members.handle(now_ms, &on);
+                // The permit is filled in at each sending.
+                let start = LeaderMessage::Start { gang, saved_ms, sequence: 0, permit_ms: 0 };
+                self.outbox.add(now_ms, &worker, start, Vec::new());
+            }
+            Output::Checkpoint { gang, worker } => {
+                self.outbox.add(now_ms, &worker, LeaderMessage::Checkpoint { gang }, Vec::new());
+            }
+            Output::Stop { gang, worker } => self.stop(now_ms, gang, &worker),
+            Output::Fence { worker } => {
+                self.outbox.forget(&worker);
+                self.members.handle(now_ms, &MembersInput::Fence { worker: worker.clone() });
+                self.outbox.add(now_ms, &worker, LeaderMessage::Fence, Vec::new());
+            }
+            Output::Probe { worker } => {
+                self.outbox.add(now_ms, &worker, LeaderMessage::Probe, Vec::new());
+            }
+            Output::WriteQueued { gang, saved_ms } => {
+                let attempt = gang.number;
+                self.changes.add(&gang.job, Change::Queued { attempt, saved_ms });
+                self.close(now_ms, gang);
+            }
+            Output::WriteEnd { job, end } => {
+                for gang in self.shares.gangs_of(&job) {
+                    self.close(now_ms, gang);
+                }
+                self.changes.add(&job, Change::Ended { end });
+            }
+        }
+    }
+
+    pub(super) fn stop(&mut self, now_ms: u64, gang: GangId, worker: &WorkerId) {
+        let tasks = self.shares.open_tasks(&gang, worker);
+        self.outbox.add(now_ms, worker, LeaderMessage::Stop { gang }, tasks);
+    }
+
+    /// Forgets the parts of a gang that is over.
+    fn close(&mut self, now_ms: u64, gang: GangId) {
+        self.shares.remove_gang(&gang);
+        self.members.handle(now_ms, &MembersInput::GangOver { gang });
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod id;
 pub mod intake;
 pub mod job;
+pub mod leader;
 pub mod membership;
 pub mod placement;
 pub mod platform;
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -125,9 +125,10 @@
         self.trusted && !self.is_recovering() && now_ms < self.permit_until_ms
     }
 
-    /// Returns the incarnation of a live member.
+    /// Returns the incarnation of a member that is not lost.
     pub fn incarnation(&self, worker: &WorkerId) -> Option<Incarnation> {
-        self.members.get(worker).filter(|member| member.is_live()).map(|member| member.incarnation)
+        let member = self.members.get(worker)?;
+        (member.is_live() || member.state == MemberState::Fenced).then_some(member.incarnation)
     }
 
     /// Returns the number of live members.
@@ -148,7 +149,8 @@
         };
     }
 
-    fn permit_left_ms(&self, now_ms: u64) -> u64 {
+    /// Returns the time for which starts are permitted.
+    pub fn permit_left_ms(&self, now_ms: u64) -> u64 {
         if self.permits_starts(now_ms) { self.permit_until_ms - now_ms } else { 0 }
     }
 
