--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod leader;
 pub mod membership;
 pub mod placement;
+pub mod permit;
 pub mod platform;
 pub mod prelude;
 pub mod process;
