--- a/src/endpoint/agent.rs
+++ b/src/endpoint/agent.rs
@@ -191,6 +191,7 @@
             }
             EntryMessage::Hello { .. }
             | EntryMessage::Config { .. }
+            | EntryMessage::Permit { .. }
             | EntryMessage::Leader { .. }
             | EntryMessage::SubmitJob { .. }
             | EntryMessage::CancelJobs { .. } => {}
--- a/tests/requests/deployment.rs
+++ b/tests/requests/deployment.rs
@@ -26,6 +26,8 @@
 use warp::Filter;
 use xtra::Address;
 
+/// The time that an endpoint takes for a request that begins with `work`.
+pub const WORK: Duration = Duration::from_millis(20);
 pub const BODY_LIMIT_BYTES: u64 = 256 * 1024;
 
 /// A table that can be down, or lose the answers to commits.
@@ -192,7 +194,7 @@
     pub record: Record,
     pub http: SocketAddr,
     pub address: Address<endpoint::Endpoint>,
-    endpoint: SocketAddr,
+    pub endpoint: SocketAddr,
     slots: u32,
     runtime: Option<tokio::runtime::Runtime>,
 }
@@ -269,12 +271,15 @@
     }
 }
 
-/// Answers `hold..` after its release, `large..` with 300,000 bytes, `break..` with a part of such an answer
+/// Answers `work..` after [`WORK`], `hold..` after its release, `large..` with 300,000 bytes, `break..` with a part of such an answer
 /// that breaks off at its release, and anything else with the body itself.
 async fn answer(record: &Record, body: Bytes) -> warp::reply::Response {
     use warp::Reply;
     record.bodies.lock().unwrap().push(body.to_vec());
     let large = large_answer(&body);
+    if body.starts_with(b"work") {
+        tokio::time::sleep(WORK).await;
+    }
     if body.starts_with(b"hold") {
         record.release.notified().await;
     }
