Add the actors beside workers and of group leaders

The actors give the pure slices a clock, UDP sockets, the worker's interface, the entries and the table. A member asks an entry for its leader on a short connection, since entries could not keep one to each worker within their budget. A leader asks entries for the start permit, which counts from the question: an answer that waited in the socket of a paused leader grants nothing. A start that the process was too late to send is given up instead of sent.

--- /dev/null
+++ b/src/agent/leader_entry.rs
@@ -0,0 +1,124 @@
+//! The connections of a group's leader to the entries.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::net::TcpStream;
+use xtra::prelude::*;
+
+use super::leader::{EntryConnected, EntryLost, FromEntry, GroupLeader, LeaderParameters, Summary};
+use crate::store::Table;
+use crate::wire::{AgentMessage, EntryMessage, Link, LinkError, LinkSettings};
+use crate::worker::less_drift;
+
+/// The shortest and the longest pause before a lost connection is opened again.
+const RECONNECT_MS: std::ops::RangeInclusive<u64> = 50..=250;
+/// The time between two questions for the start permit, which is valid for 2 s.
+const ASK_MS: u64 = 500;
+/// The questions that are remembered.
+const KEPT_QUESTIONS: usize = 16;
+
+/// The questions for a start permit that are not answered. A permit counts from the sending of its question.
+#[derive(Debug, Default)]
+pub(super) struct PermitQuestions {
+    asked: VecDeque<(u64, u64)>,
+    sequence: u64,
+    next_ms: u64,
+}
+
+impl PermitQuestions {
+    /// Returns the entry to be asked now, one after the other, and the number of the question.
+    pub(super) fn ask(&mut self, now_ms: u64, connected: &[usize]) -> Option<(usize, u64)> {
+        if now_ms < self.next_ms || connected.is_empty() {
+            return None;
+        }
+        self.next_ms = now_ms + ASK_MS;
+        self.sequence += 1;
+        self.asked.push_back((self.sequence, now_ms));
+        if self.asked.len() > KEPT_QUESTIONS {
+            self.asked.pop_front();
+        }
+        let entry = connected[self.sequence as usize % connected.len()];
+        Some((entry, self.sequence))
+    }
+
+    /// Returns what is left of a permit, or `None` if the answer is to no question that is remembered.
+    pub(super) fn answer(&mut self, now_ms: u64, sequence: u64, permit_ms: u64) -> Option<u64> {
+        let index = self.asked.iter().position(|(asked, _)| *asked == sequence)?;
+        let (_, asked_ms) = self.asked.remove(index)?;
+        Some((asked_ms + less_drift(permit_ms)).saturating_sub(now_ms))
+    }
+}
+
+/// Keeps a connection to each entry while the leader lives.
+pub(super) fn connect<T>(leader: &Address<GroupLeader<T>>, parameters: &LeaderParameters)
+where
+    T: Table + Clone,
+{
+    let worker = &parameters.worker;
+    for (entry, address) in worker.entries.iter().enumerate() {
+        let introduction = AgentMessage::FindLeader {
+            process: worker.process.clone(),
+            data_centre: worker.data_centre.clone(),
+            rack: worker.worker.rack.clone(),
+        };
+        let connector = Connector {
+            leader: leader.downgrade(),
+            entry,
+            address: *address,
+            settings: worker.link.clone(),
+            introduction,
+        };
+        tokio::spawn(connector.run());
+    }
+}
+
+/// Keeps the connection to one entry.
+struct Connector<T>
+where
+    T: Table + Clone,
+{
+    leader: xtra::WeakAddress<GroupLeader<T>>,
+    entry: usize,
+    address: SocketAddr,
+    settings: LinkSettings,
+    introduction: AgentMessage,
+}
+
+impl<T> Connector<T>
+where
+    T: Table + Clone,
+{
+    async fn run(self) {
+        while self.leader.is_connected() {
+            if let Err(error) = self.connect().await {
+                log::debug!(entry = self.address.to_string(); "connection to an entry ended: {error}");
+            }
+            drop(self.leader.send(EntryLost { entry: self.entry }).await);
+            let pause_ms = rand::rng().random_range(RECONNECT_MS);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    async fn connect(&self) -> Result<(), LinkError> {
+        let limit = Duration::from_millis(self.settings.idle_ms);
+        let opened = tokio::time::timeout(limit, TcpStream::connect(self.address)).await;
+        let idle = |_| LinkError::Idle { idle_ms: self.settings.idle_ms };
+        let stream = opened.map_err(idle)?.map_err(|source| LinkError::Socket { source })?;
+        let mut link: Link<AgentMessage, EntryMessage> =
+            Link::connect(stream, &self.settings).await?;
+        link.sender.send(self.introduction.clone()).await?;
+        let stopping = |_| LinkError::Closed;
+        let summary = self.leader.send(Summary).await.map_err(stopping)?;
+        link.sender.send(AgentMessage::Lead(summary)).await?;
+        let connected = EntryConnected { entry: self.entry, sender: link.sender };
+        self.leader.send(connected).await.map_err(stopping)?;
+        while let Some(message) = link.receiver.receive().await? {
+            let from = FromEntry { entry: self.entry, message };
+            self.leader.send(from).await.map_err(stopping)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/agent/lease_table.rs
@@ -0,0 +1,66 @@
+//! The calls of the table that a leader lease wants.
+
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::de::DeserializeOwned;
+
+use crate::membership::{LeaseInput, LeaseOutput, Versioned, epoch_key, lease_key};
+use crate::prelude::*;
+use crate::store::{CommitOutcome, RowVersion, Table, Writer};
+
+/// The time for which a commit of a lease is tried.
+const COMMIT_LIMIT: Duration = Duration::from_secs(2);
+
+/// Makes a call and returns its answer, or `None` if the output is not a call.
+pub(super) async fn call<T>(
+    writer: &Writer<T>,
+    group: &GroupId,
+    output: &LeaseOutput,
+    seed: u64,
+) -> Option<LeaseInput>
+where
+    T: Table,
+{
+    match output {
+        LeaseOutput::Read => Some(read(writer.table(), group).await),
+        LeaseOutput::Commit { commit } => {
+            let mut random = ChaCha8Rng::seed_from_u64(seed);
+            match writer.commit(commit, COMMIT_LIMIT, &mut random).await {
+                CommitOutcome::Durable(_) => Some(LeaseInput::Durable),
+                _ => Some(LeaseInput::NotDurable),
+            }
+        }
+        LeaseOutput::Lead { .. } | LeaseOutput::Resign | LeaseOutput::Done => None,
+    }
+}
+
+async fn read<T>(table: &T, group: &GroupId) -> LeaseInput
+where
+    T: Table,
+{
+    let lease = read_row(table, &lease_key(group)).await;
+    let epoch = read_row(table, &epoch_key(group)).await;
+    match (lease, epoch) {
+        (Ok(lease), Ok(epoch)) => LeaseInput::Read { lease, epoch },
+        (Err(reason), _) | (_, Err(reason)) => {
+            log::debug!(group = group.as_str(); "leader lease could not be read: {reason}");
+            LeaseInput::ReadFailed
+        }
+    }
+}
+
+/// Reads a row. An unreadable row is an error, because a claim that replaced it could lower the epoch.
+async fn read_row<T, V>(table: &T, key: &str) -> Result<Versioned<V>, String>
+where
+    T: Table,
+    V: DeserializeOwned,
+{
+    let Some(row) = table.read(key).await.map_err(|error| error.to_string())? else {
+        return Ok(Versioned { version: RowVersion::ABSENT, row: None });
+    };
+    let content = serde_json::from_value(row.value);
+    let content = content.map_err(|error| format!("row {key:?} is unreadable: {error}"))?;
+    Ok(Versioned { version: row.version, row: Some(content) })
+}
--- /dev/null
+++ b/src/agent/worker_api.rs
@@ -0,0 +1,220 @@
+//! The client of the worker's own HTTP interface, which docs/platform.md describes.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use reqwest::StatusCode;
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::platform::{LeaseRenewal, StartTask, TaskList, TaskReport, TaskState};
+use crate::prelude::*;
+use crate::worker::{self, ListedTask, PROBE_TASK, TaskName, WorkerAnswer, WorkerCall};
+
+/// The time after which a call of the worker counts as lost.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The run time of a probe, and the time that it may take in all.
+const PROBE_RUN_MS: u64 = 200;
+const PROBE_LIMIT_MS: u64 = 5_000;
+/// The time between two looks at a probe.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A call and when the agent decided it.
+#[derive(Debug)]
+pub(super) struct DecidedCall {
+    pub(super) call: WorkerCall,
+    pub(super) at: Instant,
+}
+
+/// Makes the agent's calls one after the other, so that their answers are in the order of the decisions.
+#[derive(Debug)]
+pub(super) struct WorkerApi {
+    client: reqwest::Client,
+    base_url: String,
+    incarnation: Incarnation,
+    probes: u64,
+    usage: HashMap<GangId, (u32, u64)>,
+}
+
+impl WorkerApi {
+    pub(super) fn new(base_url: &str, incarnation: Incarnation) -> Self {
+        let client = reqwest::Client::builder().timeout(CALL_TIMEOUT).build().unwrap_or_default();
+        let base_url = base_url.trim_end_matches('/').to_owned();
+        Self { client, base_url, incarnation, probes: 0, usage: HashMap::new() }
+    }
+
+    /// Makes calls until the agent is gone.
+    pub(super) async fn run(
+        mut self,
+        mut calls: mpsc::Receiver<DecidedCall>,
+        answers: mpsc::Sender<WorkerAnswer>,
+    ) {
+        while let Some(decided) = calls.recv().await {
+            for answer in self.make(decided).await {
+                if answers.send(answer).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn make(&mut self, decided: DecidedCall) -> Vec<WorkerAnswer> {
+        let elapsed_ms = decided.at.elapsed().as_millis() as u64;
+        match decided.call {
+            WorkerCall::List { number } => self.list(number).await,
+            WorkerCall::Start { .. } => vec![self.start(&decided.call, decided.at).await],
+            WorkerCall::Renew { tasks, lease_ms } => {
+                let lease_ms = lease_ms.saturating_sub(elapsed_ms);
+                if lease_ms > 0 {
+                    self.post("/tasks/renew", &LeaseRenewal { lease_ms, tasks }).await;
+                }
+                Vec::new()
+            }
+            WorkerCall::Checkpoint { gang, tasks } => self.checkpoint(gang, tasks).await,
+            WorkerCall::Stop { tasks } => {
+                self.post("/tasks/stop", &TaskList { tasks }).await;
+                Vec::new()
+            }
+            WorkerCall::Probe => vec![WorkerAnswer::Probed { succeeded: self.probe().await }],
+        }
+    }
+
+    /// Starts the tasks of a share. The time since the decision counts, because the process may have been paused.
+    async fn start(&self, call: &WorkerCall, decided: Instant) -> WorkerAnswer {
+        let WorkerCall::Start { gang, need, tasks, run_ms, saved_ms, lease_ms, valid_ms } = call
+        else {
+            unreachable!("the caller passes starts only");
+        };
+        let gang = gang.clone();
+        for (index, task) in tasks.iter().enumerate() {
+            let elapsed_ms = decided.elapsed().as_millis() as u64;
+            if elapsed_ms >= *valid_ms {
+                return WorkerAnswer::StartFailed { gang, never_ran: index == 0 };
+            }
+            let start = StartTask {
+                task: task.name.clone(),
+                cores: need.cores,
+                memory_mb: need.memory_mb,
+                accelerator_mask: task.accelerator_mask,
+                lease_ms: lease_ms.saturating_sub(elapsed_ms),
+                run_ms: *run_ms,
+                saved_ms: *saved_ms,
+            };
+            if self.post("/tasks", &start).await != Some(StatusCode::OK) {
+                log::warn!(task = task.name.as_str(); "worker did not confirm the start of a task");
+                return WorkerAnswer::StartFailed { gang, never_ran: false };
+            }
+        }
+        WorkerAnswer::Started { gang }
+    }
+
+    async fn list(&mut self, number: u64) -> Vec<WorkerAnswer> {
+        let Some(reports) = self.reports().await else { return Vec::new() };
+        let mut answers = self.changed_usage(&reports);
+        let listed =
+            |report: TaskReport| ListedTask { name: report.task, state: state_of(report.state) };
+        let tasks = reports.into_iter().map(listed).collect();
+        answers.push(WorkerAnswer::Listed { number, tasks });
+        answers
+    }
+
+    /// Returns the usage of gangs that was not reported in this way before.
+    fn changed_usage(&mut self, reports: &[TaskReport]) -> Vec<WorkerAnswer> {
+        let mut usage: BTreeMap<GangId, (u32, u64)> = BTreeMap::new();
+        for report in reports.iter().filter(|report| report.state == TaskState::Running) {
+            let (Some(cores), Some(memory_mb)) = (report.cores_per_mille, report.memory_mb) else {
+                continue;
+            };
+            let Ok(name) = report.task.parse::<TaskName>() else { continue };
+            let most = usage.entry(name.gang).or_default();
+            *most = (most.0.max(cores), most.1.max(memory_mb));
+        }
+        self.usage.retain(|gang, _| usage.contains_key(gang));
+        let changed = usage.into_iter().filter(|(gang, most)| self.usage.get(gang) != Some(most));
+        let changed: Vec<(GangId, (u32, u64))> = changed.collect();
+        self.usage.extend(changed.iter().cloned());
+        let answer = |(gang, (cores_per_mille, memory_mb))| WorkerAnswer::Usage {
+            gang,
+            cores_per_mille,
+            memory_mb,
+        };
+        changed.into_iter().map(answer).collect()
+    }
+
+    async fn checkpoint(&self, gang: GangId, tasks: Vec<String>) -> Vec<WorkerAnswer> {
+        let list = TaskList { tasks };
+        if self.post("/tasks/checkpoint", &list).await != Some(StatusCode::OK) {
+            return Vec::new();
+        }
+        let Some(reports) = self.reports().await else { return Vec::new() };
+        let ours = reports.iter().filter(|report| list.tasks.contains(&report.task));
+        let saved = ours.map(|report| report.saved_ms).min();
+        saved.map(|saved_ms| WorkerAnswer::Checkpointed { gang, saved_ms }).into_iter().collect()
+    }
+
+    /// Runs a short task without accelerators, and returns whether it succeeded.
+    async fn probe(&mut self) -> bool {
+        self.probes += 1;
+        let task = format!("{PROBE_TASK}-{}-{}", self.incarnation, self.probes);
+        let start = StartTask {
+            task: task.clone(),
+            cores: 0,
+            memory_mb: 0,
+            accelerator_mask: 0,
+            lease_ms: PROBE_LIMIT_MS,
+            run_ms: PROBE_RUN_MS,
+            saved_ms: 0,
+        };
+        let deadline = Instant::now() + Duration::from_millis(PROBE_LIMIT_MS);
+        if self.post("/tasks", &start).await != Some(StatusCode::OK) {
+            return false;
+        }
+        while Instant::now() < deadline {
+            tokio::time::sleep(PROBE_INTERVAL).await;
+            let reports = self.reports().await.unwrap_or_default();
+            match reports.iter().find(|report| report.task == task).map(|report| report.state) {
+                Some(TaskState::Succeeded) => return true,
+                Some(TaskState::Running) => {}
+                _ => return false,
+            }
+        }
+        false
+    }
+
+    async fn reports(&self) -> Option<Vec<TaskReport>> {
+        let response = self.client.get(format!("{}/tasks", self.base_url)).send().await;
+        match response.and_then(reqwest::Response::error_for_status) {
+            Ok(response) => response.json().await.ok(),
+            Err(error) => {
+                log::debug!("worker did not list its tasks: {}", error.without_url());
+                None
+            }
+        }
+    }
+
+    /// Posts a body and returns the status, or `None` if there was no answer.
+    async fn post<B>(&self, path: &str, body: &B) -> Option<StatusCode>
+    where
+        B: Serialize,
+    {
+        let sent = self.client.post(format!("{}{path}", self.base_url)).json(body).send().await;
+        match sent {
+            Ok(response) => Some(response.status()),
+            Err(error) => {
+                log::debug!("call of the worker failed: {}", error.without_url());
+                None
+            }
+        }
+    }
+}
+
+fn state_of(state: TaskState) -> worker::TaskState {
+    match state {
+        TaskState::Running => worker::TaskState::Running,
+        TaskState::Succeeded => worker::TaskState::Succeeded,
+        TaskState::Failed => worker::TaskState::Failed,
+        TaskState::Stopped => worker::TaskState::Stopped,
+        TaskState::Lapsed => worker::TaskState::Lapsed,
+    }
+}
--- a/src/endpoint/agent.rs
+++ b/src/endpoint/agent.rs
@@ -192,6 +192,7 @@
             EntryMessage::Hello { .. }
             | EntryMessage::Config { .. }
             | EntryMessage::Leader { .. }
+            | EntryMessage::Permit { .. }
             | EntryMessage::SubmitJob { .. }
             | EntryMessage::CancelJobs { .. } => {}
         }
--- a/src/entry/groups.rs
+++ b/src/entry/groups.rs
@@ -70,13 +70,16 @@
         data_centre: &DataCentreId,
         rack: &RackId,
     ) {
-        let group = self.bundle.as_ref().and_then(|bundle| bundle.group_of(data_centre, rack));
-        let Some(group) = group else {
+        let groups = self.bundle.iter().flat_map(Bundle::groups);
+        let mut found =
+            groups.filter(|group| &group.data_centre == data_centre && group.racks.contains(rack));
+        let Some(found) = found.next() else {
             log::warn!(data_centre = data_centre.as_str(), rack = rack.as_str(); "rack is not in the bundle in force");
             return;
         };
+        let (group, group_workers) = (found.id, found.workers);
         let leader = self.leaders.get(&group).copied();
-        self.send(connection, EntryMessage::Leader { group, leader });
+        self.send(connection, EntryMessage::Leader { group, group_workers, leader });
     }
 }
 
--- a/src/leader/message.rs
+++ b/src/leader/message.rs
@@ -61,8 +61,13 @@
         state: ServiceState,
         /// Its version.
         version: u64,
-        /// The time for which starts are permitted, in milliseconds; zero withdraws the permit.
-        permit_ms: u64,
+    },
+    /// An entry answered about the start permit.
+    Permit {
+        /// The version of the data centre's state.
+        version: u64,
+        /// The time left for which starts are permitted; zero if they are not.
+        remaining_ms: u64,
     },
     /// The leader's own lease holds or not.
     Trusted {
--- a/src/leader/state.rs
+++ b/src/leader/state.rs
@@ -81,8 +81,9 @@
                 let rules = rules.clone();
                 self.schedule(now_ms, &scheduler::Input::Rules { rules }, random);
             }
-            Input::Service { state, version, permit_ms } => {
-                self.serve(now_ms, *state, *version, *permit_ms);
+            Input::Service { state, version } => self.serve(now_ms, *state, *version),
+            Input::Permit { version, remaining_ms } => {
+                self.permit(now_ms, *version, *remaining_ms);
             }
             Input::Trusted { trusted } => {
                 self.trusted = *trusted;
@@ -118,18 +119,25 @@
         &self.members
     }
 
-    /// Notes the state of the data centre; a permit that an entry grants on an older state does not count.
-    fn serve(&mut self, now_ms: u64, state: ServiceState, version: u64, permit_ms: u64) {
+    /// Notes the state of the data centre. A change ends permits that were granted before it.
+    fn serve(&mut self, now_ms: u64, state: ServiceState, version: u64) {
         if version < self.service.version {
             return;
         }
         let has_changed = version > self.service.version;
         self.service = Service { state, version };
-        let is_in = state == ServiceState::In;
-        let remaining_ms = if is_in { permit_ms } else { 0 };
-        let left_ms = self.members.permit_left_ms(now_ms);
-        // Several entries grant permits of one state; the longest counts.
-        if has_changed || remaining_ms == 0 || remaining_ms > left_ms {
+        if has_changed || state == ServiceState::Out {
+            self.members.handle(now_ms, &MembersInput::Permit { remaining_ms: 0 });
+        }
+    }
+
+    /// Notes a permit. Several entries grant permits of one state; the longest counts.
+    fn permit(&mut self, now_ms: u64, version: u64, remaining_ms: u64) {
+        if remaining_ms > 0 {
+            self.serve(now_ms, ServiceState::In, version);
+        }
+        let counts = version >= self.service.version && self.service.state == ServiceState::In;
+        if counts && remaining_ms > self.members.permit_left_ms(now_ms) {
             self.members.handle(now_ms, &MembersInput::Permit { remaining_ms });
         }
     }
--- a/src/membership/lease.rs
+++ b/src/membership/lease.rs
@@ -116,6 +116,14 @@
         }
     }
 
+    /// Returns the time until which the lease certainly holds; 0 if this process does not lead.
+    pub fn trusted_until_ms(&self) -> u64 {
+        match self.role {
+            Role::Holder { trusted_until_ms } => trusted_until_ms,
+            _ => 0,
+        }
+    }
+
     /// Returns the epoch in which this process leads, even if its lease may have lapsed.
     pub fn held_epoch(&self) -> Option<Epoch> {
         let is_holder = matches!(self.role, Role::Holder { .. });
--- a/src/request/router.rs
+++ b/src/request/router.rs
@@ -419,6 +419,7 @@
             AgentMessage::Announce(_)
             | AgentMessage::AlreadyStarted { .. }
             | AgentMessage::FindLeader { .. }
+            | AgentMessage::AskPermit { .. }
             | AgentMessage::Lead(_)
             | AgentMessage::JobAccepted { .. }
             | AgentMessage::Applied { .. } => {}
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -186,6 +186,14 @@
     },
     /// The first message on a connection of a group's leader, and again every second.
     Lead(GroupSummary),
+    /// A leader asks whether starts are permitted in its data centre. The permit counts from this question, so that a
+    /// leader that was paused takes no time from an answer that waited in its socket.
+    AskPermit {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Rises with each question; the answer repeats it.
+        sequence: u64,
+    },
     /// A leader confirms that a job arrived.
     JobAccepted {
         /// The job.
@@ -234,10 +242,21 @@
         /// The time for which starts are permitted, in milliseconds; zero withdraws the permit.
         permit_ms: u64,
     },
+    /// Answers [`AgentMessage::AskPermit`].
+    Permit {
+        /// The number of the question.
+        sequence: u64,
+        /// The version of the data centre's state.
+        version: u64,
+        /// The time for which starts are permitted, counted from the question; zero if they are not.
+        permit_ms: u64,
+    },
     /// The group and the leader of an agent beside a worker.
     Leader {
         /// The group.
         group: GroupId,
+        /// The number of its workers by the bundle in force.
+        group_workers: u32,
         /// The leader's epoch and its UDP address, if it has a leader.
         leader: Option<(Epoch, std::net::SocketAddr)>,
     },
--- a/src/worker/message.rs
+++ b/src/worker/message.rs
@@ -95,6 +95,8 @@
         need: TaskSpec,
         /// The tasks.
         tasks: Vec<TaskStart>,
+        /// The run time of each task as its caller declared it, in milliseconds.
+        run_ms: u64,
         /// Saved run time to resume from, in milliseconds.
         saved_ms: u64,
         /// The lease of the tasks in milliseconds, counted from the decision.
--- a/src/worker/mod.rs
+++ b/src/worker/mod.rs
@@ -9,6 +9,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use agent::PROBE_TASK;
 pub use agent::WorkerAgent;
 pub use message::{
     Input, ListedTask, Output, TaskStart, TaskState, WorkerAnswer, WorkerCall, WorkerConfig,
--- a/src/worker/serve.rs
+++ b/src/worker/serve.rs
@@ -296,6 +296,7 @@
         gang: gang.id.clone(),
         need: gang.job.task,
         tasks: tasks.collect(),
+        run_ms: gang.job.declared_run_ms,
         saved_ms,
         lease_ms,
         valid_ms,
