--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -186,16 +186,19 @@
     },
     /// The first message on a connection of a group's leader, and again every second.
     Lead(GroupSummary),
+    /// A leader asks whether starts are permitted in its data centre. The permit counts from this question, so that a
+    /// leader that was paused takes no time from an answer that waited in its socket.
+    AskPermit {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Rises with each question; the answer repeats it.
+        sequence: u64,
+    },
     /// A leader confirms that a job arrived.
     JobAccepted {
         /// The job.
         job: JobId,
     },
-    /// A leader asks how long starts are permitted in its data centre.
-    AskPermit {
-        /// Rises with each question; the answer repeats it, and the permit is counted from the question.
-        sequence: u64,
-    },
     /// Confirms [`EntryMessage::Config`] and [`EntryMessage::Service`].
     Applied {
         /// The version of the bundle in force.
@@ -252,6 +255,8 @@
     Leader {
         /// The group.
         group: GroupId,
+        /// The number of its workers by the bundle in force.
+        group_workers: u32,
         /// The leader's epoch and its UDP address, if it has a leader.
         leader: Option<(Epoch, std::net::SocketAddr)>,
     },
