--- a/src/endpoint/agent.rs
+++ b/src/endpoint/agent.rs
@@ -193,7 +193,6 @@
             | EntryMessage::Config { .. }
             | EntryMessage::Permit { .. }
             | EntryMessage::Leader { .. }
-            | EntryMessage::Permit { .. }
             | EntryMessage::SubmitJob { .. }
             | EntryMessage::CancelJobs { .. } => {}
         }
--- a/src/request/router.rs
+++ b/src/request/router.rs
@@ -422,7 +422,6 @@
             | AgentMessage::AskPermit { .. }
             | AgentMessage::Lead(_)
             | AgentMessage::JobAccepted { .. }
-            | AgentMessage::AskPermit { .. }
             | AgentMessage::Applied { .. } => {}
         }
     }
