List endpoints, take them out of use through an entry, and list groups

Cause: operators drain endpoints from the command line, and an announcement that is repeated after a drain undid it. Change: Drain message to the agent, routes, and the stand-in's endpoints name their process. Conclusion: a drained endpoint stays drained until another process announces itself.

--- a/src/command/inspect.rs
+++ b/src/command/inspect.rs
@@ -26,9 +26,9 @@
     list(arguments, "endpoint list", "/v1/endpoints").await
 }
 
-/// `worker list`.
+/// `worker list`: the capacity groups whose leaders are connected.
 pub(super) async fn workers(arguments: &[&str]) -> Result<Output> {
-    list(arguments, "worker list", "/v1/workers").await
+    list(arguments, "worker list", "/v1/groups").await
 }
 
 async fn list(arguments: &[&str], usage: &str, path: &str) -> Result<Output> {
--- a/src/endpoint/agent.rs
+++ b/src/endpoint/agent.rs
@@ -189,6 +189,7 @@
                 let message = self.applied();
                 outputs.push(AgentOutput::Send { connection, message });
             }
+            EntryMessage::Drain => self.drain(outputs),
             EntryMessage::Hello { .. }
             | EntryMessage::Config { .. }
             | EntryMessage::Permit { .. }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,5 +4,6 @@
 pub mod jobs;
 mod keys;
 pub mod listener;
+pub mod overview;
 pub mod request_routes;
 pub mod requests;
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -12,8 +12,8 @@
 use crate::prelude::*;
 use crate::process::{Clock, Metrics};
 use crate::request::{
-    ConnectionId, KeyClaim, RequestEnd, RequestSpec, Router, RouterInput, RouterOutput,
-    RouterRules, RouterSummary,
+    ConnectionId, EndpointView, KeyClaim, RequestEnd, RequestSpec, Router, RouterInput,
+    RouterOutput, RouterRules, RouterSummary,
 };
 use crate::store::{Table, Writer};
 use crate::wire::{AgentMessage, EndpointSpec, EntryMessage, LinkSender, ServiceState};
@@ -401,3 +401,38 @@
         self.router.summary()
     }
 }
+
+/// Asks for all connected endpoints.
+pub struct ListEndpoints;
+
+/// Takes an endpoint out of use. The answer is whether its agent is connected to this entry.
+pub struct DrainEndpoint {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+}
+
+impl<T> Handler<ListEndpoints> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = Vec<EndpointView>;
+
+    async fn handle(&mut self, _: ListEndpoints, _: &mut Context<Self>) -> Vec<EndpointView> {
+        self.router.endpoints()
+    }
+}
+
+impl<T> Handler<DrainEndpoint> for Requests<T>
+where
+    T: Table + Clone,
+{
+    type Return = bool;
+
+    async fn handle(&mut self, drain: DrainEndpoint, _: &mut Context<Self>) -> bool {
+        let connections = self.router.drain(&drain.endpoint);
+        for connection in &connections {
+            self.send(*connection, EntryMessage::Drain);
+        }
+        !connections.is_empty()
+    }
+}
--- a/src/platform/endpoint.rs
+++ b/src/platform/endpoint.rs
@@ -68,6 +68,7 @@
         "url": format!("http://{}/run", settings.http_address),
         "slots": settings.slots,
         "connections": settings.connections,
+        "instance": crate::process::new_incarnation().to_string(),
     });
     while !*stopped.borrow() {
         if let Err(error) = client.post(&url).json(&body).send().await {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -17,4 +17,5 @@
     ClaimResult, ConnectionId, KeyClaim, Refusal, RequestEnd, RequestSpec, RouterInput,
     RouterLimits, RouterOutput, RouterRules,
 };
+pub use pool::EndpointView;
 pub use router::{Router, RouterSummary};
--- a/src/request/pool.rs
+++ b/src/request/pool.rs
@@ -77,6 +77,26 @@
     }
 }
 
+/// What operators may see of a connected endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointView {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Its agent's connection.
+    pub connection: ConnectionId,
+    /// The incarnation of its agent.
+    pub incarnation: Incarnation,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Attempts of this entry that may still run there.
+    pub in_use: u32,
+    /// Whether it takes no new work.
+    pub draining: bool,
+}
+
 /// All connected endpoints.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Pool {
@@ -106,6 +126,20 @@
         older
     }
 
+    /// Describes all connected endpoints.
+    pub(super) fn list(&self) -> Vec<EndpointView> {
+        let view = |(connection, endpoint): (&ConnectionId, &Endpoint)| EndpointView {
+            id: endpoint.spec.id.clone(),
+            connection: *connection,
+            incarnation: endpoint.spec.incarnation,
+            data_centre: endpoint.spec.data_centre.clone(),
+            slots: endpoint.spec.slots,
+            in_use: endpoint.outstanding,
+            draining: endpoint.draining,
+        };
+        self.endpoints.iter().map(view).collect()
+    }
+
     pub(super) fn len(&self) -> usize {
         self.endpoints.len()
     }
--- a/src/request/router.rs
+++ b/src/request/router.rs
@@ -12,7 +12,7 @@
     RouterOutput, RouterRules,
 };
 use super::pairs;
-use super::pool::Pool;
+use super::pool::{EndpointView, Pool};
 use super::queue::{Lane, Queue};
 use crate::prelude::*;
 use crate::wire::{AgentMessage, EntryMessage};
@@ -181,6 +181,21 @@
         }
     }
 
+    /// Describes all connected endpoints.
+    pub fn endpoints(&self) -> Vec<EndpointView> {
+        self.pool.list()
+    }
+
+    /// Gives an endpoint no new attempts; returns the connections on which its agent must hear of it.
+    pub fn drain(&mut self, endpoint: &EndpointId) -> Vec<ConnectionId> {
+        let views = self.pool.list().into_iter().filter(|view| &view.id == endpoint);
+        let connections: Vec<ConnectionId> = views.map(|view| view.connection).collect();
+        for connection in &connections {
+            self.pool.drain(*connection);
+        }
+        connections
+    }
+
     fn submit(
         &mut self,
         now_ms: u64,
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -226,6 +226,8 @@
         /// Its sequence number on this connection.
         sequence: u64,
     },
+    /// Operators take the endpoint out of use: refuse new attempts, and let those in flight end.
+    Drain,
     /// A signed bundle, as JSON.
     Config {
         /// The version.
