Check gangs and guarantees under arbitrary faults, and refuse jobs that never fit

A property test drives the scheduler with simulated agents that refuse, delay, repeat and lose messages, ignore stops, go down, and with takeovers and outages. It found and now guards against: a second attempt of unrepeatable work after a takeover, parts of a gang that were reported after it was told to stop, cells that were bound to a guarantee while a claim on them was pending, and jobs that waited for ever because idle guarantees could not swap places. Jobs that can never fit the group are refused when they arrive; for that, the group's rules now carry its topology.

--- a/src/guarantee/admission.rs
+++ b/src/guarantee/admission.rs
@@ -6,10 +6,10 @@
 use snafu::Snafu;
 
 use super::pack::pack_block;
-use crate::bundle::{Bundle, DataCentre, Group, KindRule, PolicyRules, Rack};
+use crate::bundle::{Bundle, Group, KindRule, PolicyRules, WorkerShape};
 use crate::placement::{Pool, Worker};
 use crate::prelude::*;
-use crate::scheduler::{Block, GroupGuarantee, GroupRules, WorkerSpec};
+use crate::scheduler::{Block, GroupGuarantee, GroupRules, GroupTopology, WorkerSpec};
 
 /// Why a bundle's guarantees are not admitted.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -74,7 +74,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Admission {
     version: BundleVersion,
-    groups: BTreeMap<GroupId, Vec<GroupGuarantee>>,
+    groups: BTreeMap<GroupId, GroupPart>,
     kinds: Vec<KindRule>,
     policy: PolicyRules,
 }
@@ -82,15 +82,25 @@
 impl Admission {
     /// Returns the rules of a group, or `None` if the bundle has no such group.
     pub fn group_rules(&self, group: &GroupId) -> Option<GroupRules> {
+        let GroupPart { topology, guarantees } = self.groups.get(group)?.clone();
         Some(GroupRules {
             version: self.version,
-            guarantees: self.groups.get(group)?.clone(),
+            topology,
+            guarantees,
             kinds: self.kinds.clone(),
             policy: self.policy.clone(),
         })
     }
 }
 
+/// What admission assigned to one group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GroupPart {
+    topology: GroupTopology,
+    guarantees: Vec<GroupGuarantee>,
+}
+
 /// A block that is to be assigned to a group.
 #[derive(Clone, Copy)]
 struct Wanted<'a> {
@@ -102,6 +112,7 @@
 /// A group with empty workers, into which blocks are packed.
 struct Space {
     group: Group,
+    topology: GroupTopology,
     pool: Pool,
     blocks: Vec<(u32, Block)>,
 }
@@ -132,7 +143,10 @@
     let groups = spaces
         .iter()
         .enumerate()
-        .map(|(index, space)| (space.group.id.clone(), guarantees(bundle, space, &quotas, index)))
+        .map(|(index, space)| {
+            let guarantees = guarantees(bundle, space, &quotas, index);
+            (space.group.id.clone(), GroupPart { topology: space.topology.clone(), guarantees })
+        })
         .collect();
     let (kinds, policy) = (bundle.kinds.clone(), bundle.policy.clone());
     Ok(Admission { version: bundle.version, groups, kinds, policy })
@@ -225,20 +239,24 @@
 }
 
 fn space(bundle: &Bundle, group: Group) -> Space {
-    let mut pool = Pool::default();
     let home = bundle.data_centres.iter().find(|d| d.id == group.data_centre);
-    for (data_centre, rack) in home.iter().flat_map(|d| d.racks.iter().map(move |rack| (d, rack))) {
-        if group.racks.contains(&rack.id) {
-            add_workers(&mut pool, data_centre, rack);
-        }
-    }
-    Space { group, pool, blocks: Vec::new() }
+    let worker = home.map_or(WorkerShape { cores: 0, memory_mb: 0, accelerators: 0 }, |d| d.worker);
+    let racks = home.iter().flat_map(|d| &d.racks).filter(|rack| group.racks.contains(&rack.id));
+    let topology = GroupTopology { worker, racks: racks.cloned().collect() };
+    Space { group, pool: topology.empty_pool(), topology, blocks: Vec::new() }
 }
 
-fn add_workers(pool: &mut Pool, data_centre: &DataCentre, rack: &Rack) {
-    for number in 0..rack.workers {
-        let id = WorkerId::from(format!("{}-{number:05}", rack.id));
-        pool.announce(&WorkerSpec { id, rack: rack.id.clone(), shape: data_centre.worker });
+impl GroupTopology {
+    /// Returns a pool of all workers of the group, on which nothing runs.
+    pub(crate) fn empty_pool(&self) -> Pool {
+        let mut pool = Pool::default();
+        for rack in &self.racks {
+            for number in 0..rack.workers {
+                let id = WorkerId::from(format!("{}-{number:05}", rack.id));
+                pool.announce(&WorkerSpec { id, rack: rack.id.clone(), shape: self.worker });
+            }
+        }
+        pool
     }
 }
 
--- a/src/guarantee/binding.rs
+++ b/src/guarantee/binding.rs
@@ -90,29 +90,50 @@
         F: Fn(&Pool) -> bool,
     {
         let before = self.blocks.clone();
-        for block in &mut self.blocks {
-            if block.organisation != organisation && overlap(&block.cells, cells) {
+        // Moving only the blocks in the way is cheaper; moving all idle blocks finds room where blocks must swap.
+        for all in [false, true] {
+            if self.move_away(pool, organisation, cells, all) && fits(pool) {
+                return true;
+            }
+            self.blocks.clone_from(&before);
+        }
+        self.publish(pool);
+        false
+    }
+
+    fn move_away(
+        &mut self,
+        pool: &mut Pool,
+        organisation: u32,
+        cells: &[(u32, u64)],
+        all: bool,
+    ) -> bool {
+        let mut order = Vec::new();
+        for (index, block) in self.blocks.iter_mut().enumerate() {
+            let own = block.organisation == organisation;
+            let moves = all || own || overlap(&block.cells, cells);
+            if moves && !block.cells.is_empty() && !in_use(pool, block) {
                 block.cells.clear();
+                order.push(index);
             }
         }
         self.publish(pool);
-        let moved = (0..self.blocks.len()).all(|index| {
+        // The work uses its organisation's own guarantee where it can, so that less is left to pack.
+        order.sort_by_key(|index| self.blocks[*index].organisation != organisation);
+        order.into_iter().all(|index| {
             let block = &self.blocks[index];
-            if !block.cells.is_empty() || before[index].cells.is_empty() {
-                return true;
-            }
-            let usable = |worker: &Worker| {
-                free_for(worker, block.organisation) & !mask_on(pool, worker, cells)
-            };
-            let found = pack_block(pool, &block.block, usable);
+            let own = block.organisation == organisation;
+            let taken = |worker: &Worker| mask_on(pool, worker, cells);
+            let usable = |worker: &Worker| free_for(worker, block.organisation);
+            let inside =
+                own.then(|| pack_block(pool, &block.block, |w| usable(w) & taken(w))).flatten();
+            let found = inside.or_else(|| {
+                pack_block(pool, &block.block, |w| {
+                    usable(w) & if own { u64::MAX } else { !taken(w) }
+                })
+            });
             found.map(|found| self.bind(pool, index, found)).is_some()
-        });
-        if !moved || !fits(pool) {
-            self.blocks = before;
-            self.publish(pool);
-            return false;
-        }
-        true
+        })
     }
 
     /// Returns whether any block lacks cells that can be taken.
@@ -230,7 +251,7 @@
             h.organisation == block.organisation && h.mask & mask != 0
         };
         let worker = pool.worker(*position);
-        worker.holdings.iter().any(owned) || worker.claimed & mask != 0
+        worker.holdings.iter().chain(&worker.claims).any(owned)
     })
 }
 
@@ -239,10 +260,7 @@
     if worker.state != WorkerState::Up {
         return 0;
     }
-    let usable = worker.whole()
-        & !worker.bound_all
-        & !worker.claimed
-        & !worker.pinned_by_others(organisation);
+    let usable = worker.whole() & !worker.bound_all & !worker.pinned_by_others(organisation);
     if worker.can_back(organisation, usable.count_ones()) { usable } else { 0 }
 }
 
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -81,6 +81,8 @@
     pub fenced_until_ms: u64,
     /// Who holds cells.
     pub holdings: Vec<Holding>,
+    /// Who will hold cells as soon as others have given them back.
+    pub claims: Vec<Holding>,
     /// Accelerators that no gang holds.
     pub free: u64,
     /// Accelerators that wait for a gang whose plan is fixed.
@@ -181,16 +183,20 @@
     where
         F: Fn(u32) -> bool,
     {
-        let pinned = self.holdings.iter().filter(|h| !h.reclaimable && of(h.organisation));
+        let pinned = self.pinned().filter(|h| of(h.organisation));
         pinned.fold((0, 0), |sum, h| (sum.0 + h.cores, sum.1 + h.memory_mb))
     }
 
     /// Returns the accelerators held by gangs of other organisations that cannot be made to give them back.
     pub fn pinned_by_others(&self, organisation: u32) -> u64 {
-        let foreign =
-            self.holdings.iter().filter(|h| !h.reclaimable && h.organisation != organisation);
+        let foreign = self.pinned().filter(|h| h.organisation != organisation);
         foreign.fold(0, |all, h| all | h.mask)
     }
+
+    /// Returns what is held or claimed by gangs that cannot be made to give it back.
+    fn pinned(&self) -> impl Iterator<Item = &Holding> {
+        self.holdings.iter().chain(&self.claims).filter(|h| !h.reclaimable)
+    }
 }
 
 /// The workers of a group.
@@ -259,6 +265,7 @@
             probe_at_ms: 0,
             fenced_until_ms: 0,
             holdings: Vec::new(),
+            claims: Vec::new(),
             free: low_bits(spec.shape.accelerators),
             claimed: 0,
             claimed_cores: 0,
@@ -309,6 +316,20 @@
         recount(worker);
     }
 
+    /// Keeps cells of a worker for a gang until others have given them back.
+    pub fn claim(&mut self, position: u32, claim: Holding) {
+        let worker = self.worker_mut(position);
+        worker.claims.push(claim);
+        recount(worker);
+    }
+
+    /// Drops the claims of a gang on a worker.
+    pub fn unclaim(&mut self, position: u32, job: JobKey) {
+        let worker = self.worker_mut(position);
+        worker.claims.retain(|claim| claim.job != job);
+        recount(worker);
+    }
+
     /// Takes all cells on a worker back from a gang.
     pub fn release(&mut self, position: u32, job: JobKey) {
         let worker = self.worker_mut(position);
@@ -323,6 +344,9 @@
     let cores: u32 = worker.holdings.iter().map(|holding| holding.cores).sum();
     let memory_mb: u64 = worker.holdings.iter().map(|holding| holding.memory_mb).sum();
     worker.free = worker.whole() & !held;
+    worker.claimed = worker.claims.iter().fold(0, |all, claim| all | claim.mask);
+    worker.claimed_cores = worker.claims.iter().map(|claim| claim.cores).sum();
+    worker.claimed_memory_mb = worker.claims.iter().map(|claim| claim.memory_mb).sum();
     worker.free_cores = worker.spec.shape.cores.saturating_sub(cores);
     worker.free_memory_mb = worker.spec.shape.memory_mb.saturating_sub(memory_mb);
 }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,1 +1,121 @@
+//! Tests of the choice of cells.
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+use super::*;
+use crate::bundle::WorkerShape;
+use crate::prelude::*;
+use crate::scheduler::WorkerSpec;
+
+/// Two racks of three workers with eight accelerators, of which the given masks are free.
+fn pool(free: [u64; 6]) -> Pool {
+    let mut pool = Pool::default();
+    for (number, free) in free.into_iter().enumerate() {
+        let position = pool.announce(&WorkerSpec {
+            id: WorkerId::from(format!("w{number}")),
+            rack: RackId::from(format!("r{}", number / 3)),
+            shape: WorkerShape { cores: 32, memory_mb: 1_024, accelerators: 8 },
+        });
+        let holding = Holding {
+            job: 1,
+            mask: !free & 0xff,
+            cores: 0,
+            memory_mb: 0,
+            organisation: 0,
+            class: Class::Normal,
+            reclaimable: false,
+            weight: 8,
+        };
+        pool.hold(position, holding);
+    }
+    pool
+}
+
+fn place(
+    pool: &Pool,
+    tasks: u32,
+    accelerators: u32,
+    adjacency: Adjacency,
+) -> Option<Vec<(u32, u64)>> {
+    let task = TaskSpec { cores: 1, memory_mb: 1, accelerators };
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let open = |_: u32, w: &Worker| {
+        Some(Candidate {
+            mask: w.open(),
+            cores: w.open_cores(),
+            memory_mb: w.open_memory_mb(),
+            cost: 0,
+        })
+    };
+    let plan =
+        choose(pool, &Demand { tasks, task, adjacency }, Policy::Product, &mut random, open)?;
+    let mask = |cells: &[crate::scheduler::TaskCell]| {
+        cells.iter().fold(0, |all, c| all | c.accelerator_mask)
+    };
+    Some(plan.iter().map(|(worker, cells)| (*worker, mask(cells))).collect())
+}
+
+/// Guards against blocks that straddle a buddy boundary or break a larger block without need.
+#[test_case(0b1111_0110, 2, Some(0b0000_0000); "an unaligned pair is not a block")]
+#[test_case(0b1111_0011, 2, Some(0b0000_0011); "the pair whose buddy is taken comes first")]
+#[test_case(0b1111_1111, 3, Some(0b0000_0111); "three lie in a block of four")]
+#[test_case(0b0111_0111, 4, None; "four need an aligned block")]
+fn blocks_are_aligned_and_keep_larger_blocks_whole(free: u64, size: u32, expected: Option<u64>) {
+    let block = take_block(free, free, size);
+
+    match expected {
+        Some(0) => assert_eq!(block.map(|mask| mask & 0b0000_0110), Some(0)),
+        other => assert_eq!(block, other),
+    }
+}
+
+/// Guards against small gangs that break whole workers while fragments would do.
+#[test]
+fn a_small_gang_takes_the_worker_with_the_least_room() {
+    let pool = pool([0xff, 0xff, 0x0f, 0xff, 0xff, 0x03]);
+
+    assert_eq!(place(&pool, 1, 2, Adjacency::Worker), Some(vec![(5, 0x03)]));
+    assert_eq!(place(&pool, 1, 4, Adjacency::Worker), Some(vec![(2, 0x0f)]));
+}
+
+/// Guards against gangs that are spread over racks, or not placed, although one rack has room.
+#[test]
+fn a_gang_stays_in_one_rack_and_takes_the_tightest_that_fits() {
+    let pool = pool([0xff, 0xff, 0xff, 0xff, 0xff, 0x00]);
+
+    let rack = place(&pool, 2, 8, Adjacency::Rack);
+    let too_wide = place(&pool, 4, 8, Adjacency::Rack);
+    let across = place(&pool, 4, 8, Adjacency::DataCentre);
+
+    assert_eq!(rack, Some(vec![(3, 0xff), (4, 0xff)]));
+    assert_eq!(too_wide, None);
+    assert_eq!(across.map(|cells| cells.len()), Some(4));
+}
+
+/// Guards against tasks that are placed by accelerators alone, since workers start what does not fit.
+#[test]
+fn cores_and_memory_limit_the_tasks_of_a_worker() {
+    let offer = Candidate { mask: 0xff, cores: 10, memory_mb: 100, cost: 0 };
+    let demand = |cores, memory_mb, accelerators| Demand {
+        tasks: 8,
+        task: TaskSpec { cores, memory_mb, accelerators },
+        adjacency: Adjacency::Worker,
+    };
+
+    assert_eq!(demand(3, 1, 1).slots(&offer), 3);
+    assert_eq!(demand(1, 40, 1).slots(&offer), 2);
+    assert_eq!(demand(0, 0, 0).slots(&offer), 8);
+}
+
+/// Guards against policies that settings name but the program does not know.
+#[test]
+fn policies_are_read_by_the_names_of_their_serialisation() {
+    for policy in [Policy::Product, Policy::FirstComeFirstFit, Policy::RandomFit] {
+        let name = serde_json::to_value(policy).expect("a policy is serialisable");
+
+        assert_eq!(name.as_str().map(str::parse), Some(Ok(policy)));
+    }
+    assert!("best".parse::<Policy>().is_err());
+}
--- /dev/null
+++ b/src/scheduler/feasible.rs
@@ -0,0 +1,104 @@
+//! Jobs that can never run in a group, whatever else runs there.
+
+use super::place::Hopeless;
+use super::reserve::NoRandom;
+use super::search::mask_of;
+use super::state::Scheduler;
+use super::work::Rights;
+use crate::guarantee::pack_block;
+use crate::placement::{Candidate, Demand, Plan, Policy, Pool, Reach, Worker, choose};
+use crate::prelude::*;
+
+/// The most demands that are remembered to fit.
+const MAX_FEASIBLE: usize = 64;
+
+impl Scheduler {
+    /// Returns why a job can never run in the group, or `None` if it can.
+    pub(crate) fn never_fits(&mut self, spec: &JobSpec) -> Option<String> {
+        let rights = self.rights(spec)?;
+        let demand = Demand::of(spec);
+        let known = |fits: &Hopeless| fits.rights == rights && fits.demand.needs_at_least(&demand);
+        if self.template.workers.is_empty() || self.feasible.iter().any(known) {
+            return None;
+        }
+        let TaskSpec { cores, memory_mb, accelerators } = spec.task;
+        let task =
+            format!("{cores} cores, {memory_mb} MB and {accelerators} adjacent accelerators");
+        let one = Demand { tasks: 1, ..demand };
+        if self.choose_empty(&self.template, &rights, &one).is_none() {
+            return Some(format!("no worker has {task} for a task"));
+        }
+        let Some(plan) = self.choose_empty(&self.template, &rights, &demand) else {
+            let (tasks, adjacency) = (spec.tasks, spec.adjacency);
+            return Some(format!(
+                "no {adjacency} of the group has room for {tasks} tasks of {task} each"
+            ));
+        };
+        if !rights.borrows && !self.fits_beside_guarantees(&rights, &demand, &plan) {
+            let tasks = spec.tasks;
+            return Some(format!(
+                "{tasks} tasks of {task} each do not fit beside the guarantees of others, and the job may not borrow"
+            ));
+        }
+        if self.feasible.len() == MAX_FEASIBLE {
+            self.feasible.remove(0);
+        }
+        self.feasible.push(Hopeless { rights, demand });
+        None
+    }
+
+    fn choose_empty(&self, pool: &Pool, rights: &Rights, demand: &Demand) -> Option<Plan> {
+        let offer = |_: u32, worker: &Worker| {
+            let (cores, memory_mb) = worker.kept_for_others(rights.organisation);
+            Some(Candidate {
+                mask: worker.reachable(rights.organisation, Reach::Spare),
+                cores: worker.free_cores.saturating_sub(cores),
+                memory_mb: worker.free_memory_mb.saturating_sub(memory_mb),
+                cost: 0,
+            })
+        };
+        choose(pool, demand, self.policy, &mut NoRandom, offer)
+    }
+
+    /// Returns whether a job fits into the empty group together with all guarantees of other organisations.
+    fn fits_beside_guarantees(&self, rights: &Rights, demand: &Demand, plan: &Plan) -> bool {
+        if self.policy != Policy::Product {
+            return true;
+        }
+        // Packing is not exact, so the job counts as feasible if either order of packing succeeds.
+        let mut job_first = self.template.clone();
+        for (worker, tasks) in plan {
+            let count = tasks.len() as u32;
+            let entry = job_first.worker_mut(*worker);
+            entry.claimed |= mask_of(tasks);
+            entry.free_cores = entry.free_cores.saturating_sub(count * demand.task.cores);
+            entry.free_memory_mb =
+                entry.free_memory_mb.saturating_sub(u64::from(count) * demand.task.memory_mb);
+        }
+        if self.pack_guarantees(&mut job_first, rights.organisation) {
+            return true;
+        }
+        let mut job_last = self.template.clone();
+        self.pack_guarantees(&mut job_last, rights.organisation)
+            && self.choose_empty(&job_last, rights, demand).is_some()
+    }
+
+    /// Binds the guarantees of all organisations but one, and returns whether all fit.
+    fn pack_guarantees(&self, pool: &mut Pool, except: u32) -> bool {
+        for block in self.bindings.blocks.iter().filter(|block| block.organisation != except) {
+            let usable = |worker: &Worker| {
+                let open = worker.whole() & !worker.bound_all & !worker.claimed;
+                let (cores, memory_mb) = worker.share_of((worker.bound_all | open).count_ones());
+                let backed = cores <= worker.free_cores && memory_mb <= worker.free_memory_mb;
+                if backed { open } else { 0 }
+            };
+            let Some(cells) = pack_block(pool, &block.block, usable) else { return false };
+            for (worker, mask) in cells {
+                let entry = pool.worker_mut(worker);
+                entry.bound.push((block.organisation, mask));
+                entry.bound_all |= mask;
+            }
+        }
+        true
+    }
+}
--- a/src/scheduler/finish.rs
+++ b/src/scheduler/finish.rs
@@ -28,8 +28,9 @@
         match self.gang_mut(key).stage {
             Stage::Claiming | Stage::Reserving => self.give_up(now_ms, key, why, false, out),
             Stage::Writing => self.note_leave(key, why),
-            Stage::Stopping => self.note_leave(key, why),
-            Stage::Starting | Stage::Running | Stage::Adopting | Stage::Checkpointing => {
+            // Parts that were not found yet may run, so the gang is stopped when it is whole or its lease has passed.
+            Stage::Stopping | Stage::Adopting => self.note_leave(key, why),
+            Stage::Starting | Stage::Running | Stage::Checkpointing => {
                 self.note_leave(key, why);
                 self.stop(now_ms, key, out);
             }
@@ -92,7 +93,10 @@
     pub(crate) fn finish_if_over(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
         let Some(job) = self.jobs.get(&key) else { return };
         let Some(gang) = &job.gang else { return };
-        if !gang.was_told_to_start() || !gang.all_reached(ShareState::Ended) {
+        if !gang.was_told_to_start()
+            || gang.stage == Stage::Adopting
+            || !gang.all_reached(ShareState::Ended)
+        {
             return;
         }
         let gang = gang.clone();
@@ -168,6 +172,7 @@
             self.overdue(now_ms, key, out);
         }
         self.check_strays(now_ms, out);
+        self.move_away(now_ms, out);
         if self.bindings.is_reduced() {
             self.bindings.repair(&mut self.pool);
         }
@@ -185,7 +190,10 @@
             }
             Stage::Writing | Stage::Running => {}
             Stage::Starting => self.leave(now_ms, key, Leave::Overdue, out),
-            Stage::Adopting => self.leave(now_ms, key, Leave::Partial, out),
+            Stage::Adopting => {
+                self.note_leave(key, Leave::Partial);
+                self.stop(now_ms, key, out);
+            }
             Stage::Checkpointing => self.stop(now_ms, key, out),
             Stage::Stopping => self.enforce(now_ms, key, out),
         }
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -53,7 +53,10 @@
             return;
         }
         self.enter_queue(key);
-        self.try_new(now_ms, key, random, out);
+        self.settle_unrepeatable(now_ms, key, out);
+        if self.jobs.contains_key(&key) {
+            self.try_new(now_ms, key, random, out);
+        }
     }
 
     /// Returns the rights of work that is submitted before any bundle is known; they are renewed by the bundle.
@@ -328,11 +331,7 @@
         {
             share.state = ShareState::Running;
         }
-        if current.stage == Stage::Starting && current.all_reached(ShareState::Running) {
-            current.stage = Stage::Running;
-            current.deadline_ms = u64::MAX;
-            current.started_ms = now_ms;
-        }
+        self.run_if_whole(now_ms, key);
     }
 
     /// Notes the end of a task.
@@ -355,7 +354,8 @@
             current.leaves = current.leaves.or(Some(Leave::Lost));
             return;
         }
-        let Some(share) = current.share_mut(worker) else { return };
+        self.adopt_ended(key, worker, task);
+        let Some(share) = self.gang_mut(key).share_mut(worker) else { return };
         if !share.end_task(task) {
             return;
         }
@@ -366,6 +366,7 @@
             self.pool.worker_mut(worker).failed_jobs.clear();
         }
         self.gang_mut(key).ran |= end != TaskEnd::Refused;
+        self.run_if_whole(now_ms, key);
         self.after_task(now_ms, key, worker, end, out);
     }
 
--- a/src/scheduler/members.rs
+++ b/src/scheduler/members.rs
@@ -1,7 +1,7 @@
 //! Workers that come and go, takeover from an earlier leader, and start permits.
 
 use super::gang::holding;
-use super::message::{Output, RunningShare, WorkerSpec};
+use super::message::{Output, RunningShare, TaskCell, WorkerSpec};
 use super::state::{LEASE_MS, Scheduler, Stray};
 use super::work::{Gang, GangShare, Leave, Rights, ShareState, Stage};
 use crate::placement::{Holding, JobKey, WorkerState};
@@ -78,13 +78,15 @@
     /// Takes up a share that runs on a worker, or stops it if it belongs to no gang.
     fn adopt(&mut self, now_ms: u64, worker: u32, share: &RunningShare, out: &mut Vec<Output>) {
         if let Some(key) = self.find(&share.gang) {
-            self.join_gang(now_ms, key, worker, share);
+            self.join_gang(now_ms, key, worker, share, out);
             return;
         }
         let known = self.keys.get(&share.gang.job).copied();
         let ended = self.ended.get(&share.gang.job).is_some();
-        let newer = known.is_some_and(|key| self.jobs[&key].gang.is_some());
-        if ended || newer {
+        let other = known.is_some_and(|key| {
+            self.jobs[&key].gang.is_some() || self.jobs[&key].attempts > share.gang.number
+        });
+        if ended || other {
             self.stop_stray(now_ms, worker, share, out);
             return;
         }
@@ -120,36 +122,97 @@
             for_urgent: false,
         });
         self.active.insert(key);
-        self.join_gang(now_ms, key, worker, share);
+        self.join_gang(now_ms, key, worker, share, out);
     }
 
     /// Adds a reported share to the gang that it belongs to.
-    fn join_gang(&mut self, now_ms: u64, key: JobKey, worker: u32, share: &RunningShare) {
-        let job = &self.jobs[&key];
-        let expected = job.spec.tasks as usize;
+    fn join_gang(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        worker: u32,
+        share: &RunningShare,
+        out: &mut Vec<Output>,
+    ) {
         let gang = self.gang_mut(key);
         gang.ran = true;
+        let stage = gang.stage;
         if let Some(known) = gang.share_mut(worker) {
             if known.state == ShareState::Starting {
                 known.state = ShareState::Running;
             }
-        } else if gang.stage == Stage::Adopting {
+        } else if matches!(stage, Stage::Adopting | Stage::Stopping) {
             gang.shares.push(GangShare::new(worker, share.tasks.clone(), ShareState::Running));
             let holding = holding(&self.jobs[&key], &share.tasks);
             self.organisations[holding.organisation as usize].used += holding.mask.count_ones();
             self.pool.hold(worker, holding);
+            if stage == Stage::Stopping {
+                out.push(Output::Stop { gang: share.gang.clone(), worker: self.worker_id(worker) });
+            }
+        } else {
+            self.stop_stray(now_ms, worker, share, out);
         }
+        self.run_if_whole(now_ms, key);
+    }
+
+    /// Notes that an adopted or starting gang runs if all its tasks are accounted for.
+    pub(crate) fn run_if_whole(&mut self, now_ms: u64, key: JobKey) {
+        let expected = self.jobs[&key].spec.tasks as usize;
         let gang = self.gang_mut(key);
         let found: usize = gang.shares.iter().map(|share| share.tasks.len()).sum();
         let whole = gang.stage == Stage::Adopting && found == expected;
         let started = gang.stage == Stage::Starting && gang.all_reached(ShareState::Running);
-        if whole || started {
+        if whole && gang.leaves.is_some() {
+            gang.deadline_ms = now_ms;
+        } else if whole || started {
             gang.stage = Stage::Running;
             gang.deadline_ms = u64::MAX;
             gang.started_ms = now_ms;
         }
     }
 
+    /// Adds a task that ended before a new leader could find it running to the gang that is being adopted.
+    pub(crate) fn adopt_ended(&mut self, key: JobKey, worker: u32, task: u32) {
+        let expected = self.jobs[&key].spec.tasks;
+        let gang = self.gang_mut(key);
+        let known = gang.shares.iter().any(|s| s.tasks.iter().any(|cell| cell.task == task));
+        if gang.stage != Stage::Adopting || known || task >= expected {
+            return;
+        }
+        let cell = TaskCell { task, accelerator_mask: 0 };
+        match gang.share_mut(worker) {
+            Some(share) => share.tasks.push(cell),
+            None => gang.shares.push(GangShare::new(worker, vec![cell], ShareState::Running)),
+        }
+    }
+
+    /// Ends waiting jobs that may not be repeated and whose earlier attempt was not found on any worker.
+    pub(crate) fn settle_takeover(&mut self, now_ms: u64, out: &mut Vec<Output>) {
+        if self.settled || !self.is_settled(now_ms) {
+            return;
+        }
+        self.settled = true;
+        let waiting: Vec<JobKey> = self.queue.iter().map(|(key, _)| key).collect();
+        for key in waiting {
+            self.settle_unrepeatable(now_ms, key, out);
+        }
+    }
+
+    /// Ends a waiting job if an earlier attempt may have run and a further one is not allowed.
+    pub(crate) fn settle_unrepeatable(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
+        let job = &self.jobs[&key];
+        if job.may_have_run && !job.repeats() && self.is_settled(now_ms) {
+            let reason =
+                "an earlier attempt may have run, and the job may not be repeated".to_owned();
+            self.end_job(key, JobEnd::Unknown { reason }, out);
+        }
+    }
+
+    /// Returns whether every task that ran under an earlier leader was reported or has lost its lease.
+    pub(crate) fn is_settled(&self, now_ms: u64) -> bool {
+        self.since_ms.unwrap_or(now_ms) + LEASE_MS <= now_ms
+    }
+
     /// Stops tasks that belong to no gang of the scheduler.
     fn stop_stray(
         &mut self,
@@ -256,11 +319,28 @@
                 Stage::Claiming | Stage::Reserving | Stage::Writing => {
                     self.leave(now_ms, key, Leave::DataCentreOut, out);
                 }
-                Stage::Starting | Stage::Running | Stage::Adopting if leaving && moves => {
+                Stage::Starting if leaving && moves => {
                     self.vacate(now_ms, key, Leave::DataCentreOut, out);
                 }
                 _ => {}
             }
         }
+        self.move_away(now_ms, out);
+    }
+
+    /// Moves checkpointable work off a data centre that was taken out, also work that was adopted later.
+    pub(crate) fn move_away(&mut self, now_ms: u64, out: &mut Vec<Output>) {
+        if !self.out_of_service || self.permitted {
+            return;
+        }
+        let moves = |key: &JobKey| {
+            let job = &self.jobs[key];
+            let runs = job.gang.as_ref().is_some_and(|gang| gang.stage == Stage::Running);
+            runs && job.spec.can_checkpoint && job.repeats()
+        };
+        let movable: Vec<JobKey> = self.active.iter().copied().filter(moves).collect();
+        for key in movable {
+            self.vacate(now_ms, key, Leave::DataCentreOut, out);
+        }
     }
 }
--- a/src/scheduler/message.rs
+++ b/src/scheduler/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::bundle::{KindRule, PolicyRules, WorkerShape};
+use crate::bundle::{KindRule, PolicyRules, Rack, WorkerShape};
 use crate::prelude::*;
 
 /// The part of a bundle that one group's scheduler needs.
@@ -11,6 +11,8 @@
 pub struct GroupRules {
     /// The version of the bundle.
     pub version: BundleVersion,
+    /// The workers that the group has when all are up.
+    pub topology: GroupTopology,
     /// The guaranteed blocks that admission assigned to this group.
     pub guarantees: Vec<GroupGuarantee>,
     /// The rules for each kind of work.
@@ -19,6 +21,16 @@
     pub policy: PolicyRules,
 }
 
+/// The workers that a group has when all are up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GroupTopology {
+    /// What each worker has.
+    pub worker: WorkerShape,
+    /// The racks of the group.
+    pub racks: Vec<Rack>,
+}
+
 /// What one organisation holds in a group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler of one capacity group: queue, gangs, reclaim and failure attribution. See docs/design.md, section 4.
 
 mod blame;
+mod feasible;
 mod finish;
 mod gang;
 mod learn;
@@ -16,8 +17,8 @@
 mod work;
 
 pub use message::{
-    Block, GroupGuarantee, GroupRules, Input, Output, ReserveResult, RunningShare, Share, TICK_MS,
-    TaskCell, TaskEnd, WorkerSpec, WriteResult,
+    Block, GroupGuarantee, GroupRules, GroupTopology, Input, Output, ReserveResult, RunningShare,
+    Share, TICK_MS, TaskCell, TaskEnd, WorkerSpec, WriteResult,
 };
 pub use state::{LEASE_MS, Scheduler};
 pub use view::{CapacitySummary, JobView, Violation};
--- a/src/scheduler/place.rs
+++ b/src/scheduler/place.rs
@@ -6,9 +6,9 @@
 use super::message::Output;
 use super::queue::{CLASSES, Waiting};
 use super::search::Scope;
-use super::state::{LEASE_MS, Scheduler};
+use super::state::Scheduler;
 use super::work::{Rights, Wait};
-use crate::placement::{Candidate, Demand, JobKey, Policy};
+use crate::placement::{Demand, JobKey, Policy};
 use crate::prelude::*;
 
 /// The most searches for cells in one pass over the queue; one takes about a microsecond for each hundred workers.
@@ -20,8 +20,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Hopeless {
-    rights: Rights,
-    demand: Demand,
+    pub rights: Rights,
+    pub demand: Demand,
 }
 
 /// The waiting jobs of one organisation and class, and how many of them were tried.
@@ -33,7 +33,7 @@
 
 impl Scheduler {
     /// Returns why a job can never run in this group, or `None`.
-    pub(crate) fn refusal(&self, spec: &JobSpec) -> Option<String> {
+    pub(crate) fn refusal(&mut self, spec: &JobSpec) -> Option<String> {
         let most = crate::job::MAX_GANG_TASKS;
         if spec.tasks == 0 || spec.tasks > most {
             return Some(format!("a gang has 1 to {most} tasks, not {}", spec.tasks));
@@ -43,33 +43,13 @@
             let kind = spec.kind.as_str();
             return Some(format!("bundle version {} has no rule for kind {kind:?}", rules.version));
         };
-        if let Some(reason) = self.too_large(spec) {
+        let class = rule.class;
+        if let Some(reason) = self.never_fits(spec) {
             return Some(reason);
         }
-        let (limit, waiting) = (self.queue_limit(rule.class)?, self.queue.class_len(rule.class));
+        let (limit, waiting) = (self.queue_limit(class)?, self.queue.class_len(class));
         (waiting >= limit as usize)
-            .then(|| format!("{waiting} {} jobs wait, and the limit is {limit}", rule.class))
-    }
-
-    /// Returns why a task is larger than every worker, whatever runs there.
-    fn too_large(&self, spec: &JobSpec) -> Option<String> {
-        let fits = |worker: &crate::placement::Worker| {
-            let shape = worker.spec.shape;
-            let empty = Candidate {
-                mask: worker.whole(),
-                cores: shape.cores,
-                memory_mb: shape.memory_mb,
-                cost: 0,
-            };
-            Demand { tasks: 1, ..Demand::of(spec) }.slots(&empty) > 0
-        };
-        if self.pool.workers.is_empty() || self.pool.workers.iter().any(fits) {
-            return None;
-        }
-        let TaskSpec { cores, memory_mb, accelerators } = spec.task;
-        Some(format!(
-            "no worker has {cores} cores, {memory_mb} MB and {accelerators} adjacent accelerators for a task"
-        ))
+            .then(|| format!("{waiting} {} jobs wait, and the limit is {limit}", class))
     }
 
     fn queue_limit(&self, class: Class) -> Option<u32> {
@@ -252,12 +232,11 @@
     fn waits_for(&self, now_ms: u64, waiting: &Waiting) -> Option<Wait> {
         let organisation = &self.organisations[waiting.rights.organisation as usize];
         let accelerators = waiting.demand.accelerators();
-        let settled = self.since_ms.unwrap_or(now_ms) + LEASE_MS <= now_ms;
         let ramp =
             |limit| waiting.rights.class != Class::Urgent && self.used() + accelerators > limit;
         if waiting.retry_at_ms > now_ms {
             Some(Wait::Retry)
-        } else if waiting.after_takeover && !settled {
+        } else if waiting.after_takeover && !self.is_settled(now_ms) {
             Some(Wait::Takeover)
         } else if organisation.quota.is_some_and(|quota| organisation.used + accelerators > quota) {
             Some(Wait::Quota)
--- a/src/scheduler/reclaim.rs
+++ b/src/scheduler/reclaim.rs
@@ -1,11 +1,11 @@
 //! Cells that gangs give back before their work is done, and those who wait for them.
 
-use super::gang::RESERVE_MS;
+use super::gang::{RESERVE_MS, holding};
 use super::message::Output;
 use super::search::mask_of;
 use super::state::Scheduler;
 use super::work::{GangShare, Leave, ShareState, Stage};
-use crate::placement::{JobKey, Plan, WorkerState};
+use crate::placement::{Holding, JobKey, Plan, WorkerState};
 use crate::prelude::*;
 
 /// The time that a task has to stop if no bundle says how long.
@@ -86,23 +86,18 @@
 
     fn mark_claim(&mut self, key: JobKey, claimed: bool) {
         let job = &self.jobs[&key];
-        let (organisation, task) = (job.rights.organisation as usize, job.demand.task);
-        let shares = job.gang.as_ref().map(|gang| gang.shares.clone()).unwrap_or_default();
-        for GangShare { worker, tasks, .. } in shares {
-            let (mask, count) = (mask_of(&tasks), tasks.len() as u32);
-            let (cores, memory_mb) = (count * task.cores, u64::from(count) * task.memory_mb);
-            let worker = self.pool.worker_mut(worker);
-            let used = &mut self.organisations[organisation].used;
+        let shares = job.gang.iter().flat_map(|gang| &gang.shares);
+        let claims: Vec<(u32, Holding)> =
+            shares.map(|share| (share.worker, holding(job, &share.tasks))).collect();
+        for (worker, claim) in claims {
+            let used = &mut self.organisations[claim.organisation as usize].used;
+            let count = claim.mask.count_ones();
             if claimed {
-                worker.claimed |= mask;
-                worker.claimed_cores += cores;
-                worker.claimed_memory_mb += memory_mb;
-                *used += mask.count_ones();
+                *used += count;
+                self.pool.claim(worker, claim);
             } else {
-                worker.claimed &= !mask;
-                worker.claimed_cores -= cores;
-                worker.claimed_memory_mb -= memory_mb;
-                *used = used.saturating_sub(mask.count_ones());
+                *used = used.saturating_sub(count);
+                self.pool.unclaim(worker, key);
             }
         }
     }
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -156,7 +156,7 @@
 }
 
 /// A source of random numbers for choices that draw none.
-struct NoRandom;
+pub(crate) struct NoRandom;
 
 impl rand::TryRng for NoRandom {
     type Error = std::convert::Infallible;
--- a/src/scheduler/search.rs
+++ b/src/scheduler/search.rs
@@ -4,7 +4,7 @@
 
 use super::message::{Output, TaskCell};
 use super::state::Scheduler;
-use super::work::Job;
+use super::work::{Job, Stage};
 use crate::placement::{Candidate, Holding, JobKey, Plan, Policy, Reach, Worker, choose};
 use crate::prelude::*;
 
@@ -123,6 +123,7 @@
                 let movable = idle.get(position as usize).copied().unwrap_or(0);
                 let owned = worker.reachable(job.rights.organisation, Reach::Spare);
                 candidate.mask &= owned | movable;
+                candidate.cost += (candidate.mask & !owned).count_ones();
             }
             if !backfills {
                 candidate.mask &= !worker.reserved;
@@ -166,7 +167,10 @@
 
     /// Returns whether a job may take the cells of a gang back.
     fn evictable(&self, job: &Job, worker: &Worker, holding: &Holding, evict: Evict) -> bool {
-        if !holding.reclaimable || !self.jobs.contains_key(&holding.job) {
+        let Some(gang) = self.jobs.get(&holding.job).and_then(|victim| victim.gang.as_ref()) else {
+            return false;
+        };
+        if !holding.reclaimable || gang.stage == Stage::Adopting {
             return false;
         }
         let rights = job.rights;
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -45,6 +45,8 @@
     pub(crate) permitted: bool,
     /// When the first input arrived; a leader that took over knows all gangs one lease later.
     pub(crate) since_ms: Option<u64>,
+    /// Whether that time has passed.
+    pub(crate) settled: bool,
     /// Whether cells became free since the queue was last gone through.
     pub(crate) dirty: bool,
     /// Whether the last pass over the queue was cut short.
@@ -62,6 +64,10 @@
     /// Demands for which there was no room since cells last became free.
     pub(crate) hopeless: Vec<Hopeless>,
     pub(crate) learned: Learned,
+    /// The group's workers when all are up and idle.
+    pub(crate) template: Pool,
+    /// Demands that are known to fit into the empty group.
+    pub(crate) feasible: Vec<Hopeless>,
 }
 
 /// What an organisation uses in the group.
@@ -132,6 +138,7 @@
             strays: Vec::new(),
             permitted: false,
             since_ms: None,
+            settled: false,
             dirty: false,
             unfinished: false,
             claims: false,
@@ -142,6 +149,8 @@
             reservation: None,
             hopeless: Vec::new(),
             learned: Learned::default(),
+            template: Pool::default(),
+            feasible: Vec::new(),
         }
     }
 
@@ -155,6 +164,7 @@
         let mut out = Vec::new();
         self.since_ms.get_or_insert(now_ms);
         self.last_ms = now_ms;
+        self.settle_takeover(now_ms, &mut out);
         match input {
             Input::Rules { rules } => self.apply_rules(rules),
             Input::WorkerUp { worker, running } => {
@@ -197,6 +207,8 @@
             return;
         }
         let first = self.rules.is_none();
+        self.template = rules.topology.empty_pool();
+        self.feasible.clear();
         self.rules = Some(rules.clone());
         for organisation in &mut self.organisations {
             organisation.guaranteed = 0;
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -4,9 +4,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::*;
-use crate::bundle::{KindRule, PolicyRules, Weights, WorkerShape};
+use crate::bundle::{KindRule, PolicyRules, Rack, Weights, WorkerShape};
 use crate::prelude::*;
 
+mod chaos;
+mod cluster;
 mod gangs;
 mod guarantees;
 
@@ -105,6 +107,12 @@
     };
     GroupRules {
         version: BundleVersion(1),
+        topology: GroupTopology {
+            worker: worker(0).shape,
+            racks: (0..2)
+                .map(|n| Rack { id: RackId::from(format!("r{n:03}")), workers: 4 })
+                .collect(),
+        },
         guarantees,
         kinds: vec![
             kind("check", Class::Urgent, false, false),
