--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,194 @@
+//! The agent process: runs beside a worker or an endpoint.
+
+pub mod bundles;
+pub mod endpoint;
+pub mod endpoint_routes;
+mod find_leader;
+mod forward;
+pub mod leader;
+mod leader_entry;
+mod leader_table;
+mod lease_table;
+pub mod worker;
+mod worker_api;
+
+use std::time::Duration;
+
+use serde_json::json;
+use snafu::ResultExt;
+use tokio::sync::watch;
+use warp::Filter;
+use xtra::Address;
+
+use crate::bundle::TrustedPartners;
+use crate::prelude::*;
+use crate::process::{
+    self, BindSnafu, Clock, Metrics, PartnersSnafu, Readiness, new_incarnation, observe_routes,
+};
+use crate::scheduler::{Policy, WorkerSpec};
+use crate::settings::{AgentSettings, Beside, decode_frame_key};
+use crate::store::HttpStore;
+use crate::wire::{FrameKey, LinkSettings};
+use bundles::InForceReceiver;
+use endpoint::{BundleApplied, Drain, Dump, Endpoint};
+use endpoint_routes::EndpointRoutes;
+use worker::WorkerParameters;
+
+/// The longest time for which an agent that was asked to end waits for requests in flight.
+const DRAIN_LIMIT: Duration = Duration::from_secs(600);
+
+/// Runs an agent until the process is asked to end.
+///
+/// # Errors
+///
+/// [`process::Error`] if the settings are wrong or an address cannot be bound.
+pub async fn run(settings: AgentSettings) -> process::Result<()> {
+    let links = LinkSettings::new(FrameKey::new(decode_frame_key(&settings.frame_key)?));
+    let trusted = TrustedPartners::try_from(settings.partners.clone()).context(PartnersSnafu)?;
+    match settings.beside.clone() {
+        Beside::Endpoint { endpoint } => run_endpoint(&settings, &endpoint, &links, trusted).await,
+        Beside::Worker { .. } => run_worker(&settings, &links, trusted).await,
+    }
+}
+
+async fn run_endpoint(
+    settings: &AgentSettings,
+    endpoint: &EndpointId,
+    links: &LinkSettings,
+    trusted: TrustedPartners,
+) -> process::Result<()> {
+    let (clock, metrics, readiness) = (Clock::start(), Metrics::default(), Readiness::default());
+    let actor = endpoint::spawn(clock, &metrics);
+    let (bundles, in_force) = bundles::spawn(trusted);
+    endpoint::connect_entries(&actor, &settings.entries, links, &bundles);
+    tokio::spawn(confirm_bundles(actor.clone(), in_force.clone()));
+    let routes = EndpointRoutes {
+        endpoint: actor.clone(),
+        id: endpoint.clone(),
+        incarnation: new_incarnation(),
+        data_centre: settings.data_centre.clone(),
+    };
+    let (dump_actor, process) = (actor.clone(), settings.process.clone());
+    let dump = move || dump_endpoint(dump_actor.clone(), process.clone(), in_force.clone());
+    let routes = endpoint_routes::routes(&routes).or(observe_routes(&readiness, &metrics, dump));
+    let (stop, stopped) = watch::channel(false);
+    let server =
+        tokio::spawn(process::serve(settings.http_address, routes, process::wait_for(stopped)));
+    readiness.set(true);
+    process::shutdown_requested().await?;
+    readiness.set(false);
+    drain(&actor).await;
+    let _ = stop.send(true);
+    server.await.unwrap_or(Ok(()))
+}
+
+/// Refuses new attempts and waits for those in flight.
+async fn drain(actor: &Address<Endpoint>) {
+    let Ok(drained) = actor.send(Drain).await else {
+        return;
+    };
+    if tokio::time::timeout(DRAIN_LIMIT, drained).await.is_err() {
+        log::error!("requests were still in flight after {DRAIN_LIMIT:?}");
+    }
+}
+
+async fn confirm_bundles(actor: Address<Endpoint>, mut in_force: InForceReceiver) {
+    while in_force.changed().await.is_ok() {
+        let version = in_force.borrow_and_update().as_ref().map(|bundle| bundle.version());
+        let Some(version) = version else {
+            continue;
+        };
+        if actor.send(BundleApplied { version }).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn dump_endpoint(
+    actor: Address<Endpoint>,
+    process: ProcessId,
+    in_force: InForceReceiver,
+) -> serde_json::Value {
+    let summary = actor.send(Dump).await.ok();
+    json!({"process": process, "bundle": describe_bundle(&in_force), "endpoint": summary})
+}
+
+/// Returns version and digest of the bundle in force.
+pub(crate) fn describe_bundle(in_force: &InForceReceiver) -> serde_json::Value {
+    match in_force.borrow().as_ref() {
+        Some(bundle) => json!({"version": bundle.version(), "digest": bundle.digest()}),
+        None => serde_json::Value::Null,
+    }
+}
+
+async fn run_worker(
+    settings: &AgentSettings,
+    links: &LinkSettings,
+    trusted: TrustedPartners,
+) -> process::Result<()> {
+    let (clock, metrics, readiness) = (Clock::start(), Metrics::default(), Readiness::default());
+    let Some(parameters) = worker_parameters(settings, links, trusted) else {
+        return Ok(());
+    };
+    let address = parameters.udp_address;
+    let table = HttpStore::new(&settings.platform_url);
+    let spawned = worker::spawn(parameters, table, clock, &metrics).await;
+    let actor = spawned.context(BindSnafu { address })?;
+    let (dump_actor, process) = (actor.clone(), settings.process.clone());
+    let dump = move || dump_worker(dump_actor.clone(), process.clone());
+    let routes = observe_routes(&readiness, &metrics, dump);
+    let (stop, stopped) = watch::channel(false);
+    let server =
+        tokio::spawn(process::serve(settings.http_address, routes, process::wait_for(stopped)));
+    readiness.set(true);
+    process::shutdown_requested().await?;
+    readiness.set(false);
+    if let Ok(done) = actor.send(worker::Shutdown).await {
+        let _ = done.await;
+    }
+    let _ = stop.send(true);
+    server.await.unwrap_or(Ok(()))
+}
+
+fn worker_parameters(
+    settings: &AgentSettings,
+    links: &LinkSettings,
+    trusted: TrustedPartners,
+) -> Option<WorkerParameters> {
+    let Beside::Worker {
+        worker,
+        rack,
+        shape,
+        worker_url,
+        udp_address,
+        heartbeat_ms,
+        gang_lease_ms,
+        leader_lease_ms,
+    } = settings.beside.clone()
+    else {
+        return None;
+    };
+    Some(WorkerParameters {
+        process: settings.process.clone(),
+        incarnation: new_incarnation(),
+        data_centre: settings.data_centre.clone(),
+        worker: WorkerSpec { id: worker, rack, shape },
+        worker_url,
+        udp_address,
+        entries: settings.entries.clone(),
+        link: links.clone(),
+        partners: trusted,
+        heartbeat_ms: heartbeat_ms.into(),
+        gang_lease_ms: gang_lease_ms.into(),
+        leader_lease_ms: leader_lease_ms.into(),
+        policy: Policy::Product,
+    })
+}
+
+async fn dump_worker(
+    actor: Address<worker::Worker<HttpStore>>,
+    process: ProcessId,
+) -> serde_json::Value {
+    let state = actor.send(worker::Dump).await.ok();
+    json!({"process": process, "worker": state})
+}
--- a/src/bundle/mod.rs
+++ b/src/bundle/mod.rs
@@ -1,8 +1,32 @@
 //! Bundles of rules: content, digest, signatures, validation and rollout. See docs/design.md, section 3.
 
+mod digest;
 mod document;
+mod error;
+mod in_force;
+mod key;
+mod rollout;
+mod row;
+mod signature;
+#[cfg(test)]
+mod tests;
+mod validation;
 
+pub use digest::{Digest, canonical_json};
 pub use document::{
     Bundle, DataCentre, Group, GuaranteedBlock, KindRule, Organisation, PolicyRules, Rack, Weights,
     WorkerShape,
 };
+pub use error::Error;
+pub use in_force::{InForce, Offered};
+pub use key::{PartnerSigner, TrustedPartners};
+pub use rollout::{
+    Action, Answer, CONFIRM_LIMIT_MS, Change, Done, Input, Order, Output, Refusal, Written,
+};
+pub use row::{
+    AuditAction, AuditRecord, BUNDLE_ROW_KEY, BundleRow, Proposal, RolledOut, audit_key, body_key,
+};
+pub use signature::{
+    Purpose, REQUIRED_PARTNERS, Signature, SignedBundle, VerifiedBundle, check_signatures, verify,
+};
+pub use validation::{FieldError, validate};
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -7,7 +7,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use message::{ConnectionId, Input, Output};
+pub use message::{Input, Output};
 
 use std::collections::BTreeMap;
 
@@ -16,6 +16,7 @@
 
 use crate::bundle::{Bundle, Group};
 use crate::prelude::*;
+use crate::request::ConnectionId;
 use crate::wire::{GroupSummary, ServiceState};
 
 /// A summary that is older does not count any more. Leaders send one every second.
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,8 @@
+//! The entry process: the HTTP interface for callers and operators, and the connections of agents.
+
+pub mod groups;
+pub mod jobs;
+mod keys;
+pub mod listener;
+pub mod request_routes;
+pub mod requests;
--- a/src/job.rs
+++ b/src/job.rs
@@ -175,6 +175,20 @@
     pub cancel_requested: bool,
 }
 
+impl JobRow {
+    /// Returns the row of a job that was just accepted.
+    pub fn queued(spec: JobSpec, group: GroupId) -> Self {
+        Self {
+            spec,
+            group,
+            state: JobState::Queued,
+            saved_ms: 0,
+            attempts: 0,
+            cancel_requested: false,
+        }
+    }
+}
+
 /// The row that lists a job under its group until the job ends.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,17 +3,29 @@
 //! docs/design.md describes the slices and how they work together; docs/glossary.md maps the words of the code to the
 //! standard terms of the field.
 
+pub mod agent;
+pub mod api;
 pub mod bundle;
+pub mod command;
 pub mod directory;
+pub mod endpoint;
+pub mod entry;
 pub mod guarantee;
 pub mod id;
 pub mod intake;
 pub mod job;
+pub mod leader;
+pub mod membership;
+pub mod permit;
 pub mod placement;
 pub mod platform;
 pub mod prelude;
 pub mod process;
+pub mod registration;
+pub mod replay;
+pub mod request;
 pub mod scheduler;
 pub mod settings;
 pub mod store;
 pub mod wire;
+pub mod worker;
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -2,6 +2,7 @@
 //!
 //! All durations are remaining times: clocks of different machines are never compared.
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
@@ -41,6 +42,8 @@
 pub struct AttemptRequest {
     /// The name of the attempt.
     pub attempt: AttemptId,
+    /// Rises by one with each attempt on its connection, so that the agent recognises copies.
+    pub sequence: u64,
     /// The organisation that sends the request.
     pub organisation: OrganisationId,
     /// The kind of work.
@@ -52,27 +55,51 @@
 }
 
 /// Why an agent refused an attempt, which then never started.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum NotRunReason {
     /// The endpoint is shutting down.
+    #[display("the endpoint is shutting down")]
     Draining,
     /// All slots are in use.
+    #[display("all slots of the endpoint are in use")]
     Full,
     /// The caller's deadline passed.
+    #[display("the deadline passed")]
     DeadlinePassed,
     /// Operators took the data centre out.
+    #[display("the data centre is out of service")]
     DataCentreOut,
     /// The attempt was cancelled before it arrived.
+    #[display("the attempt was cancelled before it started")]
     Cancelled,
     /// The agent has no endpoint, or the endpoint's connection was refused before anything was sent.
+    #[display("the endpoint is gone")]
     EndpointGone,
 }
 
+/// The checksum of the answer's body so far: a chain of BLAKE3 hashes over the parts, whose state fits a dump.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AnswerChecksum([u8; 32]);
+
+impl AnswerChecksum {
+    /// Returns the checksum after a further part.
+    #[must_use]
+    pub fn with(&self, bytes: &[u8]) -> Self {
+        Self(*blake3::keyed_hash(&self.0, bytes).as_bytes())
+    }
+}
+
 /// A part of an answer. The answer is whole when the last part has arrived and length and checksum agree.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AnswerChunk {
+    /// The begin of the answer.
+    Head {
+        /// The HTTP status that the endpoint gave.
+        status: u16,
+    },
     /// Some bytes, which begin at `offset_bytes` of the body.
     Data {
         /// The position of the first byte.
@@ -82,12 +109,10 @@
     },
     /// The end of the answer.
     End {
-        /// The HTTP status that the endpoint gave.
-        status: u16,
         /// The length of the whole body.
         length_bytes: u64,
-        /// The BLAKE3 hash of the whole body.
-        checksum: [u8; 32],
+        /// The checksum over all data parts.
+        checksum: AnswerChecksum,
     },
 }
 
@@ -161,6 +186,14 @@
     },
     /// The first message on a connection of a group's leader, and again every second.
     Lead(GroupSummary),
+    /// A leader asks whether starts are permitted in its data centre. The permit counts from this question, so that a
+    /// leader that was paused takes no time from an answer that waited in its socket.
+    AskPermit {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Rises with each question; the answer repeats it.
+        sequence: u64,
+    },
     /// A leader confirms that a job arrived.
     JobAccepted {
         /// The job.
@@ -190,6 +223,8 @@
     Cancel {
         /// The attempt.
         attempt: AttemptId,
+        /// Its sequence number on this connection.
+        sequence: u64,
     },
     /// A signed bundle, as JSON.
     Config {
@@ -207,10 +242,21 @@
         /// The time for which starts are permitted, in milliseconds; zero withdraws the permit.
         permit_ms: u64,
     },
+    /// Answers [`AgentMessage::AskPermit`].
+    Permit {
+        /// The number of the question.
+        sequence: u64,
+        /// The version of the data centre's state.
+        version: u64,
+        /// The time for which starts are permitted, counted from the question, in milliseconds; zero if they are not.
+        permit_ms: u64,
+    },
     /// The group and the leader of an agent beside a worker.
     Leader {
         /// The group.
         group: GroupId,
+        /// The number of its workers by the bundle in force.
+        group_workers: u32,
         /// The leader's epoch and its UDP address, if it has a leader.
         leader: Option<(Epoch, std::net::SocketAddr)>,
     },
@@ -243,8 +289,13 @@
         /// The version of the bundle in force at the member.
         bundle: BundleVersion,
     },
-    /// The member's worker and what runs there; repeated until the leader acknowledges the epoch.
+    /// The member's worker and what runs there; repeated until the leader acknowledges the epoch. What runs may need
+    /// several datagrams; the leader acknowledges when it has all parts.
     Join {
+        /// The number of this part, from 0.
+        part: u16,
+        /// The number of parts.
+        parts: u16,
         /// The worker.
         worker: WorkerSpec,
         /// The incarnation of its agent.
@@ -270,6 +321,22 @@
         /// The gang.
         gang: GangId,
     },
+    /// Answers [`LeaderMessage::Release`]: no task of the gang starts from this reservation.
+    Released {
+        /// The worker.
+        worker: WorkerId,
+        /// The gang.
+        gang: GangId,
+    },
+    /// Answers [`LeaderMessage::Start`] and [`LeaderMessage::Stop`]: no task of the gang runs on the worker.
+    NotStarted {
+        /// The worker.
+        worker: WorkerId,
+        /// The gang.
+        gang: GangId,
+        /// Whether it is certain that no task of the gang ever ran on the worker; an agent that restarted cannot know.
+        never_ran: bool,
+    },
     /// A task reached its end; repeated until [`LeaderMessage::EndNoted`].
     TaskEnded {
         /// The worker.
@@ -308,6 +375,17 @@
     },
 }
 
+/// A datagram from a leader to a member. Its tag also covers the incarnation of the member that the leader means
+/// ([`super::DatagramEncoder::encode_for`]), so that a restarted agent refuses what was meant for its predecessor.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeaderDatagram {
+    /// The epoch of the leader.
+    pub epoch: Epoch,
+    /// The message.
+    pub message: LeaderMessage,
+}
+
 /// Messages from a leader to a member, by UDP. A member refuses each whose epoch is lower than one it has seen.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -320,6 +398,8 @@
         lease_ms: u32,
         /// The start permit, counted in the same way; zero if starts are not permitted.
         permit_ms: u32,
+        /// Gangs whose lease is not renewed, because a part of them is missing.
+        withheld: Vec<GangId>,
     },
     /// Acknowledges [`MemberMessage::Join`].
     Joined,
@@ -345,6 +425,10 @@
         gang: GangId,
         /// Saved run time to resume from, in milliseconds.
         saved_ms: u64,
+        /// A heartbeat of the member, from whose sending the permit is counted.
+        sequence: u64,
+        /// The start permit in milliseconds; zero if starts are not permitted.
+        permit_ms: u32,
     },
     /// Write a checkpoint and go on running.
     Checkpoint {
