Replay sessions against the scheduler with fake workers and a fake table

After a takeover, a job that may not be repeated and whose first attempt ran is started again (smallest session: a leader crashes while such a job runs, and the table is down until its lease is over, so that no member reports it to the new leader). A gang that may not be repeated and fits no group beside the guarantees of others waits for ever instead of ending as not_run. A waiting gang makes batch work stop and start hundreds of times, because the stopped work takes the freed cells again. The scheduler's own check reports NotReclaimable in an undisturbed session.

--- /dev/null
+++ b/src/replay/faults.rs
@@ -0,0 +1,102 @@
+//! Seeded faults of generated sessions. Each fault ends within the session, so that every job can reach its end.
+
+use rand::{Rng, RngExt};
+
+use super::generate::{Disturbance, Style};
+use super::session::{Behaviour, Event, TableMode, TimedEvent};
+use crate::bundle::Bundle;
+use crate::prelude::*;
+
+/// The mean time between two faults, in milliseconds; most last longer, so that several exist at once.
+const FAULT_INTERVAL_MS: u64 = 30_000;
+/// The time that a data centre is out in a generated session, in milliseconds.
+const OUT_MS: u64 = 180_000;
+
+/// Adds what a style asks for besides the work.
+pub(super) fn add<R>(inputs: &mut Vec<TimedEvent>, style: &Style, random: &mut R)
+where
+    R: Rng,
+{
+    if style.disturbance == Disturbance::None {
+        return;
+    }
+    let bundle = style.user.bundle();
+    add_change(inputs, style, &bundle, random);
+    if style.disturbance == Disturbance::Faults {
+        for _ in 0..style.length_ms / FAULT_INTERVAL_MS {
+            let at_ms = random.random_range(1_000..style.length_ms);
+            let fault = fault(&bundle, at_ms, random);
+            inputs.extend(fault.into_iter().map(|(at_ms, event)| TimedEvent { at_ms, event }));
+        }
+    }
+}
+
+/// One data centre leaves in the middle of the session.
+fn add_change<R>(inputs: &mut Vec<TimedEvent>, style: &Style, bundle: &Bundle, random: &mut R)
+where
+    R: Rng,
+{
+    let index = random.random_range(0..bundle.data_centres.len());
+    let data_centre = bundle.data_centres[index].id.clone();
+    let at_ms = random.random_range(style.length_ms / 4..style.length_ms / 2);
+    let out = Event::DataCentreOut { data_centre: data_centre.clone() };
+    inputs.push(TimedEvent { at_ms, event: out });
+    let at_ms = at_ms + OUT_MS;
+    inputs.push(TimedEvent { at_ms, event: Event::DataCentreIn { data_centre } });
+}
+
+/// Draws one fault and its end.
+fn fault<R>(bundle: &Bundle, at_ms: u64, random: &mut R) -> Vec<(u64, Event)>
+where
+    R: Rng,
+{
+    let worker = any_worker(bundle, random);
+    let groups = bundle.groups();
+    let group = groups[random.random_range(0..groups.len())].id.clone();
+    let for_ms = random.random_range(1_000..40_000);
+    let end_ms = at_ms + for_ms;
+    match random.random_range(0..8) {
+        0 => vec![
+            (at_ms, Event::WorkerFails { worker: worker.clone() }),
+            (end_ms, Event::WorkerReturns { worker }),
+        ],
+        1 => vec![(at_ms, Event::WorkerSilent { worker, for_ms })],
+        2 => {
+            let bad = Behaviour { fails_everything: true, ..Behaviour::default() };
+            behaviour(at_ms, end_ms + 60_000, worker, bad)
+        }
+        3 => {
+            let bad = Behaviour { ignores_stop: true, ..Behaviour::default() };
+            behaviour(at_ms, end_ms + 60_000, worker, bad)
+        }
+        4 => vec![(at_ms, Event::LeaderCrash { group })],
+        5 => vec![(at_ms, Event::LeaderPause { group, for_ms: for_ms / 3 })],
+        6 => table(at_ms, end_ms, TableMode::Down),
+        _ => {
+            let mode = if random.random() { TableMode::Slow } else { TableMode::LosesAnswers };
+            table(at_ms, end_ms, mode)
+        }
+    }
+}
+
+fn behaviour(at_ms: u64, end_ms: u64, worker: WorkerId, bad: Behaviour) -> Vec<(u64, Event)> {
+    vec![
+        (at_ms, Event::Behaviour { worker: worker.clone(), behaviour: bad }),
+        (end_ms, Event::Behaviour { worker, behaviour: Behaviour::default() }),
+    ]
+}
+
+fn table(at_ms: u64, end_ms: u64, mode: TableMode) -> Vec<(u64, Event)> {
+    vec![(at_ms, Event::Table { mode }), (end_ms, Event::Table { mode: TableMode::Up })]
+}
+
+fn any_worker<R>(bundle: &Bundle, random: &mut R) -> WorkerId
+where
+    R: Rng,
+{
+    let racks = bundle.data_centres.iter().flat_map(|data_centre| &data_centre.racks);
+    let workers: Vec<WorkerId> = racks
+        .flat_map(|rack| (1..=rack.workers).map(|n| format!("{}-w{n}", rack.id).into()))
+        .collect();
+    workers[random.random_range(0..workers.len())].clone()
+}
--- a/src/replay/tests.rs
+++ b/src/replay/tests/mod.rs
@@ -1,4 +1,7 @@
-//! Tests of the session format.
+//! Tests of the session format; submodules test the checks of promises.
+
+mod packing;
+mod promise;
 
 use test_case::test_case;
 
--- /dev/null
+++ b/src/replay/world/operate.rs
@@ -0,0 +1,327 @@
+//! What callers and operators do, as the session says, and what the entry makes of it.
+
+use super::*;
+use crate::bundle::WorkerShape;
+use crate::guarantee;
+use crate::job::JobState;
+use crate::replay::error::Error;
+use crate::replay::session::Behaviour;
+use crate::scheduler::WorkerSpec;
+
+impl World {
+    /// Carries out the numbered input of the session.
+    pub(super) fn apply(&mut self, index: usize) -> Result<()> {
+        self.sessions_left -= 1;
+        match self.events[index].clone() {
+            Event::User { user } => self.apply_bundle(user.bundle())?,
+            Event::Bundle { bundle } => self.apply_bundle(*bundle)?,
+            Event::Workers { data_centre, behaviour } => {
+                self.add_workers(data_centre.as_ref(), &behaviour);
+            }
+            Event::Worker { worker, data_centre, rack, shape, behaviour } => {
+                let group = self.group_of(&data_centre, &rack)?;
+                let spec = WorkerSpec { id: worker, rack, shape };
+                self.add_member(spec, data_centre, group, behaviour);
+            }
+            Event::Behaviour { worker, behaviour } => {
+                self.log(format!("change  {worker} behaves differently"));
+                self.member(&worker)?.agent.behaviour = behaviour;
+            }
+            Event::Submit { job, real, copies, group } => self.submit(&job, real, copies, group)?,
+            Event::Cancel { jobs } => self.cancel(jobs),
+            Event::Usage { job, cores_per_mille, memory_mb } => {
+                self.usage(&job, cores_per_mille, memory_mb);
+            }
+            Event::WorkerFails { worker } => {
+                self.member(&worker)?;
+                self.log(format!("fail    {worker}"));
+                self.worker_fails(&worker);
+            }
+            Event::WorkerReturns { worker } => {
+                self.member(&worker)?;
+                self.log(format!("return  {worker}"));
+                self.worker_returns(&worker);
+            }
+            Event::WorkerSilent { worker, for_ms } => {
+                self.member(&worker)?;
+                self.log(format!("silent  {worker} for {for_ms} ms"));
+                self.silence(&worker, for_ms);
+            }
+            Event::DataCentreOut { data_centre } => self.operate(data_centre, true)?,
+            Event::DataCentreIn { data_centre } => self.operate(data_centre, false)?,
+            Event::LeaderCrash { group } => {
+                let index = self.known_group(&group)?;
+                self.log(format!("leader  {group} crashes"));
+                self.crash(index);
+            }
+            Event::LeaderPause { group, for_ms } => {
+                let index = self.known_group(&group)?;
+                self.log(format!("leader  {group} pauses for {for_ms} ms"));
+                self.pause(index, for_ms);
+            }
+            Event::Table { mode } => self.set_table(mode),
+            Event::End {} => self.ended = true,
+        }
+        Ok(())
+    }
+
+    fn apply_bundle(&mut self, bundle: Bundle) -> Result<()> {
+        let at_ms = self.now_ms();
+        let admission = guarantee::admit(&bundle)
+            .map_err(|error| Error::Bundle { at_ms, reason: error.to_string() })?;
+        self.log(format!("bundle  {}", bundle.version));
+        self.bundle = Some(bundle.clone());
+        for group in bundle.groups() {
+            let Some(rules) = admission.group_rules(&group.id) else { continue };
+            match self.group_index(&group.id) {
+                Some(index) => {
+                    self.groups[index].rules = rules.clone();
+                    let leader = self.groups[index].leader;
+                    self.deliver(leader, Input::Rules { rules: Box::new(rules) });
+                }
+                None => self.add_group(group.id, group.data_centre, rules),
+            }
+        }
+        Ok(())
+    }
+
+    fn add_group(&mut self, id: GroupId, data_centre: DataCentreId, rules: GroupRules) {
+        self.services.entry(data_centre.clone()).or_default();
+        let group = self.groups.len();
+        self.groups.push(Group {
+            id,
+            data_centre,
+            rules,
+            leader: 0,
+            epoch: Epoch(1),
+            permitted: true,
+            waiting: Vec::new(),
+        });
+        self.add_leader(group, Epoch(1), true);
+    }
+
+    fn add_workers(&mut self, only: Option<&DataCentreId>, behaviour: &Behaviour) {
+        let Some(bundle) = self.bundle.clone() else { return };
+        for data_centre in bundle.data_centres.iter().filter(|d| only.is_none_or(|o| o == &d.id)) {
+            for rack in &data_centre.racks {
+                let Some(group) = bundle.group_of(&data_centre.id, &rack.id) else { continue };
+                let Some(group) = self.group_index(&group) else { continue };
+                for number in 1..=rack.workers {
+                    let id = WorkerId::from(format!("{}-w{number}", rack.id));
+                    let shape: WorkerShape = data_centre.worker;
+                    let spec = WorkerSpec { id, rack: rack.id.clone(), shape };
+                    self.add_member(spec, data_centre.id.clone(), group, behaviour.clone());
+                }
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        job: &JobSpec,
+        real: Real,
+        copies: u32,
+        group: Option<GroupId>,
+    ) -> Result<()> {
+        if let Some(group) = &group {
+            self.known_group(group)?;
+        }
+        for number in 1..=copies {
+            let mut job = job.clone();
+            if copies > 1 {
+                job.id = format!("{}-{number}", job.id).into();
+            }
+            if self.rows.jobs.contains_key(&job.id) {
+                return Err(Error::DuplicateJob { at_ms: self.now_ms(), job: job.id });
+            }
+            let delay_ms = self.network.random_range(2..=5);
+            self.in_flight += 1;
+            let accept = Happening::Accept { job: Box::new(job), real, group: group.clone() };
+            self.agenda.after(delay_ms, accept);
+        }
+        Ok(())
+    }
+
+    /// Chooses the group with the least wanted work for its size among those in service that could hold the job.
+    pub(super) fn route(&self, job: &JobSpec) -> usize {
+        let indices = 0..self.groups.len();
+        let in_service = |index: &usize| !self.is_out(*index);
+        let could_hold = |index: &usize| self.could_hold(*index, job);
+        let best = indices
+            .clone()
+            .filter(in_service)
+            .filter(could_hold)
+            .min_by_key(|index| self.wanted_per_mille(*index));
+        let any = || indices.clone().filter(could_hold).min_by_key(|i| self.wanted_per_mille(*i));
+        best.or_else(any).unwrap_or(0)
+    }
+
+    /// Returns whether operators took the data centre of a group out.
+    pub(super) fn is_out(&self, group: usize) -> bool {
+        self.services.get(&self.groups[group].data_centre).is_some_and(|service| service.out)
+    }
+
+    pub(super) fn could_hold(&self, group: usize, job: &JobSpec) -> bool {
+        let workers = self.members.values().filter(|member| member.group == group);
+        let mut racks: BTreeMap<&RackId, u32> = BTreeMap::new();
+        let mut largest = 0;
+        for member in workers {
+            let accelerators = member.agent.spec.shape.accelerators;
+            largest = largest.max(accelerators);
+            *racks.entry(&member.agent.spec.rack).or_default() += accelerators;
+        }
+        let needed = job.accelerators();
+        match job.adjacency {
+            Adjacency::Worker => needed <= largest,
+            Adjacency::Rack => racks.values().any(|rack| needed <= *rack),
+            Adjacency::DataCentre => needed <= racks.values().sum(),
+        }
+    }
+
+    /// Accelerators that open jobs of a group want, in thousandths of those that it has.
+    fn wanted_per_mille(&self, group: usize) -> u32 {
+        let open = self.open.iter().map(|job| &self.rows.jobs[job]);
+        let wanted: u32 = open.filter(|r| r.group == group).map(|r| r.spec.accelerators()).sum();
+        let members = self.members.values().filter(|m| m.group == group && m.agent.alive);
+        let accelerators: u32 = members.map(|m| m.agent.spec.shape.accelerators).sum();
+        wanted * 1_000 / accelerators.max(1)
+    }
+
+    /// The entry hands cancellations to the leaders, one message per group.
+    fn cancel(&mut self, jobs: Vec<JobId>) {
+        self.log(format!("cancel  {}", list(&jobs)));
+        for job in jobs {
+            if let Some(row) = self.rows.jobs.get(&job) {
+                self.groups[row.group].waiting.push(job);
+            }
+        }
+        for group in 0..self.groups.len() {
+            self.deliver_waiting(group);
+        }
+    }
+
+    fn usage(&mut self, job: &JobId, cores_per_mille: u32, memory_mb: u64) {
+        let Some(row) = self.rows.jobs.get(job) else { return };
+        let JobState::Running { attempt } = row.state else { return };
+        let leader = self.groups[row.group].leader;
+        let gang = GangId { job: job.clone(), number: attempt };
+        self.deliver(leader, Input::Usage { gang, cores_per_mille, memory_mb });
+    }
+
+    fn operate(&mut self, data_centre: DataCentreId, out: bool) -> Result<()> {
+        if !self.services.contains_key(&data_centre) {
+            return Err(self.not_known("data centre", data_centre.as_str()));
+        }
+        self.log(format!("service {data_centre} {}", if out { "out" } else { "in" }));
+        let delay_ms = self.network_ms();
+        self.agenda.after(delay_ms, Happening::Service { data_centre, out });
+        Ok(())
+    }
+
+    /// The row of a data centre changes when the table takes the write.
+    pub(super) fn change_service(&mut self, data_centre: DataCentreId, out: bool) {
+        if self.table == TableMode::Down {
+            return self.agenda.after(500, Happening::Service { data_centre, out });
+        }
+        let Some(service) = self.services.get_mut(&data_centre) else { return };
+        service.out = out;
+        service.version += 1;
+        let version = service.version;
+        if out && !service.changing {
+            service.changing = true;
+            self.meter.changes += 1;
+        }
+        self.update_capacity();
+        for group in 0..self.groups.len() {
+            if self.groups[group].data_centre == data_centre {
+                self.update_permit(group);
+            }
+        }
+        if out {
+            self.move_jobs();
+            let wait_ms = self.withdrawal_ms(&data_centre);
+            let acknowledged = Happening::OutAcknowledged { data_centre, version };
+            self.agenda.after(wait_ms, acknowledged);
+        } else {
+            self.promises.in_again(&data_centre);
+            let ramp_ms = self.bundle.as_ref().map_or(0, |b| b.policy.return_ramp_ms);
+            self.agenda.after(ramp_ms, Happening::Refilled { data_centre, version });
+        }
+    }
+
+    /// Permits are withdrawn at once where a live leader is in contact with its members, and expire elsewhere.
+    fn withdrawal_ms(&self, data_centre: &DataCentreId) -> u64 {
+        let mut groups = self.groups.iter().filter(|group| &group.data_centre == data_centre);
+        let live = groups.all(|group| self.leaders[group.leader].is_live());
+        let mut members = self.members.values().filter(|m| &m.data_centre == data_centre);
+        let in_contact = members.all(|member| member.broken_ms.is_none());
+        if live && in_contact { PUSH_MS } else { PERMIT_MS + PUSH_MS }
+    }
+
+    pub(super) fn out_acknowledged(&mut self, data_centre: &DataCentreId, version: u64) {
+        let now_ms = self.now_ms();
+        if self.services.get(data_centre).is_some_and(|s| s.out && s.version == version) {
+            self.log(format!("service {data_centre} out, acknowledged"));
+            self.promises.out_acknowledged(now_ms, data_centre);
+        }
+    }
+
+    pub(super) fn refilled(&mut self, data_centre: &DataCentreId, version: u64) {
+        let Some(service) = self.services.get_mut(data_centre) else { return };
+        if service.version == version && service.changing {
+            service.changing = false;
+            self.meter.changes -= 1;
+        }
+    }
+
+    fn set_table(&mut self, mode: TableMode) {
+        self.log(format!("table   {}", serde_json::json!(mode).as_str().unwrap_or_default()));
+        self.table = mode;
+        self.table_down_ms = (mode == TableMode::Down).then(|| self.now_ms());
+        let delay_ms = if mode == TableMode::Down { PERMIT_MS } else { PUSH_MS };
+        for group in 0..self.groups.len() {
+            self.agenda.after(delay_ms, Happening::Permit { group });
+        }
+    }
+
+    /// Computes whether starts are permitted in a group, and tells its leader if that changed.
+    pub(super) fn update_permit(&mut self, group: usize) {
+        let now_ms = self.now_ms();
+        let out = self.is_out(group);
+        let expired = self.table_down_ms.is_some_and(|down_ms| now_ms >= down_ms + PERMIT_MS);
+        let permitted = !out && !expired;
+        if permitted != self.groups[group].permitted {
+            self.groups[group].permitted = permitted;
+            self.tell_permit(self.groups[group].leader);
+        }
+    }
+
+    fn member(&mut self, worker: &WorkerId) -> Result<&mut member::Member> {
+        let error = self.not_known("worker", worker.as_str());
+        self.members.get_mut(worker).ok_or(error)
+    }
+
+    fn known_group(&self, group: &GroupId) -> Result<usize> {
+        self.group_index(group).ok_or_else(|| self.not_known("group", group.as_str()))
+    }
+
+    fn group_of(&self, data_centre: &DataCentreId, rack: &RackId) -> Result<usize> {
+        let group = self.bundle.as_ref().and_then(|bundle| bundle.group_of(data_centre, rack));
+        let index = group.and_then(|group| self.group_index(&group));
+        index.ok_or_else(|| self.not_known("rack", rack.as_str()))
+    }
+
+    fn not_known(&self, what: &'static str, id: &str) -> Error {
+        Error::NotKnown { at_ms: self.now_ms(), what, id: id.to_owned() }
+    }
+}
+
+/// Lists a few jobs by name, and says how many more there are.
+fn list(jobs: &[JobId]) -> String {
+    const SHOWN: usize = 4;
+    let names: Vec<&str> = jobs.iter().take(SHOWN).map(JobId::as_str).collect();
+    match jobs.len().saturating_sub(SHOWN) {
+        0 => names.join(" "),
+        more => format!("{} and {more} more", names.join(" ")),
+    }
+}
