--- a/src/replay/world/lead.rs
+++ b/src/replay/world/lead.rs
@@ -133,7 +133,12 @@
             Output::Checkpoint { gang, .. } => self.log_once(leader, gang, "checkpoint"),
             Output::Stop { gang, .. } => self.log_once(leader, gang, "stop"),
             Output::Fence { worker } => self.log(format!("fence   {worker}")),
-            Output::Probe { worker } => self.log(format!("probe   {worker}")),
+            Output::Probe { worker } => {
+                self.log(format!("probe   {worker}"));
+                if let Some(member) = self.members.get_mut(worker) {
+                    member.quarantined = true;
+                }
+            }
             _ => {}
         }
     }
--- a/src/replay/world/member.rs
+++ b/src/replay/world/member.rs
@@ -21,6 +21,8 @@
     deferred: Vec<(usize, Output)>,
     /// Whether the leader declared the worker lost.
     lost: bool,
+    /// Whether the leader quarantined the worker, and no probe has succeeded since.
+    pub(super) quarantined: bool,
     /// What runs: the cells of each task.
     running: BTreeMap<(GangId, u32), u64>,
 }
@@ -34,6 +36,11 @@
         }
     }
 
+    /// Whether the leader may place work on the worker, as far as it can know.
+    fn is_usable(&self) -> bool {
+        !self.lost && !self.agent.fenced && !self.quarantined
+    }
+
     fn is_up(&self) -> bool {
         self.agent.alive && !self.agent.fenced
     }
@@ -58,6 +65,7 @@
             broken_ms: None,
             deferred: Vec::new(),
             lost: false,
+            quarantined: false,
             running: BTreeMap::new(),
         };
         self.members.insert(worker.clone(), member);
@@ -97,6 +105,7 @@
         if !member.agent.alive || member.silent || epoch < member.agent.epoch {
             return;
         }
+        member.quarantined &= member.leader == leader;
         member.leader = leader;
         member.lost = false;
         let up = member.agent.join(epoch);
@@ -292,8 +301,14 @@
         }
     }
 
-    /// A leader that handled the end of a task acknowledges it.
+    /// Notes what a leader that handled a report makes of it: the end of a task is acknowledged, and a successful probe
+    /// ends a quarantine.
     pub(super) fn acknowledge(&mut self, input: &Input) {
+        if let Input::Probed { worker, succeeded: true } = input
+            && let Some(member) = self.members.get_mut(worker)
+        {
+            member.quarantined = false;
+        }
         if let Input::TaskEnded { worker, .. } = input
             && let Some(member) = self.members.get_mut(worker)
         {
@@ -374,10 +389,10 @@
 
     /// Returns whether the guarantees of a group fit beside the work on its workers that cannot be reclaimed.
     ///
-    /// A worker counts until its leader declares it lost, because no placement before that can know better.
+    /// A worker counts until its leader declares it lost or quarantines it, because no placement before that can know
+    /// better.
     fn guarantees_hold(&self, group: usize) -> bool {
-        let counts =
-            |member: &&Member| member.group == group && !member.lost && !member.agent.fenced;
+        let counts = |member: &&Member| member.group == group && member.is_usable();
         let members = self.members.values().filter(counts);
         let cells: Vec<Cells> = members.map(|member| self.cells(member)).collect();
         guarantees_fit(&cells, &self.groups[group].rules.guarantees)
