--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -155,14 +155,7 @@
     T: Table,
     R: Rng,
 {
-    let row = JobRow {
-        spec: job.clone(),
-        group: group.clone(),
-        state: JobState::Queued,
-        saved_ms: 0,
-        attempts: 0,
-        cancel_requested: false,
-    };
+    let row = JobRow::queued(job.clone(), group.clone());
     let index = GroupJobRow { cancel_requested: false };
     let (key, index_key) = (job_key(&job.id), group_job_key(group, &job.id));
     let commit = Commit {
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -26,7 +26,8 @@
 }
 
 fn cancel(request: u64) -> EntryMessage {
-    EntryMessage::Cancel { attempt: AttemptId { incarnation: Incarnation(9), request, number: 1 } }
+    let attempt = AttemptId { incarnation: Incarnation(9), request, number: 1 };
+    EntryMessage::Cancel { attempt, sequence: request }
 }
 
 fn frames(requests: &[u64]) -> Vec<Vec<u8>> {
@@ -187,10 +188,28 @@
 fn heartbeat_answer_fits_its_budget() {
     let mut encoder = DatagramEncoder::new(key(), Incarnation(u64::MAX));
 
-    let answer =
-        LeaderMessage::HeartbeatAck { sequence: 10_000, lease_ms: 6_000, permit_ms: 2_000 };
+    let message = LeaderMessage::HeartbeatAck {
+        sequence: 10_000,
+        lease_ms: 6_000,
+        permit_ms: 2_000,
+        withheld: vec![],
+    };
+    let answer = LeaderDatagram { epoch: Epoch(100), message };
+
+    assert!(encoder.encode_for(&answer, Incarnation(u64::MAX)).unwrap().len() <= 30);
+}
+
+/// Guards against a restarted agent that accepts what was meant for its predecessor.
+#[test]
+fn datagram_for_another_incarnation_is_refused() {
+    let mut encoder = DatagramEncoder::new(key(), Incarnation(1));
+    let datagram = encoder.encode_for(&7_u32, Incarnation(2)).unwrap();
+
+    let mut decoder = DatagramDecoder::new(key());
 
-    assert!(encoder.encode(&answer).unwrap().len() <= 30);
+    assert!(decoder.decode_for::<u32>(&datagram, Incarnation(3)).is_err());
+    assert!(decoder.decode::<u32>(&datagram).is_err());
+    assert_eq!(decoder.decode_for::<u32>(&datagram, Incarnation(2)).unwrap().1, 7);
 }
 
 proptest! {
