--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod job;
 pub mod leader;
 pub mod membership;
+pub mod permit;
 pub mod placement;
 pub mod platform;
 pub mod prelude;
--- a/src/membership/lease.rs
+++ b/src/membership/lease.rs
@@ -9,11 +9,10 @@
 use super::rendezvous::Place;
 use super::{
     EpochRow, LeaseConfig, LeaseInput, LeaseOutput, LeaseRow, Versioned, epoch_key, lease_key,
-    more_drift,
 };
+use crate::permit::{surely_beyond, surely_within};
 use crate::prelude::*;
 use crate::store::{Commit, Condition, OperationId, RowVersion, Write};
-use crate::worker::less_drift;
 
 /// The renewals in one lease. A lost one is tried again several times before the lease ends; 172 groups with leases of
 /// 5 s make 69 writes a second.
@@ -239,7 +238,7 @@
 
     /// Trusts the lease that a commit sent at `sent_ms` gave.
     fn trust(&mut self, sent_ms: u64) {
-        let trusted_until_ms = sent_ms + less_drift(self.config.lease_ms);
+        let trusted_until_ms = sent_ms + surely_within(self.config.lease_ms);
         self.role = Role::Holder { trusted_until_ms };
         self.next_ms = sent_ms + self.config.lease_ms / RENEWALS_PER_LEASE;
     }
@@ -353,7 +352,7 @@
     /// Returns the earliest time of a claim on the row that has been seen unchanged since `since_ms`.
     fn claim_ms(&self, since_ms: u64) -> u64 {
         let wait_ms = match &self.lease.row {
-            Some(row) if !row.released => more_drift(self.config.lease_ms),
+            Some(row) if !row.released => surely_beyond(self.config.lease_ms),
             _ => 0,
         };
         since_ms + wait_ms + self.place().delay_ms()
--- a/src/worker/mod.rs
+++ b/src/worker/mod.rs
@@ -18,8 +18,3 @@
 
 /// The longest time between two [`Input::Tick`], in milliseconds.
 pub const TICK_MS: u64 = 100;
-
-/// Shortens a granted duration by the assumed clock drift of 1 %.
-pub(crate) fn less_drift(duration_ms: u64) -> u64 {
-    duration_ms - duration_ms.div_ceil(100)
-}
