--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -19,8 +19,3 @@
     MembersOutput, Versioned, epoch_key, lease_key,
 };
 pub use outbox::Outbox;
-
-/// Lengthens a duration that another process granted by the assumed clock drift of 1 %.
-fn more_drift(duration_ms: u64) -> u64 {
-    duration_ms + duration_ms.div_ceil(100)
-}
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -186,19 +186,19 @@
     },
     /// The first message on a connection of a group's leader, and again every second.
     Lead(GroupSummary),
-    /// A leader asks whether starts are permitted in its data centre. The permit counts from this question, so that a
-    /// leader that was paused takes no time from an answer that waited in its socket.
-    AskPermit {
-        /// The data centre.
-        data_centre: DataCentreId,
-        /// Rises with each question; the answer repeats it.
-        sequence: u64,
-    },
     /// A leader confirms that a job arrived.
     JobAccepted {
         /// The job.
         job: JobId,
     },
+    /// A leader asks how long starts are permitted in its data centre.
+    AskPermit {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Rises with each question; the answer repeats it, and the permit is counted from the question, so that a
+        /// leader that was paused takes no time from an answer that waited in its socket.
+        sequence: u64,
+    },
     /// Confirms [`EntryMessage::Config`] and [`EntryMessage::Service`].
     Applied {
         /// The version of the bundle in force.
