Add start permits and changes of data centre states

An entry's reading of config/datacentre/{id} permits starts for 2 s from when the read was sent; leaders and agents count what they are passed from their own question, less 1 % for clock drift and 1 ms for the step of the clocks. An operator's out is acknowledged when the row is durable and every permit is withdrawn or has run out, after a last read that finds out whether another operator brought the data centre back meanwhile. An unknown result of a write holds starts.

The messages AskPermit and Permit carry the question and the answer between leader and entry, because a permit that is pushed without a question cannot be counted from a moment that its holder knows.

--- a/src/endpoint/agent.rs
+++ b/src/endpoint/agent.rs
@@ -164,6 +164,7 @@
             }
             EntryMessage::Hello { .. }
             | EntryMessage::Config { .. }
+            | EntryMessage::Permit { .. }
             | EntryMessage::Leader { .. }
             | EntryMessage::SubmitJob { .. }
             | EntryMessage::CancelJobs { .. } => {}
--- /dev/null
+++ b/src/permit/view.rs
@@ -0,0 +1,148 @@
+//! What an entry knows of the states of data centres, and the permits that it passes on.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{VIEW_MS, surely_beyond, surely_within};
+use crate::prelude::*;
+use crate::store::RowVersion;
+use crate::wire::ServiceState;
+
+/// The states of data centres as an entry last read them.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ServiceView {
+    centres: BTreeMap<DataCentreId, Centre>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Centre {
+    state: ServiceState,
+    version: RowVersion,
+    /// When the last read that confirmed this version was sent.
+    read_sent_at_ms: u64,
+    /// The time until which a permit that was passed on may be used somewhere.
+    passed_until_ms: u64,
+    /// The version on whose condition a write was sent whose result is unknown.
+    held_after: Option<RowVersion>,
+}
+
+/// What a reading changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Observed {
+    /// The state has a higher version than before.
+    New,
+    /// The state is as it was.
+    Same,
+    /// The reading is stale and was ignored.
+    Stale,
+}
+
+/// The state of a data centre, for operators and for other processes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceStatus {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// Its state.
+    pub state: ServiceState,
+    /// The version of its state.
+    pub version: u64,
+    /// The time for which starts are permitted, in milliseconds; zero if they are not.
+    pub permit_ms: u64,
+}
+
+impl ServiceView {
+    /// Takes a reading whose request was sent at `read_sent_at_ms`. A version never goes back.
+    pub fn observe(
+        &mut self,
+        data_centre: &DataCentreId,
+        version: RowVersion,
+        state: ServiceState,
+        read_sent_at_ms: u64,
+    ) -> Observed {
+        let Some(centre) = self.centres.get_mut(data_centre) else {
+            let centre =
+                Centre { state, version, read_sent_at_ms, passed_until_ms: 0, held_after: None };
+            self.centres.insert(data_centre.clone(), centre);
+            return Observed::New;
+        };
+        if version < centre.version {
+            return Observed::Stale;
+        }
+        if version == centre.version {
+            centre.read_sent_at_ms = centre.read_sent_at_ms.max(read_sent_at_ms);
+            return Observed::Same;
+        }
+        centre.state = state;
+        centre.version = version;
+        centre.read_sent_at_ms = read_sent_at_ms;
+        // A higher version than the condition's proves that the write took effect or never will.
+        centre.held_after.take_if(|held_after| version > *held_after);
+        Observed::New
+    }
+
+    /// Permits no starts until the result of a write is certain that was sent on condition of a version.
+    pub fn hold(&mut self, data_centre: &DataCentreId, condition: RowVersion) {
+        if let Some(centre) = self.centres.get_mut(data_centre)
+            && condition >= centre.version
+        {
+            centre.held_after = Some(condition);
+        }
+    }
+
+    /// Ends the hold after a write that certainly had no effect and never will.
+    pub fn release(&mut self, data_centre: &DataCentreId, condition: RowVersion) {
+        if let Some(centre) = self.centres.get_mut(data_centre) {
+            centre.held_after.take_if(|held_after| *held_after == condition);
+        }
+    }
+
+    /// Returns the state of a data centre and its version, if it was ever read.
+    pub fn state(&self, data_centre: &DataCentreId) -> Option<(ServiceState, RowVersion)> {
+        self.centres.get(data_centre).map(|centre| (centre.state, centre.version))
+    }
+
+    /// Returns the remaining time of the permit for a data centre, to be passed on to a process that asked for it
+    /// before `now_ms`, and remembers that it was passed on. Zero means that starts are not permitted.
+    pub fn pass_permit(&mut self, now_ms: u64, data_centre: &DataCentreId) -> u64 {
+        let Some(centre) = self.centres.get_mut(data_centre) else { return 0 };
+        let permit_ms = centre.permit_ms(now_ms);
+        if permit_ms > 0 {
+            let until_ms = now_ms + surely_beyond(permit_ms);
+            centre.passed_until_ms = centre.passed_until_ms.max(until_ms);
+        }
+        permit_ms
+    }
+
+    /// Returns the data centres that are out and for which no permit that this entry passed on can be in use, each with
+    /// the version of its state.
+    pub fn withdrawn(&self, now_ms: u64) -> BTreeMap<DataCentreId, u64> {
+        let withdrawn = self
+            .centres
+            .iter()
+            .filter(|(_, c)| c.state == ServiceState::Out && now_ms >= c.passed_until_ms);
+        withdrawn.map(|(id, centre)| (id.clone(), centre.version.0)).collect()
+    }
+
+    /// Returns the states of all data centres that were ever read.
+    pub fn statuses(&self, now_ms: u64) -> Vec<ServiceStatus> {
+        let status = |(id, centre): (&DataCentreId, &Centre)| ServiceStatus {
+            data_centre: id.clone(),
+            state: centre.state,
+            version: centre.version.0,
+            permit_ms: centre.permit_ms(now_ms),
+        };
+        self.centres.iter().map(status).collect()
+    }
+}
+
+impl Centre {
+    fn permit_ms(&self, now_ms: u64) -> u64 {
+        if self.state == ServiceState::Out || self.held_after.is_some() {
+            return 0;
+        }
+        (self.read_sent_at_ms + surely_within(VIEW_MS)).saturating_sub(now_ms)
+    }
+}
--- a/src/request/router.rs
+++ b/src/request/router.rs
@@ -421,6 +421,7 @@
             | AgentMessage::FindLeader { .. }
             | AgentMessage::Lead(_)
             | AgentMessage::JobAccepted { .. }
+            | AgentMessage::AskPermit { .. }
             | AgentMessage::Applied { .. } => {}
         }
     }
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -191,6 +191,11 @@
         /// The job.
         job: JobId,
     },
+    /// A leader asks how long starts are permitted in its data centre.
+    AskPermit {
+        /// Rises with each question; the answer repeats it, and the permit is counted from the question.
+        sequence: u64,
+    },
     /// Confirms [`EntryMessage::Config`] and [`EntryMessage::Service`].
     Applied {
         /// The version of the bundle in force.
@@ -234,6 +239,15 @@
         /// The time for which starts are permitted, in milliseconds; zero withdraws the permit.
         permit_ms: u64,
     },
+    /// Answers [`AgentMessage::AskPermit`].
+    Permit {
+        /// The number of the question.
+        sequence: u64,
+        /// The version of the data centre's state.
+        version: u64,
+        /// The time for which starts are permitted, counted from the question, in milliseconds; zero if they are not.
+        permit_ms: u64,
+    },
     /// The group and the leader of an agent beside a worker.
     Leader {
         /// The group.
