--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,14 +3,19 @@
 //! docs/design.md describes the slices and how they work together; docs/glossary.md maps the words of the code to the
 //! standard terms of the field.
 
+pub mod agent;
 pub mod api;
 pub mod bundle;
 pub mod directory;
 pub mod endpoint;
 pub mod entry;
+pub mod guarantee;
 pub mod id;
 pub mod intake;
 pub mod job;
+pub mod leader;
+pub mod membership;
+pub mod placement;
 pub mod permit;
 pub mod platform;
 pub mod prelude;
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -370,15 +370,13 @@
     },
 }
 
-/// A datagram from a leader to a member.
+/// A datagram from a leader to a member. Its tag also covers the incarnation of the member that the leader means
+/// ([`super::DatagramEncoder::encode_for`]), so that a restarted agent refuses what was meant for its predecessor.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LeaderDatagram {
     /// The epoch of the leader.
     pub epoch: Epoch,
-    /// The incarnation of the member that the leader means, so that a restarted agent refuses what was meant for its
-    /// predecessor.
-    pub incarnation: Incarnation,
     /// The message.
     pub message: LeaderMessage,
 }
