Add configuration at entries: registration, polls, distribution and routes

A change runs to its end even if its caller goes away; a write with an unknown result holds starts and is repeated until its result is certain.

Validation of bundles now includes the admission proof of the guarantees. AskPermit names the data centre, because a leader's connection is not announced with one.

--- /dev/null
+++ b/src/api/configuration.rs
@@ -0,0 +1,150 @@
+//! Bodies of the routes for bundles, data centres and organisations.
+
+use serde::{Deserialize, Serialize};
+
+use super::{ApiError, ErrorCode};
+use crate::bundle::{self, BundleRow, Digest, Organisation, Signature, SignedBundle};
+use crate::permit;
+use crate::prelude::*;
+
+/// The body of `POST /v1/bundles/approve` and `POST /v1/bundles/rollout`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BundleOrder {
+    /// The version.
+    pub version: BundleVersion,
+    /// The digest.
+    pub digest: Digest,
+    /// The signature of the partner that gives the order, made for this purpose.
+    pub signature: Signature,
+}
+
+impl From<BundleOrder> for bundle::Order {
+    fn from(order: BundleOrder) -> Self {
+        Self { version: order.version, digest: order.digest, signature: order.signature }
+    }
+}
+
+/// The answer to a change of the bundle that took effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BundleChanged {
+    /// The version.
+    pub version: BundleVersion,
+    /// The digest.
+    pub digest: Digest,
+    /// The entries that confirmed a rollout.
+    pub confirmed_by: Vec<ProcessId>,
+}
+
+impl From<bundle::Done> for BundleChanged {
+    fn from(done: bundle::Done) -> Self {
+        Self { version: done.version, digest: done.digest, confirmed_by: done.confirmed_by }
+    }
+}
+
+/// The answer to `GET /v1/bundles/current` and `GET /v1/bundles/proposed`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BundleStatus {
+    /// The version.
+    pub version: BundleVersion,
+    /// The digest.
+    pub digest: Digest,
+    /// The content and the signatures so far.
+    pub signed: SignedBundle,
+}
+
+/// The body of `POST /v1/datacentres/{id}/out` and `POST /v1/datacentres/{id}/in`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceOrder {
+    /// The name of the operator, for the record and for those who lose a race.
+    pub operator: String,
+}
+
+/// An organisation of the bundle in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationStatus {
+    /// What the bundle says.
+    pub organisation: Organisation,
+    /// The accelerators of all its guaranteed blocks.
+    pub guaranteed_accelerators: u64,
+    /// The version of the bundle.
+    pub bundle: BundleVersion,
+}
+
+impl OrganisationStatus {
+    /// Describes an organisation of a bundle.
+    pub fn new(organisation: &Organisation, bundle: BundleVersion) -> Self {
+        let blocks = organisation.guarantee.iter();
+        let guaranteed_accelerators =
+            blocks.map(|block| u64::from(block.accelerators) * u64::from(block.count)).sum();
+        Self { organisation: organisation.clone(), guaranteed_accelerators, bundle }
+    }
+}
+
+/// An endpoint that is connected to the entry that answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointStatus {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// The incarnation of its agent.
+    pub incarnation: Incarnation,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Attempts that this entry has under way there.
+    pub in_use: u32,
+    /// Whether it takes no new work.
+    pub draining: bool,
+}
+
+/// A worker whose agent is connected to the entry that answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerStatus {
+    /// The agent beside the worker.
+    pub process: ProcessId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Its rack.
+    pub rack: RackId,
+    /// Its group by the bundle in force.
+    pub group: Option<GroupId>,
+}
+
+impl From<bundle::Refusal> for ApiError {
+    fn from(refusal: bundle::Refusal) -> Self {
+        let code = match &refusal {
+            bundle::Refusal::Invalid { .. } => ErrorCode::BadInput,
+            bundle::Refusal::Conflict { .. } => ErrorCode::Conflict,
+            bundle::Refusal::Unavailable { .. } => ErrorCode::Unavailable,
+            bundle::Refusal::Unknown { .. } => ErrorCode::Unknown,
+        };
+        Self::new(code, &refusal.to_string())
+    }
+}
+
+impl From<permit::Refusal> for ApiError {
+    fn from(refusal: permit::Refusal) -> Self {
+        let code = match &refusal {
+            permit::Refusal::Conflict { .. } => ErrorCode::Conflict,
+            permit::Refusal::Unavailable { .. } => ErrorCode::Unavailable,
+            permit::Refusal::Unknown { .. } => ErrorCode::Unknown,
+        };
+        Self::new(code, &refusal.to_string())
+    }
+}
+
+impl BundleStatus {
+    /// Describes the proposal of a row, if there is one, with the body that was stored for it.
+    pub fn of_proposal(row: &BundleRow, body: bundle::Bundle) -> Option<Self> {
+        let proposal = row.proposed.as_ref()?;
+        let signed = SignedBundle { bundle: body, signatures: proposal.signatures.clone() };
+        Some(Self { version: proposal.version, digest: proposal.digest, signed })
+    }
+}
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -1,5 +1,10 @@
 //! The HTTP interface `/v1` for callers and operators; docs/api.md describes it.
 
+mod configuration;
 mod error;
 
+pub use configuration::{
+    BundleChanged, BundleOrder, BundleStatus, EndpointStatus, OrganisationStatus, ServiceOrder,
+    WorkerStatus,
+};
 pub use error::{ApiError, ErrorCode};
--- a/src/bundle/mod.rs
+++ b/src/bundle/mod.rs
@@ -9,7 +9,7 @@
 mod row;
 mod signature;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 mod validation;
 
 pub use digest::{Digest, canonical_json};
--- a/src/bundle/tests/mod.rs
+++ b/src/bundle/tests/mod.rs
@@ -70,6 +70,19 @@
     assert!(problems.iter().any(|problem| problem.field == field), "{problems:?}");
 }
 
+#[test]
+fn guarantees_that_fit_only_one_at_a_time_are_refused() {
+    let mut crowded = bundle();
+    let copies = (0..20).map(|n| Organisation {
+        id: OrganisationId::from(format!("copy-{n}")),
+        ..crowded.organisations[1].clone()
+    });
+    let copies: Vec<Organisation> = copies.collect();
+    crowded.organisations.extend(copies);
+    let result = validate(&crowded);
+    assert!(matches!(result, Err(Error::NotAdmitted { .. })), "{result:?}");
+}
+
 #[test]
 fn an_unknown_field_is_refused_by_name() {
     let mut document = serde_json::to_value(signed(bundle(), &[])).unwrap();
--- a/src/bundle/validation.rs
+++ b/src/bundle/validation.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Bundle, DataCentre, Error, GuaranteedBlock, Organisation, PolicyRules, WorkerShape};
+use crate::guarantee;
 use crate::prelude::*;
 
 /// The most entries of any list in a bundle: four times the 140 teams and 9 data centres of the design size, and more.
@@ -49,7 +50,7 @@
 ///
 /// # Errors
 ///
-/// [`Error::Invalid`] with each field at fault.
+/// [`Error::Invalid`] with each field at fault, or [`Error::NotAdmitted`] if the guarantees do not all fit at once.
 pub fn validate(bundle: &Bundle) -> Result<(), Error> {
     let mut check = Check::default();
     check.version(bundle);
@@ -60,7 +61,10 @@
     if !check.problems.is_empty() {
         return Err(Error::Invalid { problems: check.problems });
     }
-    Ok(())
+    match guarantee::admit(bundle) {
+        Ok(_) => Ok(()),
+        Err(error) => Err(Error::NotAdmitted { reason: error.to_string() }),
+    }
 }
 
 /// Collects the fields at fault.
@@ -278,13 +282,10 @@
     data_centre.groups(group_workers).iter().map(|group| group.workers).max().unwrap_or(0)
 }
 
-/// A block is an aligned power of two within one worker, or consists of whole workers.
+/// A block consists of whole workers and at most one aligned power of two of accelerators of a further worker.
 fn has_aligned_size(block: &GuaranteedBlock, per_worker: u32) -> bool {
-    if block.accelerators <= per_worker {
-        block.accelerators.is_power_of_two()
-    } else {
-        block.accelerators.is_multiple_of(per_worker)
-    }
+    let part = block.accelerators % per_worker;
+    part == 0 || part.is_power_of_two()
 }
 
 fn shape_reason(block: &GuaranteedBlock) -> String {
@@ -293,7 +294,7 @@
         None => "no data centre has".to_owned(),
     };
     format!(
-        "{place} a block of {} accelerators on one {}; a block is a power of two within a worker, or whole workers",
+        "{place} a block of {} accelerators on one {}; a block is whole workers and a power of two of a further one",
         block.accelerators, block.adjacency
     )
 }
--- /dev/null
+++ b/src/entry/configuration/change.rs
@@ -0,0 +1,294 @@
+//! Runs the changes that operators ask for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha12Rng;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::Shared;
+use super::actor::Hold;
+use super::poll::{read_body, read_bundle_row, read_entries, read_services};
+use crate::bundle::{self, Action, BUNDLE_ROW_KEY, BundleRow, Change, Refusal};
+use crate::permit::{self, DataCentreRow, ServiceChange, data_centre_key};
+use crate::prelude::*;
+use crate::store::{
+    self, Commit, CommitOutcome, Condition, ObjectStore, OperationId, RowVersion, Table, Write,
+};
+use crate::wire::ServiceState;
+
+/// The time for which a write is tried before its result is reported as unknown or not applied.
+const WRITE_LIMIT: Duration = Duration::from_secs(3);
+/// The time for which the result of a write is sought in one go after it was reported as unknown.
+const RESOLVE_LIMIT: Duration = Duration::from_secs(60);
+/// The interval at which a change looks whether the entries have confirmed it.
+const WATCH: Duration = Duration::from_millis(100);
+
+/// Changes the row of the bundle. Runs to its end even if its caller goes away.
+pub(super) async fn change_bundle<T, O>(
+    shared: Arc<Shared<T, O>>,
+    action: Action,
+) -> Result<bundle::Done, Refusal>
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let lost = |error: tokio::task::JoinError| Refusal::Unknown {
+        version: BundleVersion(0),
+        reason: error.to_string(),
+    };
+    tokio::spawn(run_bundle_change(shared, action)).await.map_err(lost)?
+}
+
+async fn run_bundle_change<T, O>(
+    shared: Arc<Shared<T, O>>,
+    action: Action,
+) -> Result<bundle::Done, Refusal>
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let identity = &shared.identity;
+    let (mut change, mut outputs) =
+        Change::begin(action, identity.process.clone(), identity.trusted.clone())?;
+    loop {
+        let input = match outputs.pop() {
+            Some(bundle::Output::Answer(answer)) => {
+                log::info!("change of the bundle ended: {answer:?}");
+                return answer;
+            }
+            Some(output) => perform(&shared, output).await,
+            // Only a wait for entries leaves nothing to do.
+            None => watch_bundle(&shared).await,
+        };
+        outputs = change.handle(shared.clock.now_ms(), &input);
+    }
+}
+
+async fn perform<T, O>(shared: &Shared<T, O>, output: bundle::Output) -> bundle::Input
+where
+    T: Table,
+    O: ObjectStore,
+{
+    match output {
+        bundle::Output::ReadRow => match read_bundle_row(shared).await {
+            Ok((version, row)) => bundle::Input::Row { version, row: Box::new(row) },
+            Err(reason) => bundle::Input::StoreFailed { reason },
+        },
+        bundle::Output::StoreBody { key, content } => {
+            match shared.objects.put(&key, &content).await {
+                Ok(()) => bundle::Input::BodyStored,
+                Err(error) => bundle::Input::StoreFailed { reason: error.to_string() },
+            }
+        }
+        bundle::Output::ReadBody { key } => match read_body(&shared.objects, &key).await {
+            Ok(bundle) => bundle::Input::Body { bundle: bundle.map(Box::new) },
+            Err(reason) => bundle::Input::StoreFailed { reason },
+        },
+        bundle::Output::WriteRow { condition, row } => {
+            let result = write_bundle_row(shared, condition, &row).await;
+            shared.changed.notify_one();
+            bundle::Input::Written { result }
+        }
+        bundle::Output::WatchEntries | bundle::Output::Answer(_) => bundle::Input::Tick,
+    }
+}
+
+async fn watch_bundle<T, O>(shared: &Shared<T, O>) -> bundle::Input
+where
+    T: Table,
+    O: ObjectStore,
+{
+    tokio::time::sleep(WATCH).await;
+    match read_entries(shared).await {
+        Ok(entries) => bundle::Input::Entries { entries },
+        Err(_) => bundle::Input::Tick,
+    }
+}
+
+async fn write_bundle_row<T, O>(
+    shared: &Shared<T, O>,
+    condition: RowVersion,
+    row: &BundleRow,
+) -> bundle::Written
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let mut random = ChaCha12Rng::from_rng(&mut rand::rng());
+    let commit = match commit_of(BUNDLE_ROW_KEY, condition, row, &mut random) {
+        Ok(commit) => commit,
+        Err(reason) => return bundle::Written::NotApplied { reason },
+    };
+    match shared.writer.commit(&commit, WRITE_LIMIT, &mut random).await {
+        CommitOutcome::Durable(_) => bundle::Written::Durable,
+        CommitOutcome::Conflict(found) => {
+            let row = Box::new(content_of(&found).unwrap_or_default());
+            bundle::Written::Conflict { version: found.version, row }
+        }
+        CommitOutcome::NotApplied(reason) => bundle::Written::NotApplied { reason },
+        CommitOutcome::Unknown(reason) => bundle::Written::Unknown { reason },
+    }
+}
+
+/// Changes the state of a data centre. Runs to its end even if its caller goes away.
+pub(super) async fn change_service<T, O>(
+    shared: Arc<Shared<T, O>>,
+    data_centre: DataCentreId,
+    state: ServiceState,
+    operator: String,
+) -> permit::Answer
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let lost =
+        |error: tokio::task::JoinError| permit::Refusal::Unknown { reason: error.to_string() };
+    tokio::spawn(run_service_change(shared, data_centre, state, operator)).await.map_err(lost)?
+}
+
+async fn run_service_change<T, O>(
+    shared: Arc<Shared<T, O>>,
+    data_centre: DataCentreId,
+    state: ServiceState,
+    operator: String,
+) -> permit::Answer
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let process = shared.identity.process.clone();
+    let (mut change, mut outputs) =
+        ServiceChange::begin(data_centre.clone(), state, operator, process);
+    let mut last_commit = None;
+    loop {
+        let input = match outputs.pop() {
+            Some(permit::Output::Answer(answer)) => {
+                // A hold comes together with the answer.
+                if let (Some(permit::Output::Hold { condition }), Some(commit)) =
+                    (outputs.pop(), last_commit)
+                {
+                    hold(&shared, data_centre, condition, commit).await;
+                }
+                log::info!("change of a data centre ended: {answer:?}");
+                return answer;
+            }
+            Some(permit::Output::ReadRow) => read_service_row(&shared, &data_centre).await,
+            Some(permit::Output::WriteRow { condition, row }) => {
+                let (result, commit) =
+                    write_service_row(&shared, &data_centre, condition, &row).await;
+                last_commit = commit;
+                // This entry should see its own change without waiting for its next poll.
+                let _ = read_services(&shared).await;
+                permit::Input::Written { result }
+            }
+            _ => watch_services(&shared).await,
+        };
+        outputs = change.handle(shared.clock.now_ms(), &input);
+    }
+}
+
+async fn read_service_row<T, O>(shared: &Shared<T, O>, data_centre: &DataCentreId) -> permit::Input
+where
+    T: Table,
+    O: ObjectStore,
+{
+    match shared.writer.table().read(&data_centre_key(data_centre)).await {
+        Ok(Some(row)) => match content_of::<DataCentreRow>(&row) {
+            Some(content) => permit::Input::Row { version: row.version, row: Some(content) },
+            None => permit::Input::ReadFailed { reason: "the row is malformed".to_owned() },
+        },
+        Ok(None) => permit::Input::Row { version: RowVersion::ABSENT, row: None },
+        Err(error) => permit::Input::ReadFailed { reason: error.to_string() },
+    }
+}
+
+async fn write_service_row<T, O>(
+    shared: &Shared<T, O>,
+    data_centre: &DataCentreId,
+    condition: RowVersion,
+    row: &DataCentreRow,
+) -> (permit::Written, Option<Commit>)
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let mut random = ChaCha12Rng::from_rng(&mut rand::rng());
+    let commit = match commit_of(&data_centre_key(data_centre), condition, row, &mut random) {
+        Ok(commit) => commit,
+        Err(reason) => return (permit::Written::NotApplied { reason }, None),
+    };
+    let written = match shared.writer.commit(&commit, WRITE_LIMIT, &mut random).await {
+        CommitOutcome::Durable(committed) => permit::Written::Durable {
+            version: committed.versions.first().copied().unwrap_or_default(),
+        },
+        CommitOutcome::Conflict(found) => {
+            permit::Written::Conflict { version: found.version, row: content_of(&found) }
+        }
+        CommitOutcome::NotApplied(reason) => permit::Written::NotApplied { reason },
+        CommitOutcome::Unknown(reason) => permit::Written::Unknown { reason },
+    };
+    (written, Some(commit))
+}
+
+async fn watch_services<T, O>(shared: &Shared<T, O>) -> permit::Input
+where
+    T: Table,
+    O: ObjectStore,
+{
+    tokio::time::sleep(WATCH).await;
+    match read_entries(shared).await {
+        Ok(entries) => permit::Input::Entries { entries },
+        Err(_) => permit::Input::Tick,
+    }
+}
+
+/// Holds starts at this entry, and repeats the write until its result is certain. The hold ends when a poll reads a
+/// higher version than the write's condition.
+async fn hold<T, O>(
+    shared: &Arc<Shared<T, O>>,
+    data_centre: DataCentreId,
+    condition: RowVersion,
+    commit: Commit,
+) where
+    T: Table,
+    O: ObjectStore,
+{
+    let _ = shared.actor.send(Hold { data_centre, condition }).await;
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let mut random = ChaCha12Rng::from_rng(&mut rand::rng());
+        while shared.actor.is_connected() {
+            let outcome = shared.writer.commit(&commit, RESOLVE_LIMIT, &mut random).await;
+            if matches!(outcome, CommitOutcome::Durable(_) | CommitOutcome::Conflict(_)) {
+                return;
+            }
+        }
+    });
+}
+
+fn commit_of<V>(
+    key: &str,
+    version: RowVersion,
+    content: &V,
+    random: &mut ChaCha12Rng,
+) -> Result<Commit, String>
+where
+    V: Serialize,
+{
+    let value = serde_json::to_value(content).map_err(|error| error.to_string())?;
+    Ok(Commit {
+        operation: OperationId::random(random),
+        conditions: vec![Condition { key: key.to_owned(), version }],
+        writes: vec![Write { key: key.to_owned(), value }],
+    })
+}
+
+fn content_of<V>(row: &store::Row) -> Option<V>
+where
+    V: DeserializeOwned,
+{
+    serde_json::from_value(row.value.clone()).ok()
+}
--- /dev/null
+++ b/src/entry/configuration/routes.rs
@@ -0,0 +1,306 @@
+//! The routes for bundles, data centres and organisations.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Buf;
+use futures::Stream;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use warp::http::StatusCode;
+use warp::reply::{Response, json, with_status};
+use warp::{Filter, Rejection, Reply};
+
+use super::actor::{Current, Statuses};
+use super::change::{change_bundle, change_service};
+use super::poll::{read_body, read_bundle_row};
+use super::{Handle, Shared};
+use crate::api::{
+    ApiError, BundleChanged, BundleOrder, BundleStatus, ErrorCode, OrganisationStatus, ServiceOrder,
+};
+use crate::bundle::{Action, SignedBundle, VerifiedBundle, body_key};
+use crate::entry::request_routes::collect;
+use crate::permit::{ServiceDone, ServiceStatus};
+use crate::prelude::*;
+use crate::store::{ObjectStore, Table};
+use crate::wire::ServiceState;
+
+/// The greatest body of a bundle. At the design size a bundle has about 7,200 racks of 50 bytes each.
+const BUNDLE_LIMIT_BYTES: u64 = 4 << 20;
+/// The greatest body of an order.
+const ORDER_LIMIT_BYTES: u64 = 4 << 10;
+/// The longest name of an operator.
+const MAX_OPERATOR_CHARS: usize = 64;
+
+type Result<V> = std::result::Result<V, ApiError>;
+
+/// Serves the routes for bundles, data centres and organisations.
+pub fn routes<T, O>(
+    handle: &Handle<T, O>,
+) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<T, O>
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let shared = handle.shared.clone();
+    bundle_routes(&shared)
+        .or(service_routes(&shared))
+        .unify()
+        .or(organisation_routes(&shared))
+        .unify()
+}
+
+fn bundle_routes<T, O>(
+    shared: &Arc<Shared<T, O>>,
+) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<T, O>
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let propose = warp::path!("v1" / "bundles" / "propose")
+        .and(with(shared))
+        .and(body(BUNDLE_LIMIT_BYTES))
+        .then(propose);
+    let approve = warp::path!("v1" / "bundles" / "approve")
+        .and(with(shared))
+        .and(body(ORDER_LIMIT_BYTES))
+        .then(approve);
+    let roll_out = warp::path!("v1" / "bundles" / "rollout")
+        .and(with(shared))
+        .and(body(ORDER_LIMIT_BYTES))
+        .then(roll_out);
+    let current =
+        warp::path!("v1" / "bundles" / "current").and(warp::get()).and(with(shared)).then(current);
+    let proposed = warp::path!("v1" / "bundles" / "proposed")
+        .and(warp::get())
+        .and(with(shared))
+        .then(proposed);
+    propose.or(approve).unify().or(roll_out).unify().or(current).unify().or(proposed).unify()
+}
+
+fn service_routes<T, O>(
+    shared: &Arc<Shared<T, O>>,
+) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<T, O>
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let out = warp::path!("v1" / "datacentres" / DataCentreId / "out")
+        .and(with(shared))
+        .and(body(ORDER_LIMIT_BYTES))
+        .then(async |id, shared, body| reply(order(shared, id, ServiceState::Out, body).await));
+    let back = warp::path!("v1" / "datacentres" / DataCentreId / "in")
+        .and(with(shared))
+        .and(body(ORDER_LIMIT_BYTES))
+        .then(async |id, shared, body| reply(order(shared, id, ServiceState::In, body).await));
+    let list =
+        warp::path!("v1" / "datacentres").and(warp::get()).and(with(shared)).then(data_centres);
+    out.or(back).unify().or(list).unify()
+}
+
+fn organisation_routes<T, O>(
+    shared: &Arc<Shared<T, O>>,
+) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<T, O>
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let list =
+        warp::path!("v1" / "organisations").and(warp::get()).and(with(shared)).then(organisations);
+    let show = warp::path!("v1" / "organisations" / OrganisationId)
+        .and(warp::get())
+        .and(with(shared))
+        .then(organisation);
+    list.or(show).unify()
+}
+
+fn with<T, O>(
+    shared: &Arc<Shared<T, O>>,
+) -> impl Filter<Extract = (Arc<Shared<T, O>>,), Error = Infallible> + Clone + use<T, O>
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let shared = shared.clone();
+    warp::any().map(move || shared.clone())
+}
+
+/// Takes the body of a `POST` up to a limit.
+fn body(limit_bytes: u64) -> impl Filter<Extract = (Result<Vec<u8>>,), Error = Rejection> + Clone {
+    warp::post()
+        .and(warp::header::optional("content-length"))
+        .and(warp::body::stream())
+        .then(move |length, stream| read_all(length, stream, limit_bytes))
+}
+
+async fn read_all<S, B>(length: Option<u64>, stream: S, limit_bytes: u64) -> Result<Vec<u8>>
+where
+    S: Stream<Item = std::result::Result<B, warp::Error>> + Send,
+    B: Buf,
+{
+    collect(length, stream, limit_bytes).await
+}
+
+fn parse<V>(body: Result<Vec<u8>>) -> Result<V>
+where
+    V: DeserializeOwned,
+{
+    let malformed =
+        |error: serde_json::Error| ApiError::new(ErrorCode::BadInput, &error.to_string());
+    serde_json::from_slice(&body?).map_err(malformed)
+}
+
+fn reply<V>(result: Result<V>) -> Response
+where
+    V: Serialize,
+{
+    match result {
+        Ok(value) => with_status(json(&value), StatusCode::OK).into_response(),
+        Err(error) => error.into_response(),
+    }
+}
+
+async fn propose<T, O>(shared: Arc<Shared<T, O>>, body: Result<Vec<u8>>) -> Response
+where
+    T: Table,
+    O: ObjectStore,
+{
+    reply(match parse::<SignedBundle>(body) {
+        Ok(signed) => change(shared, Action::Propose { signed: Box::new(signed) }).await,
+        Err(error) => Err(error),
+    })
+}
+
+async fn approve<T, O>(shared: Arc<Shared<T, O>>, body: Result<Vec<u8>>) -> Response
+where
+    T: Table,
+    O: ObjectStore,
+{
+    reply(match parse::<BundleOrder>(body) {
+        Ok(order) => change(shared, Action::Approve(order.into())).await,
+        Err(error) => Err(error),
+    })
+}
+
+async fn roll_out<T, O>(shared: Arc<Shared<T, O>>, body: Result<Vec<u8>>) -> Response
+where
+    T: Table,
+    O: ObjectStore,
+{
+    reply(match parse::<BundleOrder>(body) {
+        Ok(order) => change(shared, Action::RollOut(order.into())).await,
+        Err(error) => Err(error),
+    })
+}
+
+async fn change<T, O>(shared: Arc<Shared<T, O>>, action: Action) -> Result<BundleChanged>
+where
+    T: Table,
+    O: ObjectStore,
+{
+    Ok(change_bundle(shared, action).await?.into())
+}
+
+async fn current<T, O>(shared: Arc<Shared<T, O>>) -> Response
+where
+    T: Table,
+    O: ObjectStore,
+{
+    reply(in_force(&shared).await.map(|bundle| BundleStatus {
+        version: bundle.version(),
+        digest: bundle.digest(),
+        signed: bundle.signed().clone(),
+    }))
+}
+
+async fn in_force<T, O>(shared: &Shared<T, O>) -> Result<Arc<VerifiedBundle>> {
+    let bundle = shared.actor.send(Current).await.map_err(stopping)?;
+    bundle.ok_or_else(|| ApiError::new(ErrorCode::NotFound, "no bundle is in force"))
+}
+
+fn stopping(_: xtra::Error) -> ApiError {
+    ApiError::new(ErrorCode::Unavailable, "this entry is stopping")
+}
+
+async fn proposed<T, O>(shared: Arc<Shared<T, O>>) -> Response
+where
+    T: Table,
+    O: ObjectStore,
+{
+    reply(find_proposal(&shared).await)
+}
+
+async fn find_proposal<T, O>(shared: &Shared<T, O>) -> Result<BundleStatus>
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let unavailable = |reason: String| ApiError::new(ErrorCode::Unavailable, &reason);
+    let missing = |what: &str| ApiError::new(ErrorCode::NotFound, what);
+    let (_, row) = read_bundle_row(shared).await.map_err(unavailable)?;
+    let Some(proposal) = &row.proposed else { return Err(missing("no bundle is proposed")) };
+    let key = body_key(proposal.version, &proposal.digest);
+    let body = read_body(&shared.objects, &key).await.map_err(unavailable)?;
+    let status = body.and_then(|body| BundleStatus::of_proposal(&row, body));
+    status.ok_or_else(|| missing("the body of the proposed bundle is lost; propose it again"))
+}
+
+async fn order<T, O>(
+    shared: Arc<Shared<T, O>>,
+    id: DataCentreId,
+    state: ServiceState,
+    body: Result<Vec<u8>>,
+) -> Result<ServiceDone>
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let order: ServiceOrder = parse(body)?;
+    let length = order.operator.chars().count();
+    if length == 0 || length > MAX_OPERATOR_CHARS {
+        let message = format!("operator: must have from 1 to {MAX_OPERATOR_CHARS} characters");
+        return Err(ApiError::new(ErrorCode::BadInput, &message));
+    }
+    let bundle = in_force(&shared).await?;
+    if !bundle.bundle().data_centres.iter().any(|known| known.id == id) {
+        let message = format!("data centre {id} is not in the bundle in force");
+        return Err(ApiError::new(ErrorCode::NotFound, &message));
+    }
+    Ok(change_service(shared, id, state, order.operator).await?)
+}
+
+async fn data_centres<T, O>(shared: Arc<Shared<T, O>>) -> Response
+where
+    T: Table,
+    O: ObjectStore,
+{
+    let statuses: Result<Vec<ServiceStatus>> = shared.actor.send(Statuses).await.map_err(stopping);
+    reply(statuses)
+}
+
+async fn organisations<T, O>(shared: Arc<Shared<T, O>>) -> Response
+where
+    T: Table,
+    O: ObjectStore,
+{
+    reply(in_force(&shared).await.map(|bundle| all_organisations(&bundle)))
+}
+
+fn all_organisations(bundle: &VerifiedBundle) -> Vec<OrganisationStatus> {
+    let organisations = bundle.bundle().organisations.iter();
+    organisations.map(|o| OrganisationStatus::new(o, bundle.version())).collect()
+}
+
+async fn organisation<T, O>(id: OrganisationId, shared: Arc<Shared<T, O>>) -> Response
+where
+    T: Table,
+    O: ObjectStore,
+{
+    reply(in_force(&shared).await.and_then(|bundle| {
+        let found = all_organisations(&bundle).into_iter().find(|o| o.organisation.id == id);
+        found.ok_or_else(|| {
+            let message = format!("organisation {id} is not in the bundle in force");
+            ApiError::new(ErrorCode::NotFound, &message)
+        })
+    }))
+}
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -59,6 +59,15 @@
         /// The sending side.
         sender: LinkSender<EntryMessage>,
     },
+    /// A leader asked how long starts are permitted.
+    AskPermit {
+        /// The connection.
+        connection: ConnectionId,
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// The number of the question.
+        sequence: u64,
+    },
     /// The agent confirmed what is in force there.
     Applied {
         /// The connection.
@@ -226,12 +235,19 @@
 {
     let mut next = Some(first);
     while let Some(message) = next {
-        if let AgentMessage::Applied { bundle, service_version } = message {
-            let event = ConfigEvent::Applied { connection, bundle, service_version };
-            let _ = actors.config.send(event).await;
-        } else {
-            let from = groups::FromAgent { connection, message };
-            actors.groups.send(from).await.map_err(|_| LinkError::Closed)?;
+        match message {
+            AgentMessage::Applied { bundle, service_version } => {
+                let event = ConfigEvent::Applied { connection, bundle, service_version };
+                let _ = actors.config.send(event).await;
+            }
+            AgentMessage::AskPermit { data_centre, sequence } => {
+                let event = ConfigEvent::AskPermit { connection, data_centre, sequence };
+                let _ = actors.config.send(event).await;
+            }
+            message => {
+                let from = groups::FromAgent { connection, message };
+                actors.groups.send(from).await.map_err(|_| LinkError::Closed)?;
+            }
         }
         next = receiver.receive().await?;
     }
--- a/src/entry/request_routes.rs
+++ b/src/entry/request_routes.rs
@@ -183,7 +183,12 @@
 }
 
 /// Collects a body up to the limit, so that a larger one is never held in memory.
-async fn collect<S, B>(length: Option<u64>, body: S, limit_bytes: u64) -> Result<Vec<u8>, ApiError>
+/// Reads a body, and refuses it as soon as it is over the limit.
+pub(super) async fn collect<S, B>(
+    length: Option<u64>,
+    body: S,
+    limit_bytes: u64,
+) -> Result<Vec<u8>, ApiError>
 where
     S: Stream<Item = Result<B, warp::Error>> + Send,
     B: Buf,
--- a/src/leader/answers.rs
+++ b/src/leader/answers.rs
@@ -182,9 +182,7 @@
         MemberMessage::Reserved { worker, gang, result } => {
             Some(scheduler::Input::Reserved { gang, worker, result })
         }
-        MemberMessage::Started { worker, gang } => {
-            Some(scheduler::Input::Started { gang, worker })
-        }
+        MemberMessage::Started { worker, gang } => Some(scheduler::Input::Started { gang, worker }),
         MemberMessage::Checkpointed { worker, gang, saved_ms } => {
             Some(scheduler::Input::Checkpointed { gang, worker, saved_ms })
         }
--- a/src/permit/tests/mod.rs
+++ b/src/permit/tests/mod.rs
@@ -158,6 +158,14 @@
     assert_eq!((held, view.pass_permit(200, &centre())), (0, 1_979));
 }
 
+#[test]
+fn a_hold_from_before_the_first_reading_counts() {
+    let mut view = ServiceView::default();
+    view.hold(&centre(), version(1));
+    view.observe(&centre(), version(1), ServiceState::In, 100);
+    assert_eq!(view.pass_permit(100, &centre()), 0);
+}
+
 #[test]
 fn an_entry_confirms_a_withdrawal_only_when_what_it_passed_on_has_run_out() {
     let mut view = ServiceView::default();
--- a/src/permit/view.rs
+++ b/src/permit/view.rs
@@ -83,22 +83,15 @@
         Observed::New
     }
 
-    /// Permits no starts until the result of a write is certain that was sent on condition of a version.
+    /// Permits no starts until a higher version shows the result of a write that was sent on condition of a version.
     pub fn hold(&mut self, data_centre: &DataCentreId, condition: RowVersion) {
-        if let Some(centre) = self.centres.get_mut(data_centre)
-            && condition >= centre.version
-        {
+        let unread = || Centre::new(ServiceState::In, RowVersion::ABSENT, 0);
+        let centre = self.centres.entry(data_centre.clone()).or_insert_with(unread);
+        if condition >= centre.version {
             centre.held_after = Some(condition);
         }
     }
 
-    /// Ends the hold after a write that certainly had no effect and never will.
-    pub fn release(&mut self, data_centre: &DataCentreId, condition: RowVersion) {
-        if let Some(centre) = self.centres.get_mut(data_centre) {
-            centre.held_after.take_if(|held_after| *held_after == condition);
-        }
-    }
-
     /// Returns the state of a data centre and its version, if it was ever read.
     pub fn state(&self, data_centre: &DataCentreId) -> Option<(ServiceState, RowVersion)> {
         self.centres.get(data_centre).map(|centre| (centre.state, centre.version))
@@ -139,6 +132,10 @@
 }
 
 impl Centre {
+    fn new(state: ServiceState, version: RowVersion, read_sent_at_ms: u64) -> Self {
+        Self { state, version, read_sent_at_ms, passed_until_ms: 0, held_after: None }
+    }
+
     fn permit_ms(&self, now_ms: u64) -> u64 {
         if self.state == ServiceState::Out || self.held_after.is_some() {
             return 0;
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -193,6 +193,8 @@
     },
     /// A leader asks how long starts are permitted in its data centre.
     AskPermit {
+        /// The data centre.
+        data_centre: DataCentreId,
         /// Rises with each question; the answer repeats it, and the permit is counted from the question.
         sequence: u64,
     },
