--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -59,6 +59,15 @@
         /// The sending side.
         sender: LinkSender<EntryMessage>,
     },
+    /// A leader asked how long starts are permitted.
+    AskPermit {
+        /// The connection.
+        connection: ConnectionId,
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// The number of the question.
+        sequence: u64,
+    },
     /// The agent confirmed what is in force there.
     Applied {
         /// The connection.
@@ -68,15 +77,6 @@
         /// The version of the data centre's state.
         service_version: u64,
     },
-    /// A leader asked how long starts are permitted.
-    AskPermit {
-        /// The connection.
-        connection: ConnectionId,
-        /// The leader's data centre.
-        data_centre: DataCentreId,
-        /// The number of the question.
-        sequence: u64,
-    },
     /// The connection ended.
     Disconnected {
         /// The connection.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry process: the HTTP interface for callers and operators, and the connections of agents.
 
+pub mod configuration;
 pub mod groups;
 pub mod jobs;
 mod keys;
@@ -7,3 +8,214 @@
 pub mod overview;
 pub mod request_routes;
 pub mod requests;
+
+use std::time::Duration;
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use serde_json::json;
+use snafu::ResultExt;
+use tokio::sync::{mpsc, watch};
+use warp::reply::Response;
+use warp::{Filter, Rejection};
+use xtra::{Address, Mailbox};
+
+use crate::api::{ApiError, ErrorCode};
+use crate::bundle::{Bundle, TrustedPartners};
+use crate::membership::LeaseRow;
+use crate::permit::ServiceStatus;
+use crate::prelude::*;
+use crate::process::{
+    self, BindSnafu, Clock, Metrics, PartnersSnafu, Readiness, new_incarnation, observe_routes,
+};
+use crate::request::{RouterLimits, RouterRules};
+use crate::settings::{EntrySettings, decode_frame_key};
+use crate::store::{HttpStore, LimitedTable, Table, Writer};
+use crate::wire::{FrameKey, LinkSettings};
+use configuration::{Configuration, Identity};
+use groups::Groups;
+use jobs::Jobs;
+use listener::{Actors, ConfigEvent};
+use request_routes::RequestRoute;
+use requests::Requests;
+
+/// The table as an entry uses it.
+type EntryTable = std::sync::Arc<LimitedTable<HttpStore>>;
+
+/// Reads of the table that one entry may make each second. 27 entries then stay under two thousand.
+const READS_PER_SECOND: u64 = 70;
+/// Writes of the table that one entry may make each second. 27 entries then stay under three hundred.
+const WRITES_PER_SECOND: u64 = 11;
+/// The interval at which deliveries are repeated and leases of leaders are read.
+const GROUPS_INTERVAL: Duration = Duration::from_millis(500);
+/// The messages that wait for the groups actor.
+const MAILBOX_MESSAGES: usize = 4_096;
+/// Configuration events that wait.
+const CONFIG_EVENTS: usize = 1_024;
+/// The beginning of the keys of the lease rows of groups.
+const LEASE_PREFIX: &str = "group/";
+
+/// Runs an entry until the process is asked to end.
+///
+/// # Errors
+///
+/// [`process::Error`] if the settings are wrong or an address cannot be bound.
+pub async fn run(settings: EntrySettings) -> process::Result<()> {
+    let (clock, metrics, readiness) = (Clock::start(), Metrics::default(), Readiness::default());
+    let incarnation = new_incarnation();
+    let links = LinkSettings::new(FrameKey::new(decode_frame_key(&settings.frame_key)?));
+    let store = HttpStore::new(&settings.platform_url);
+    let table = LimitedTable::new(store.clone(), READS_PER_SECOND, WRITES_PER_SECOND);
+    let writer = Writer::new(EntryTable::new(table));
+    let (config_events, config_receiver) = mpsc::channel(CONFIG_EVENTS);
+    let identity = Identity {
+        process: settings.process.clone(),
+        incarnation,
+        data_centre: settings.data_centre.clone(),
+        trusted: TrustedPartners::try_from(settings.partners.clone()).context(PartnersSnafu)?,
+    };
+    let configuration =
+        configuration::start(identity, writer.clone(), store, clock, &metrics, config_receiver);
+    let groups_actor = Groups::new(clock, &metrics, ChaCha8Rng::from_rng(&mut rand::rng()));
+    let groups = xtra::spawn_tokio(groups_actor, Mailbox::bounded(MAILBOX_MESSAGES));
+    let random = ChaCha8Rng::from_rng(&mut rand::rng());
+    let requests = requests::spawn(incarnation, writer.clone(), clock, &metrics, random);
+    tokio::spawn(follow_bundles(configuration.bundle.clone(), groups.clone(), requests.clone()));
+    tokio::spawn(follow_services(configuration.services.clone(), groups.clone(), requests.clone()));
+    tokio::spawn(follow_leases(writer.clone(), groups.clone()));
+    serve_agents(&settings, links, incarnation, &groups, &requests, config_events).await?;
+
+    let dump = dump(&settings, &groups, &requests, configuration.actor());
+    let jobs = Jobs { writer, groups: groups.clone(), bundle: configuration.bundle.clone() };
+    let request_route = RequestRoute::new(requests.clone(), incarnation, settings.body_limit_bytes);
+    let routes = request_routes::routes(&request_route)
+        .or(observe_routes(&readiness, &metrics, dump))
+        .or(jobs::routes(&jobs))
+        .or(configuration::routes(&configuration))
+        .or(overview::routes(&groups, &requests))
+        .recover(describe_rejection);
+    let (stop, stopped) = watch::channel(false);
+    let server = process::serve(settings.http_address, routes, process::wait_for(stopped));
+    let server = tokio::spawn(server);
+    readiness.set(true);
+    process::shutdown_requested().await?;
+    // The balancer stops sending calls when the entry is not ready; the server then answers those in flight.
+    readiness.set(false);
+    let _ = stop.send(true);
+    let served = server.await.unwrap_or(Ok(()));
+    configuration.stop().await;
+    served
+}
+
+async fn serve_agents(
+    settings: &EntrySettings,
+    links: LinkSettings,
+    incarnation: Incarnation,
+    groups: &Address<Groups>,
+    requests: &Address<Requests<EntryTable>>,
+    config: mpsc::Sender<ConfigEvent>,
+) -> process::Result<()> {
+    let address = settings.agent_address;
+    let socket = tokio::net::TcpListener::bind(address).await.context(BindSnafu { address })?;
+    let actors = Actors { requests: requests.clone(), groups: groups.clone(), config };
+    tokio::spawn(listener::serve(socket, links, incarnation, actors));
+    Ok(())
+}
+
+async fn follow_bundles(
+    mut bundles: watch::Receiver<Option<Bundle>>,
+    groups: Address<Groups>,
+    requests: Address<Requests<EntryTable>>,
+) {
+    loop {
+        let bundle = bundles.borrow_and_update().clone();
+        if let Some(bundle) = bundle {
+            let rules = RouterRules::new(&bundle, RouterLimits::default());
+            let _ = requests.send(requests::ApplyRules { rules }).await;
+            let _ = groups.send(groups::ApplyBundle { bundle: Box::new(bundle) }).await;
+        }
+        if bundles.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow_services(
+    mut services: watch::Receiver<Vec<ServiceStatus>>,
+    groups: Address<Groups>,
+    requests: Address<Requests<EntryTable>>,
+) {
+    loop {
+        let statuses = services.borrow_and_update().clone();
+        for ServiceStatus { data_centre, state, .. } in statuses {
+            let apply = requests::ApplyService { data_centre: data_centre.clone(), state };
+            let _ = requests.send(apply).await;
+            let _ = groups.send(groups::ApplyService { data_centre, state }).await;
+        }
+        if services.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads who leads each group, so that members find their leader, and repeats deliveries to leaders.
+async fn follow_leases(writer: Writer<EntryTable>, groups: Address<Groups>) {
+    let mut interval = tokio::time::interval(GROUPS_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    while groups.is_connected() {
+        interval.tick().await;
+        let _ = groups.send(groups::Tick).await;
+        // What was read before stays known while the table is down.
+        let rows = writer.table().scan(LEASE_PREFIX).await.unwrap_or_default();
+        for row in rows {
+            let group = row.key.trim_start_matches(LEASE_PREFIX);
+            let Ok(lease) = serde_json::from_value::<LeaseRow>(row.value) else {
+                log::warn!(key = row.key.as_str(); "lease row is unreadable");
+                continue;
+            };
+            let (epoch, address) = (lease.epoch, lease.address);
+            let _ = groups.send(groups::LeaderKnown { group: group.into(), epoch, address }).await;
+        }
+    }
+}
+
+/// Returns the function that collects the state of this entry.
+fn dump(
+    settings: &EntrySettings,
+    groups: &Address<Groups>,
+    requests: &Address<Requests<EntryTable>>,
+    configuration: &Address<Configuration>,
+) -> impl Fn() -> futures::future::BoxFuture<'static, serde_json::Value> + Clone + use<> {
+    let process = settings.process.clone();
+    let (groups, requests, configuration) =
+        (groups.clone(), requests.clone(), configuration.clone());
+    move || {
+        let process = process.clone();
+        let (groups, requests, configuration) =
+            (groups.clone(), requests.clone(), configuration.clone());
+        Box::pin(async move {
+            json!({
+                "process": process,
+                "configuration": configuration.send(configuration::Dump).await.ok(),
+                "requests": requests.send(requests::Dump).await.ok(),
+                "groups": groups.send(groups::Dump).await.ok(),
+            })
+        })
+    }
+}
+
+/// Turns rejections of the routes into the error shape of the interface.
+async fn describe_rejection(rejection: Rejection) -> Result<Response, Rejection> {
+    let (code, message) = if rejection.find::<warp::reject::PayloadTooLarge>().is_some() {
+        (ErrorCode::TooLarge, "the body is over the limit")
+    } else if rejection.find::<warp::reject::LengthRequired>().is_some() {
+        (ErrorCode::BadInput, "header content-length is missing")
+    } else if rejection.find::<warp::reject::MethodNotAllowed>().is_some() {
+        (ErrorCode::BadInput, "the method is not allowed on this path")
+    } else if rejection.is_not_found() {
+        (ErrorCode::NotFound, "there is no such path")
+    } else {
+        (ErrorCode::BadInput, "the call is malformed")
+    };
+    Ok(ApiError::new(code, message).into_response())
+}
