Run a whole deployment on loopback and check the promises

Cause: the parts had never run together as processes. Change: ./local starts stand-in, entries and agents of three data centres, drives them and prints a line for each promise.

--- /dev/null
+++ b/examples/local/check.rs
@@ -0,0 +1,459 @@
+//! The promises that a local deployment exercises, in order.
+
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use teaselhall::api::BundleOrder;
+use teaselhall::bundle::{Digest, Purpose, Signature, SignedBundle};
+
+use super::deployment::{Deployment, Result};
+
+/// The bound of P9: an accepted bundle is in force everywhere within this time.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
+/// The bound of P3: no start later than this after the acknowledgement.
+const OUT_LIMIT_MS: u64 = 3_000;
+/// The bound of P7: no new work later than this after the drain began.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+/// Wide limits for steps that no promise bounds.
+const STEP_LIMIT: Duration = Duration::from_secs(60);
+/// Threads that send requests.
+const SENDERS: usize = 4;
+/// How long the table stays down with `--platform-faults`.
+const OUTAGE: Duration = Duration::from_secs(10);
+
+/// Runs all checks and returns whether every promise held.
+pub fn all(deployment: &mut Deployment, faults: bool) -> bool {
+    let mut report = Report::default();
+    report.check(
+        "P9 bundle of both partners is in force in every data centre within 5 s",
+        roll_out(deployment),
+    );
+    report.check("P9 bundle with one signature is refused", refuse_one_signature(deployment));
+    report.check("P4 whole answer to its own request", answer_requests(deployment));
+    report.check("P6 keyed request runs once through two entries", run_keyed_once(deployment));
+    report.check("P5 job that fits nowhere is refused as not run", refuse_impossible(deployment));
+    report.check("P2 gang runs whole on adjacent accelerators", run_gang(deployment));
+    if faults {
+        report.check(
+            "table down for 10 s: running work goes on, refusals are true",
+            table_down(deployment),
+        );
+    }
+    report.check("P1 borrowed cells are reclaimed for the guarantee's owner", reclaim(deployment));
+    report.check("P3 no task starts after a data centre was taken out", take_out(deployment));
+    report
+        .check("P7, P8 drained endpoint gets no new work and finishes its own", drain(deployment));
+    report.check("no worker was ever overcommitted", no_overcommit(deployment));
+    report.held
+}
+
+struct Report {
+    held: bool,
+}
+
+impl Default for Report {
+    fn default() -> Self {
+        Self { held: true }
+    }
+}
+
+impl Report {
+    fn check(&mut self, promise: &str, result: Result<String>) {
+        match result {
+            Ok(measured) => println!("held    {promise}: {measured}"),
+            Err(error) => {
+                println!("BROKEN  {promise}: {error}");
+                self.held = false;
+            }
+        }
+    }
+}
+
+fn order(deployment: &Deployment, signer: usize, purpose: Purpose, digest: Digest) -> Value {
+    let signature = Signature::sign(&deployment.signers[signer], purpose, &digest);
+    json!(BundleOrder { version: deployment.bundle.version, digest, signature })
+}
+
+fn expect(step: &str, (status, body): (u16, Value)) -> Result<Value> {
+    if (200..300).contains(&status) { Ok(body) } else { Err(format!("{step}: {status} {body}")) }
+}
+
+/// Repeats a call while the deployment is starting and not yet able to take it.
+fn retried<F>(call: F) -> Result<(u16, Value)>
+where
+    F: Fn() -> Result<(u16, Value)>,
+{
+    let end = Instant::now() + STEP_LIMIT;
+    loop {
+        let answer = call()?;
+        if answer.0 != 503 || Instant::now() > end {
+            return Ok(answer);
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+fn signed(deployment: &Deployment) -> Result<(Value, Digest)> {
+    let mut signed = SignedBundle { bundle: deployment.bundle.clone(), signatures: Vec::new() };
+    signed.sign(&deployment.signers[0]).map_err(|error| error.to_string())?;
+    let digest = Digest::of(&deployment.bundle).map_err(|error| error.to_string())?;
+    Ok((json!(signed), digest))
+}
+
+fn roll_out(deployment: &Deployment) -> Result<String> {
+    let (signed, digest) = signed(deployment)?;
+    let proposed = retried(|| deployment.post(0, "/v1/bundles/propose", &signed))?;
+    expect("propose", proposed)?;
+    let approve = order(deployment, 1, Purpose::Accept, digest);
+    expect("approve", deployment.post(1, "/v1/bundles/approve", &approve)?)?;
+    let roll_out = order(deployment, 0, Purpose::RollOut, digest);
+    let start = Instant::now();
+    expect("rollout", deployment.post(2, "/v1/bundles/rollout", &roll_out)?)?;
+    let acknowledged = start.elapsed();
+    let version = deployment.bundle.version.0;
+    let in_force = deployment.wait_until(
+        "bundle is in force at all agents beside endpoints",
+        IN_FORCE_LIMIT,
+        |d| {
+            for name in d.names("agent-").iter().filter(|name| name.contains("-e")) {
+                if d.dump(name)?["bundle"]["version"] != version {
+                    return Ok(false);
+                }
+            }
+            Ok(true)
+        },
+    )?;
+    Ok(format!("acknowledged after {acknowledged:.1?}, everywhere {in_force:.1?} later"))
+}
+
+fn refuse_one_signature(deployment: &Deployment) -> Result<String> {
+    let mut bundle = deployment.bundle.clone();
+    bundle.version = bundle.version.next();
+    let mut signed = SignedBundle { bundle: bundle.clone(), signatures: Vec::new() };
+    signed.sign(&deployment.signers[0]).map_err(|error| error.to_string())?;
+    expect("propose", deployment.post(0, "/v1/bundles/propose", &json!(signed))?)?;
+    let digest = Digest::of(&bundle).map_err(|error| error.to_string())?;
+    let signature = Signature::sign(&deployment.signers[0], Purpose::RollOut, &digest);
+    let order = json!(BundleOrder { version: bundle.version, digest, signature });
+    let (status, body) = deployment.post(0, "/v1/bundles/rollout", &order)?;
+    if status < 400 {
+        return Err(format!("rolled out with one signature: {body}"));
+    }
+    Ok(format!("{}", body["message"].as_str().unwrap_or_default()))
+}
+
+/// Retries a request until endpoints have announced themselves.
+fn first_request(deployment: &Deployment) -> Result<()> {
+    let send = |d: &Deployment| {
+        let request =
+            ["request", "--organisation", "fraser", "--kind", "fit-check", "--body", "first"];
+        Ok(d.command(&request)?.0 == 0)
+    };
+    deployment.wait_until("first request is answered", STEP_LIMIT, send).map(|_| ())
+}
+
+/// Sends requests from several threads, does something meanwhile, and returns how many were not answered with their own
+/// body.
+fn send_all<F>(deployment: &Deployment, bodies: &[String], meanwhile: F) -> Result<usize>
+where
+    F: FnOnce() -> Result<()>,
+{
+    let unanswered =
+        |chunk: &[String]| chunk.iter().filter(|body| !is_answered(deployment, body)).count();
+    std::thread::scope(|scope| {
+        let chunks = bodies.chunks(bodies.len().div_ceil(SENDERS));
+        let threads: Vec<_> = chunks.map(|chunk| scope.spawn(move || unanswered(chunk))).collect();
+        meanwhile()?;
+        let counts = threads
+            .into_iter()
+            .map(|thread| thread.join().map_err(|_| "a sender panicked".to_owned()));
+        counts.sum()
+    })
+}
+
+fn is_answered(deployment: &Deployment, body: &str) -> bool {
+    let request = ["request", "--organisation", "fraser", "--kind", "fit-check", "--body", body];
+    deployment.command(&request).is_ok_and(|(code, text)| code == 0 && text == body)
+}
+
+fn answer_requests(deployment: &Deployment) -> Result<String> {
+    first_request(deployment)?;
+    let bodies: Vec<String> =
+        (0..40).map(|n| format!("drawing {n} {}", "x".repeat(n * 997))).collect();
+    let wrong = send_all(deployment, &bodies, || Ok(()))?;
+    if wrong > 0 {
+        return Err(format!(
+            "{wrong} of {} answers were missing or not the caller's own",
+            bodies.len()
+        ));
+    }
+    Ok(format!("{} answers", bodies.len()))
+}
+
+fn runs_of(deployment: &Deployment, body: &str) -> Result<usize> {
+    let runs = deployment.platform_json("/record/runs")?;
+    let hash = blake3::hash(body.as_bytes()).to_hex().to_string();
+    let runs = runs.as_array().cloned().unwrap_or_default();
+    Ok(runs.iter().filter(|run| run["body_hash"] == hash.as_str()).count())
+}
+
+fn run_keyed_once(deployment: &Deployment) -> Result<String> {
+    let body = "scrap ticket 4711";
+    let request = [
+        "request",
+        "--organisation",
+        "fraser",
+        "--kind",
+        "press-review",
+        "--never-repeat",
+        "--key",
+        "4711",
+        "--body",
+        body,
+    ];
+    deployment.command_ok(&request)?;
+    let entry = format!("http://{}", deployment.entries[1]);
+    let (code, text) = deployment.command(&[&request[..], &["--entries", &entry]].concat())?;
+    match runs_of(deployment, body)? {
+        1 => Ok(format!("1 run; the second call exits with {code}: {}", text.trim())),
+        runs => Err(format!("{runs} runs")),
+    }
+}
+
+fn refuse_impossible(deployment: &Deployment) -> Result<String> {
+    let job =
+        ["job", "submit", "--organisation", "fraser", "--kind", "cure-run", "--run-ms", "1000"];
+    let (code, text) =
+        deployment.command(&[&job[..], &["--tasks", "64", "--accelerators", "8"]].concat())?;
+    if code == 0 { Err(format!("accepted: {text}")) } else { Ok(text.trim().to_owned()) }
+}
+
+fn submit(deployment: &Deployment, arguments: &[&str]) -> Result<String> {
+    let job = deployment.command_json(&[&["job", "submit"][..], arguments].concat())?;
+    let id = job["spec"]["id"].as_str();
+    id.map(str::to_owned).ok_or_else(|| format!("no job id in {job}"))
+}
+
+fn running_tasks(deployment: &Deployment, job: &str) -> Result<Vec<Value>> {
+    let records = deployment.platform_json("/record/tasks")?;
+    let of_job = |record: &Value| {
+        let task = record["report"]["task"].as_str().unwrap_or_default();
+        task.starts_with(job) && record["report"]["state"] == "running"
+    };
+    Ok(records.as_array().cloned().unwrap_or_default().into_iter().filter(of_job).collect())
+}
+
+fn run_gang(deployment: &Deployment) -> Result<String> {
+    let job = submit(
+        deployment,
+        &[
+            "--organisation",
+            "marine-seals",
+            "--kind",
+            "cure-run",
+            "--tasks",
+            "2",
+            "--accelerators",
+            "8",
+            "--adjacency",
+            "rack",
+            "--run-ms",
+            "3000",
+        ],
+    )?;
+    let started = deployment
+        .wait_until("both tasks run", STEP_LIMIT, |d| Ok(running_tasks(d, &job)?.len() == 2))?;
+    let tasks = running_tasks(deployment, &job)?;
+    let racks: std::collections::BTreeSet<&str> = tasks
+        .iter()
+        .filter_map(|task| {
+            deployment.workers.iter().find(|place| task["worker"] == place.worker.as_str())
+        })
+        .map(|place| place.rack.as_str())
+        .collect();
+    let (code, text) = deployment.command(&["job", "wait", &job, "--timeout-ms", "60000"])?;
+    if code != 0 {
+        return Err(format!("job wait exited with {code}: {text}"));
+    }
+    if racks.len() > 1 {
+        return Err(format!("tasks of one rack ran in {racks:?}"));
+    }
+    Ok(format!("2 tasks of 8 accelerators in one rack, started after {started:.1?}, succeeded"))
+}
+
+fn table_down(deployment: &Deployment) -> Result<String> {
+    let job = submit(
+        deployment,
+        &["--organisation", "fraser", "--kind", "cure-run", "--run-ms", "15000"],
+    )?;
+    deployment
+        .wait_until("the job runs", STEP_LIMIT, |d| Ok(!running_tasks(d, &job)?.is_empty()))?;
+    deployment.set_faults(&json!({"table_down": true}))?;
+    let end = Instant::now() + OUTAGE;
+    let refused = deployment.command(&[
+        "job",
+        "submit",
+        "--organisation",
+        "fraser",
+        "--kind",
+        "cure-run",
+        "--run-ms",
+        "1",
+    ]);
+    let mut answered = 0;
+    while Instant::now() < end {
+        let request = [
+            "request",
+            "--organisation",
+            "fraser",
+            "--kind",
+            "fit-check",
+            "--body",
+            "during the outage",
+        ];
+        deployment.command_ok(&request)?;
+        answered += 1;
+    }
+    deployment.set_faults(&json!({}))?;
+    let (code, text) = refused?;
+    if code != 1 {
+        return Err(format!("a submission during the outage exited with {code}: {text}"));
+    }
+    let (code, text) = deployment.command(&["job", "wait", &job, "--timeout-ms", "60000"])?;
+    if code != 0 {
+        return Err(format!("the job that ran during the outage: {code} {text}"));
+    }
+    Ok(format!(
+        "{answered} requests answered, submission refused as not run, running job succeeded"
+    ))
+}
+
+/// Fills a data centre with borrowers, then lets the owner of its guarantee ask for its shape.
+fn reclaim(deployment: &Deployment) -> Result<String> {
+    let borrower =
+        ["--kind", "press-review", "--accelerators", "8", "--run-ms", "120000", "--can-checkpoint"];
+    let mut borrowers = Vec::new();
+    for _ in 0..deployment.workers.len() {
+        borrowers.push(submit(
+            deployment,
+            &[&["--organisation", "pump-makers"][..], &borrower].concat(),
+        )?);
+    }
+    deployment.wait_until("borrowers run", STEP_LIMIT, |d| {
+        let records = d.platform_json("/record/tasks")?;
+        let running = records.as_array().cloned().unwrap_or_default();
+        Ok(running.iter().filter(|record| record["report"]["state"] == "running").count() >= 6)
+    })?;
+    let owner = submit(
+        deployment,
+        &[
+            "--organisation",
+            "valve-works",
+            "--kind",
+            "cure-run",
+            "--tasks",
+            "2",
+            "--accelerators",
+            "8",
+            "--adjacency",
+            "rack",
+            "--run-ms",
+            "2000",
+        ],
+    )?;
+    let started = deployment.wait_until("the owner's gang runs", STEP_LIMIT, |d| {
+        Ok(running_tasks(d, &owner)?.len() == 2)
+    })?;
+    for job in &borrowers {
+        deployment.command(&["job", "cancel", job])?;
+    }
+    deployment.command_ok(&["job", "wait", &owner, "--timeout-ms", "60000"])?;
+    Ok(format!("the owner's gang of 16 accelerators started after {started:.1?}"))
+}
+
+fn take_out(deployment: &Deployment) -> Result<String> {
+    let data_centre = "surrey-2";
+    let start = Instant::now();
+    deployment.command_ok(&["datacentre", "out", data_centre])?;
+    let acknowledged = start.elapsed();
+    let out_at_ms = deployment.platform_json("/record/now")?.as_u64().unwrap_or_default();
+    let mut jobs = Vec::new();
+    for _ in 0..12 {
+        let job = [
+            "--organisation",
+            "valve-works",
+            "--kind",
+            "cure-run",
+            "--accelerators",
+            "8",
+            "--run-ms",
+            "500",
+        ];
+        jobs.push(submit(deployment, &job)?);
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    let starts = deployment.platform_json("/record/starts")?;
+    let starts = starts.as_array().cloned().unwrap_or_default();
+    let late = starts.iter().filter(|start| {
+        let worker = start["worker"].as_str().unwrap_or_default();
+        worker.starts_with(data_centre)
+            && start["at_ms"].as_u64().unwrap_or_default() > out_at_ms + OUT_LIMIT_MS
+    });
+    let late = late.count();
+    deployment.command_ok(&["datacentre", "in", data_centre])?;
+    for job in &jobs {
+        deployment.command(&["job", "cancel", job])?;
+    }
+    if late > 0 {
+        return Err(format!("{late} tasks started there more than 3 s after the acknowledgement"));
+    }
+    Ok(format!(
+        "acknowledged after {acknowledged:.1?}; no start there during {} submissions",
+        jobs.len()
+    ))
+}
+
+fn drain(deployment: &Deployment) -> Result<String> {
+    let endpoint = "surrey-1-e1";
+    let bodies: Vec<String> = (0..60).map(|n| format!("ring {n}")).collect();
+    let lost = send_all(deployment, &bodies, || {
+        std::thread::sleep(Duration::from_millis(300));
+        deployment.command_ok(&["endpoint", "drain", endpoint]).map(|_| ())
+    })?;
+    std::thread::sleep(DRAIN_LIMIT);
+    let before = runs_at(deployment, endpoint)?;
+    for n in 0..20 {
+        let body = format!("after the drain {n}");
+        deployment.command_ok(&[
+            "request",
+            "--organisation",
+            "fraser",
+            "--kind",
+            "fit-check",
+            "--body",
+            &body,
+        ])?;
+    }
+    let after = runs_at(deployment, endpoint)?;
+    match (lost, after.len() - before.len(), after.iter().all(|run| run["finished"] == true)) {
+        (0, 0, true) => Ok(format!("{} requests during the drain, none lost", bodies.len())),
+        (lost, new, finished) => {
+            Err(format!("{lost} lost, {new} new runs, all finished: {finished}"))
+        }
+    }
+}
+
+fn runs_at(deployment: &Deployment, endpoint: &str) -> Result<Vec<Value>> {
+    let runs = deployment.platform_json("/record/runs")?;
+    let runs = runs.as_array().cloned().unwrap_or_default();
+    Ok(runs.into_iter().filter(|run| run["endpoint"] == endpoint).collect())
+}
+
+fn no_overcommit(deployment: &Deployment) -> Result<String> {
+    let starts = deployment.platform_json("/record/starts")?;
+    let starts = starts.as_array().cloned().unwrap_or_default();
+    match starts.iter().find(|start| start["overcommitted"] == true) {
+        Some(start) => Err(format!("{start}")),
+        None => Ok(format!("{} starts", starts.len())),
+    }
+}
--- a/examples/local/deployment.rs
+++ b/examples/local/deployment.rs
@@ -3,19 +3,22 @@
 //! Only development code starts processes; the programs of the system start none.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use teaselhall::bundle::Bundle;
+use teaselhall::bundle::{Bundle, PartnerSigner};
 
 /// The key that authenticates frames in local deployments. Real ones use a secret of their own.
 const LOCAL_FRAME_KEY: &str = "6c6f63616c206465706c6f796d656e74206f6e206c6f6f706261636b206f6e6c";
 /// The slots and connections of each endpoint, as at both users.
 const ENDPOINT_SLOTS: u32 = 8;
 const ENDPOINT_CONNECTIONS: u32 = 64;
+/// The first port of a deployment.
+const FIRST_PORT: u16 = 7_400;
 /// The interval at which conditions are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -48,12 +51,16 @@
     pub platform: SocketAddr,
     /// The bundle that the deployment is meant for.
     pub bundle: Bundle,
+    /// The keys of both partners.
+    pub signers: Vec<PartnerSigner>,
 }
 
 impl Deployment {
     /// Writes keys and settings for a bundle's topology into an empty directory; starts nothing yet.
     pub fn prepare(directory: &Path, programs: &Path, bundle: Bundle) -> Result<Self> {
-        std::fs::create_dir_all(directory).map_err(|error| format!("{}: {error}", directory.display()))?;
+        std::fs::create_dir_all(directory)
+            .map_err(|error| format!("{}: {error}", directory.display()))?;
+        let mut addresses = Addresses::new();
         let mut deployment = Self {
             directory: directory.to_owned(),
             programs: programs.to_owned(),
@@ -62,29 +69,34 @@
             http: BTreeMap::new(),
             workers: places(&bundle),
             entries: Vec::new(),
-            platform: free_address()?,
+            platform: addresses.next(),
             bundle,
+            signers: Vec::new(),
         };
         let partners = deployment.write_keys()?;
-        deployment.write_settings(&partners)?;
+        deployment.write_settings(&partners, &mut addresses)?;
         Ok(deployment)
     }
 
-    /// Starts all processes and waits until each is ready.
+    /// Starts all processes and waits until each answers.
     pub fn start(&mut self, limit: Duration) -> Result<()> {
         for name in self.settings.keys().cloned().collect::<Vec<_>>() {
             self.start_process(&name)?;
         }
-        for name in self.names("entry-") {
-            self.wait_until(&format!("{name} answers"), limit, |deployment| deployment.healthy(&name))?;
+        for name in self.http.keys() {
+            self.wait_until(&format!("{name} answers"), limit, |deployment| {
+                deployment.healthy(name)
+            })?;
         }
         Ok(())
     }
 
     /// Starts one process that is not running.
     pub fn start_process(&mut self, name: &str) -> Result<()> {
-        let (program, settings) = self.settings.get(name).cloned().ok_or_else(|| format!("no process {name:?}"))?;
-        let log = std::fs::File::create(self.directory.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
+        let (program, settings) =
+            self.settings.get(name).cloned().ok_or_else(|| format!("no process {name:?}"))?;
+        let log = std::fs::File::create(self.directory.join(format!("{name}.log")))
+            .map_err(|e| e.to_string())?;
         let child = Command::new(self.programs.join(program))
             .arg("--settings")
             .arg(&settings)
@@ -99,13 +111,15 @@
 
     /// Kills a process without a chance to clean up.
     pub fn kill(&mut self, name: &str) -> Result<()> {
-        let mut child = self.processes.remove(name).ok_or_else(|| format!("{name:?} does not run"))?;
+        let mut child =
+            self.processes.remove(name).ok_or_else(|| format!("{name:?} does not run"))?;
         child.kill().and_then(|()| child.wait()).map(|_| ()).map_err(|error| error.to_string())
     }
 
     /// Asks a process to end and waits for it.
     pub fn terminate(&mut self, name: &str, limit: Duration) -> Result<()> {
-        let mut child = self.processes.remove(name).ok_or_else(|| format!("{name:?} does not run"))?;
+        let mut child =
+            self.processes.remove(name).ok_or_else(|| format!("{name:?} does not run"))?;
         signal(&child, "TERM")?;
         let end = Instant::now() + limit;
         while Instant::now() < end {
@@ -126,9 +140,11 @@
 
     /// Runs the command line against all entries and returns its exit code and output.
     pub fn command(&self, arguments: &[&str]) -> Result<(i32, String)> {
-        let entries: Vec<String> = self.entries.iter().map(|address| format!("http://{address}")).collect();
+        let entries: Vec<String> =
+            self.entries.iter().map(|address| format!("http://{address}")).collect();
         let output = self.run_program(arguments, &entries.join(","))?;
-        let text = String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
+        let text = String::from_utf8_lossy(&output.stdout).into_owned()
+            + &String::from_utf8_lossy(&output.stderr);
         Ok((output.status.code().unwrap_or(-1), text))
     }
 
@@ -136,14 +152,19 @@
     pub fn command_ok(&self, arguments: &[&str]) -> Result<String> {
         match self.command(arguments)? {
             (0, text) => Ok(text),
-            (code, text) => Err(format!("teaselhall {} exited with {code}: {}", arguments.join(" "), text.trim())),
+            (code, text) => Err(format!(
+                "teaselhall {} exited with {code}: {}",
+                arguments.join(" "),
+                text.trim()
+            )),
         }
     }
 
     /// Runs the command line with `--json` and parses what it prints.
     pub fn command_json(&self, arguments: &[&str]) -> Result<Value> {
         let text = self.command_ok(&[arguments, &["--json"]].concat())?;
-        serde_json::from_str(&text).map_err(|error| format!("teaselhall {}: {error}: {text}", arguments.join(" ")))
+        serde_json::from_str(&text)
+            .map_err(|error| format!("teaselhall {}: {error}: {text}", arguments.join(" ")))
     }
 
     fn run_program(&self, arguments: &[&str], entries: &str) -> Result<Output> {
@@ -157,11 +178,27 @@
         get_json(&format!("http://{}{path}", self.platform))
     }
 
+    /// Sends a JSON body to an entry, and returns the status and the JSON answer.
+    pub fn post(&self, entry: usize, path: &str, body: &Value) -> Result<(u16, Value)> {
+        let url = format!("http://{}{path}", self.entries[entry]);
+        block_on(async move {
+            let answer = reqwest::Client::new().post(url).json(body).send().await;
+            let answer = answer.map_err(|error| error.to_string())?;
+            let status = answer.status().as_u16();
+            answer.json().await.map(|body| (status, body)).map_err(|error| error.to_string())
+        })
+    }
+
     /// Sets the stand-in's faults.
     pub fn set_faults(&self, faults: &Value) -> Result<()> {
         let url = format!("http://{}/faults", self.platform);
         block_on(async move {
-            let answer = reqwest::Client::new().post(url).json(faults).send().await.map_err(|e| e.to_string())?;
+            let answer = reqwest::Client::new()
+                .post(url)
+                .json(faults)
+                .send()
+                .await
+                .map_err(|e| e.to_string())?;
             answer.error_for_status().map(|_| ()).map_err(|error| error.to_string())
         })
     }
@@ -208,40 +245,47 @@
     fn healthy(&self, name: &str) -> Result<bool> {
         let address = self.http.get(name).ok_or_else(|| format!("no process {name:?}"))?;
         let url = format!("http://{address}/healthz");
-        block_on(async move { Ok(reqwest::get(url).await.is_ok_and(|answer| answer.status().is_success())) })
+        block_on(async move {
+            Ok(reqwest::get(url).await.is_ok_and(|answer| answer.status().is_success()))
+        })
     }
 
-    fn write_keys(&self) -> Result<Value> {
+    fn write_keys(&mut self) -> Result<Value> {
         let mut partners = Vec::new();
         for partner in ["partner-1", "partner-2"] {
+            let signer = PartnerSigner::generate(partner.into(), &mut rand::rng());
             let path = self.path(&format!("{partner}.key"));
-            let output = self.run_program(&["key", "new", "--partner", partner, "--file", &path, "--json"], "")?;
-            let text = String::from_utf8_lossy(&output.stdout).into_owned();
-            let key: Value = serde_json::from_str(&text).map_err(|error| {
-                format!("key new: {error}: {text}{}", String::from_utf8_lossy(&output.stderr))
-            })?;
-            partners.push(json!({"id": partner, "public_key": key["public_key"]}));
+            signer.write_new(Path::new(&path)).map_err(|error| error.to_string())?;
+            partners.push(json!(signer.public_key()));
+            self.signers.push(signer);
         }
         Ok(Value::from(partners))
     }
 
-    fn write_settings(&mut self, partners: &Value) -> Result<()> {
+    fn write_settings(&mut self, partners: &Value, addresses: &mut Addresses) -> Result<()> {
         let platform_url = format!("http://{}", self.platform);
         let common = json!({"platform_url": platform_url, "frame_key": LOCAL_FRAME_KEY, "partners": partners});
-        let agents = self.write_entries(&common)?;
-        self.write_worker_agents(&common, &agents)?;
-        let endpoints = self.write_endpoint_agents(&common, &agents)?;
-        let worker = |place: &Place| json!({"id": place.worker, "shape": self.shape(&place.data_centre)});
+        let agents = self.write_entries(&common, addresses)?;
+        self.write_worker_agents(&common, &agents, addresses)?;
+        let endpoints = self.write_endpoint_agents(&common, &agents, addresses)?;
+        let worker =
+            |place: &Place| json!({"id": place.worker, "shape": self.shape(&place.data_centre)});
         let workers: Vec<Value> = self.workers.iter().map(worker).collect();
-        let platform = json!({"http_address": self.platform, "workers": workers, "endpoints": endpoints});
+        let platform =
+            json!({"http_address": self.platform, "workers": workers, "endpoints": endpoints});
+        self.http.insert("platform".to_owned(), self.platform);
         self.write("platform", "teaselhall-platform", &platform)
     }
 
-    fn write_entries(&mut self, common: &Value) -> Result<Vec<SocketAddr>> {
+    fn write_entries(
+        &mut self,
+        common: &Value,
+        addresses: &mut Addresses,
+    ) -> Result<Vec<SocketAddr>> {
         let mut agent_addresses = Vec::new();
         for (index, data_centre) in self.data_centres().iter().enumerate() {
             let name = format!("entry-{}", index + 1);
-            let (http, agent) = (free_address()?, free_address()?);
+            let (http, agent) = (addresses.next(), addresses.next());
             let own = json!({"process": name, "data_centre": data_centre, "http_address": http, "agent_address": agent});
             self.write(&name, "teaselhall-entry", &merged(common, &own))?;
             self.http.insert(name, http);
@@ -251,16 +295,21 @@
         Ok(agent_addresses)
     }
 
-    fn write_worker_agents(&mut self, common: &Value, entries: &[SocketAddr]) -> Result<()> {
+    fn write_worker_agents(
+        &mut self,
+        common: &Value,
+        entries: &[SocketAddr],
+        addresses: &mut Addresses,
+    ) -> Result<()> {
         for place in self.workers.clone() {
             let name = format!("agent-{}", place.worker);
-            let http = free_address()?;
+            let http = addresses.next();
             let own = json!({
                 "process": name, "data_centre": place.data_centre, "http_address": http, "entries": entries,
                 "beside": {"worker": {
                     "worker": place.worker, "rack": place.rack, "shape": self.shape(&place.data_centre),
                     "worker_url": format!("http://{}/worker/{}", self.platform, place.worker),
-                    "udp_address": free_udp_address()?, "heartbeat_ms": 500, "gang_lease_ms": 4_000,
+                    "udp_address": addresses.next(), "heartbeat_ms": 500, "gang_lease_ms": 6_000,
                     "leader_lease_ms": 3_000,
                 }},
             });
@@ -270,12 +319,17 @@
         Ok(())
     }
 
-    fn write_endpoint_agents(&mut self, common: &Value, entries: &[SocketAddr]) -> Result<Vec<Value>> {
+    fn write_endpoint_agents(
+        &mut self,
+        common: &Value,
+        entries: &[SocketAddr],
+        addresses: &mut Addresses,
+    ) -> Result<Vec<Value>> {
         let mut endpoints = Vec::new();
         for place in self.workers.clone() {
             let endpoint = place.worker.replace("-w", "-e");
             let name = format!("agent-{endpoint}");
-            let (http, runner) = (free_address()?, free_address()?);
+            let (http, runner) = (addresses.next(), addresses.next());
             let own = json!({
                 "process": name, "data_centre": place.data_centre, "http_address": http, "entries": entries,
                 "beside": {"endpoint": {"endpoint": endpoint}},
@@ -301,7 +355,8 @@
 
     fn write(&mut self, name: &str, program: &'static str, settings: &Value) -> Result<()> {
         let path = self.directory.join(format!("{name}.json"));
-        std::fs::write(&path, format!("{settings:#}")).map_err(|error| format!("{}: {error}", path.display()))?;
+        std::fs::write(&path, format!("{settings:#}"))
+            .map_err(|error| format!("{}: {error}", path.display()))?;
         self.settings.insert(name.to_owned(), (program, path));
         Ok(())
     }
@@ -319,7 +374,10 @@
 fn places(bundle: &Bundle) -> Vec<Place> {
     let mut places = Vec::new();
     for data_centre in &bundle.data_centres {
-        let racks = data_centre.racks.iter().flat_map(|rack| (0..rack.workers).map(move |_| rack.id.to_string()));
+        let racks = data_centre
+            .racks
+            .iter()
+            .flat_map(|rack| (0..rack.workers).map(move |_| rack.id.to_string()));
         for (index, rack) in racks.enumerate() {
             let worker = format!("{}-w{}", data_centre.id, index + 1);
             places.push(Place { data_centre: data_centre.id.to_string(), rack, worker });
@@ -336,15 +394,25 @@
     merged
 }
 
-/// Returns a TCP address that was free a moment ago.
-fn free_address() -> Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
-    listener.local_addr().map_err(|error| error.to_string())
+/// Addresses of one deployment: a loopback IP address of its own, and ports below those that the system hands out to
+/// outgoing connections, so that nothing else can take one before its process binds it.
+struct Addresses {
+    ip: Ipv4Addr,
+    next_port: u16,
 }
 
-fn free_udp_address() -> Result<SocketAddr> {
-    let socket = UdpSocket::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
-    socket.local_addr().map_err(|error| error.to_string())
+impl Addresses {
+    fn new() -> Self {
+        static DEPLOYMENTS: AtomicU8 = AtomicU8::new(1);
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, high.max(1), low, DEPLOYMENTS.fetch_add(1, Ordering::Relaxed));
+        Self { ip, next_port: FIRST_PORT }
+    }
+
+    fn next(&mut self) -> SocketAddr {
+        self.next_port += 1;
+        SocketAddr::from((self.ip, self.next_port))
+    }
 }
 
 fn signal(child: &Child, name: &str) -> Result<()> {
--- a/src/command/service.rs
+++ b/src/command/service.rs
@@ -2,22 +2,29 @@
 
 use getopts::Options;
 use reqwest::Method;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::client::Retry;
 use super::inspect::render_values;
 use super::{Context, Output, Result};
+use crate::api::ServiceOrder;
 
 /// `datacentre out` and `datacentre in`.
 pub(super) async fn change(arguments: &[&str], state: &str) -> Result<Output> {
     let usage = format!("datacentre {state} ID");
-    let context = match Context::parse(&usage, arguments, Options::new(), 1..=1)? {
+    let mut options = Options::new();
+    options.optopt("", "operator", "name for the record, default: the user", "NAME");
+    let context = match Context::parse(&usage, arguments, options, 1..=1)? {
         Ok(context) => context,
         Err(help) => return Ok(help),
     };
+    let user = || std::env::var("USER").unwrap_or_else(|_| "operator".to_owned());
+    let operator = context.matches.opt_str("operator").unwrap_or_else(user);
+    let body = json!(ServiceOrder { operator });
     let path = format!("/v1/datacentres/{}/{state}", context.argument(0));
     // Setting the same state again is harmless.
-    let answer = context.client()?.send(&Method::POST, &path, None, Retry::Idempotent).await?;
+    let answer =
+        context.client()?.send(&Method::POST, &path, Some(&body), Retry::Idempotent).await?;
     if context.json {
         return Ok(Output::done(&answer.to_string()));
     }
