Offer cells that become free rack by rack

Now only the racks in which cells became free are searched at once, and the whole group with the next tick.

--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -111,13 +111,21 @@
     }
 }
 
+/// The workers of a group that have room for tasks of a gang, rack by rack.
+struct Rooms {
+    all: Vec<Room>,
+    /// Where the rooms of each rack end in `all`.
+    ends: Vec<usize>,
+}
+
 /// Chooses cells for all tasks of a gang, or returns `None` if not all of them fit.
 ///
-/// `offer` says what the gang may use on each worker.
+/// `offer` says what the gang may use on each worker; only the given racks are searched, or all.
 pub fn choose<F, R>(
     pool: &Pool,
     demand: &Demand,
     policy: Policy,
+    racks: Option<&[u32]>,
     random: &mut R,
     offer: F,
 ) -> Option<Plan>
@@ -125,9 +133,16 @@
     F: Fn(u32, &Worker) -> Option<Candidate>,
     R: Rng,
 {
-    let mut racks = rooms_by_rack(pool, demand, &offer);
+    let rooms = Rooms::find(pool, demand, racks, &offer);
+    if rooms.all.is_empty() {
+        return None;
+    }
+    let mut racks: Vec<&[Room]> = rooms.racks().collect();
+    let mut shuffled = Vec::new();
     if policy == Policy::RandomFit {
-        shuffle(&mut racks, random);
+        shuffled.extend(racks.iter().map(|rack| rack.to_vec()));
+        shuffle(&mut shuffled, random);
+        racks = shuffled.iter().map(Vec::as_slice).collect();
     }
     let chosen = match demand.adjacency {
         Adjacency::Worker => one_worker(pool, demand, policy, &racks)?,
@@ -138,18 +153,44 @@
     Some(fill(pool, demand, &chosen))
 }
 
-fn rooms_by_rack<F>(pool: &Pool, demand: &Demand, offer: &F) -> Vec<Vec<Room>>
-where
-    F: Fn(u32, &Worker) -> Option<Candidate>,
-{
-    let room = |position: u32| {
-        let candidate = offer(position, pool.worker(position))?;
-        let slots = demand.slots(&candidate);
-        (slots > 0).then_some(Room { worker: position, slots, candidate })
-    };
-    (0..pool.rack_count())
-        .map(|rack| pool.rack(rack).iter().filter_map(|p| room(*p)).collect())
-        .collect()
+impl Rooms {
+    fn find<F>(pool: &Pool, demand: &Demand, racks: Option<&[u32]>, offer: &F) -> Self
+    where
+        F: Fn(u32, &Worker) -> Option<Candidate>,
+    {
+        let mut rooms = Self { all: Vec::new(), ends: Vec::new() };
+        match racks {
+            Some(racks) => {
+                racks.iter().for_each(|rack| rooms.add_rack(pool, demand, *rack as usize, offer))
+            }
+            None => {
+                (0..pool.rack_count()).for_each(|rack| rooms.add_rack(pool, demand, rack, offer))
+            }
+        }
+        rooms
+    }
+
+    fn add_rack<F>(&mut self, pool: &Pool, demand: &Demand, rack: usize, offer: &F)
+    where
+        F: Fn(u32, &Worker) -> Option<Candidate>,
+    {
+        for position in pool.rack(rack) {
+            let Some(candidate) = offer(*position, pool.worker(*position)) else { continue };
+            let slots = demand.slots(&candidate);
+            if slots > 0 {
+                self.all.push(Room { worker: *position, slots, candidate });
+            }
+        }
+        self.ends.push(self.all.len());
+    }
+
+    fn racks(&self) -> impl Iterator<Item = &[Room]> {
+        let starts = std::iter::once(0).chain(self.ends.iter().copied());
+        starts
+            .zip(&self.ends)
+            .map(|(start, end)| &self.all[start..*end])
+            .filter(|rack| !rack.is_empty())
+    }
 }
 
 fn shuffle<R>(racks: &mut [Vec<Room>], random: &mut R)
@@ -181,9 +222,9 @@
     pool: &Pool,
     demand: &Demand,
     policy: Policy,
-    racks: &[Vec<Room>],
+    racks: &[&[Room]],
 ) -> Option<Vec<Room>> {
-    let mut fitting = racks.iter().flatten().filter(|room| room.slots >= demand.tasks);
+    let mut fitting = racks.iter().copied().flatten().filter(|room| room.slots >= demand.tasks);
     let room = match policy {
         Policy::Product => fitting.min_by_key(|room| tightness(pool, room)),
         _ => fitting.next(),
@@ -191,19 +232,14 @@
     room.map(|room| vec![*room])
 }
 
-fn one_rack(
-    pool: &Pool,
-    demand: &Demand,
-    policy: Policy,
-    racks: &[Vec<Room>],
-) -> Option<Vec<Room>> {
-    let slots = |rack: &Vec<Room>| rack.iter().map(|room| room.slots).sum::<u32>();
-    let mut fitting = racks.iter().filter(|rack| slots(rack) >= demand.tasks);
+fn one_rack(pool: &Pool, demand: &Demand, policy: Policy, racks: &[&[Room]]) -> Option<Vec<Room>> {
+    let slots = |rack: &[Room]| rack.iter().map(|room| room.slots).sum::<u32>();
+    let mut fitting = racks.iter().filter(|rack| slots(rack) >= demand.tasks).copied();
     let rack = match policy {
         Policy::Product => fitting.min_by_key(|rack| (cheapest(demand, rack), slots(rack))),
         _ => fitting.next(),
     }?;
-    Some(pick(pool, demand.tasks, policy, rack.clone()))
+    Some(pick(pool, demand.tasks, policy, rack.to_vec()))
 }
 
 /// Returns the least cost at which a rack takes all tasks.
@@ -229,9 +265,9 @@
     pool: &Pool,
     demand: &Demand,
     policy: Policy,
-    racks: &[Vec<Room>],
+    racks: &[&[Room]],
 ) -> Option<Vec<Room>> {
-    let mut order: Vec<&Vec<Room>> = racks.iter().collect();
+    let mut order: Vec<&[Room]> = racks.to_vec();
     if policy == Policy::Product {
         order
             .sort_by_key(|rack| std::cmp::Reverse(rack.iter().map(|room| room.slots).sum::<u32>()));
@@ -242,7 +278,7 @@
         if left == 0 {
             break;
         }
-        let part = pick(pool, left, policy, rack.clone());
+        let part = pick(pool, left, policy, rack.to_vec());
         left -= part.iter().map(|room| room.slots).sum::<u32>();
         chosen.extend(part);
     }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -50,7 +50,7 @@
         })
     };
     let plan =
-        choose(pool, &Demand { tasks, task, adjacency }, Policy::Product, &mut random, open)?;
+        choose(pool, &Demand { tasks, task, adjacency }, Policy::Product, None, &mut random, open)?;
     let mask = |cells: &[crate::scheduler::TaskCell]| {
         cells.iter().fold(0, |all, c| all | c.accelerator_mask)
     };
--- a/src/scheduler/feasible.rs
+++ b/src/scheduler/feasible.rs
@@ -57,7 +57,7 @@
                 cost: 0,
             })
         };
-        choose(pool, demand, self.policy, &mut NoRandom, offer)
+        choose(pool, demand, self.policy, None, &mut NoRandom, offer)
     }
 
     /// Returns whether a job fits into the empty group together with all guarantees of other organisations.
--- a/src/scheduler/finish.rs
+++ b/src/scheduler/finish.rs
@@ -178,7 +178,8 @@
         }
         self.check_quarantine(now_ms, out);
         self.renew_reservation(now_ms);
-        self.dirty = true;
+        self.dirty |= self.changed || self.next_search_ms <= now_ms;
+        self.unfinished = true;
     }
 
     fn overdue(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -148,7 +148,7 @@
         let organisation = self.jobs[&key].rights.organisation;
         let entry = &mut self.organisations[organisation as usize];
         entry.used = entry.used.saturating_sub(freed);
-        self.dirty = true;
+        self.touch(worker);
     }
 
     /// Finds the job of a gang, unless the gang is not the job's present attempt.
@@ -313,7 +313,7 @@
         job.retry_at_ms = retry_at_ms;
         self.active.remove(&key);
         self.enter_queue(key);
-        self.dirty = true;
+        self.changed = true;
     }
 
     /// Notes that the tasks of a gang on one worker run.
--- a/src/scheduler/members.rs
+++ b/src/scheduler/members.rs
@@ -267,7 +267,7 @@
     fn drop_stray(&mut self, index: usize) {
         let stray = self.strays.swap_remove(index);
         self.pool.release(stray.worker, stray.key);
-        self.dirty = true;
+        self.touch(stray.worker);
     }
 
     /// Fences workers that did not stop stray tasks in time.
--- a/src/scheduler/place.rs
+++ b/src/scheduler/place.rs
@@ -11,10 +11,25 @@
 use crate::placement::{Demand, JobKey, Policy};
 use crate::prelude::*;
 
-/// The most searches for cells in one pass over the queue; one takes about a microsecond for each hundred workers.
-///
-/// A pass that needs more goes on with the next input.
-const SEARCHES_PER_PASS: u32 = 16;
+/// The most searches of the whole group in one pass over the queue; the next pass goes on where it ended.
+const GROUP_SEARCHES: u32 = 32;
+/// The most searches in one pass of the racks in which cells became free, each of which is short.
+const RACK_SEARCHES: u32 = 32;
+/// The time between two searches of the whole group while nothing changes, for workers that are avoided for a while.
+const SEARCH_MS: u64 = 1_000;
+
+/// What one pass over the queue keeps between jobs.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pass {
+    /// The racks that are searched; all if absent.
+    pub racks: Option<Vec<u32>>,
+    /// Demands for which these racks have no room.
+    pub missed: Vec<Hopeless>,
+    /// Cells of guaranteed blocks that may be moved, by worker; empty if not known yet.
+    pub idle: Vec<u64>,
+    /// Searches that may still be made.
+    pub searches: u32,
+}
 
 /// A demand for which there was no room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,11 +39,13 @@
     pub demand: Demand,
 }
 
-/// The waiting jobs of one organisation and class, and how many of them were tried.
+/// The waiting jobs of one organisation and class, and how far they were tried.
 struct Line {
     organisation: u32,
-    jobs: Vec<(JobKey, Waiting)>,
-    tried: usize,
+    class: Class,
+    /// The job to be tried next, and those after it.
+    from: JobKey,
+    over: bool,
 }
 
 impl Scheduler {
@@ -76,33 +93,45 @@
         if self.policy == Policy::FirstComeFirstFit && self.queue.len() > 1 {
             return;
         }
-        if self.blocked(now_ms, key).is_none() && !self.unfinished {
+        if self.blocked(now_ms, key).is_none() {
+            self.pass = Pass::default();
             self.try_job(now_ms, key, Scope::All, random, out);
         }
     }
 
     /// Goes through the queue if cells became free.
+    ///
+    /// Cells that became free in a few racks are offered at once; the whole group is searched with the next tick.
     pub(crate) fn serve_queue<R>(&mut self, now_ms: u64, random: &mut R, out: &mut Vec<Output>)
     where
         R: Rng,
     {
-        if !self.permitted || !(self.dirty || self.unfinished) {
+        let whole = self.dirty || self.unfinished;
+        if !self.permitted || !(whole || !self.touched.is_empty()) {
             return;
         }
+        let touched: Vec<u32> = std::mem::take(&mut self.touched).into_iter().collect();
         if self.dirty {
             self.hopeless.clear();
+            self.changed = false;
+            self.next_search_ms = now_ms + SEARCH_MS;
         }
         self.dirty = false;
         self.unfinished = false;
         if self.policy != Policy::Product {
+            self.pass = Pass::default();
             self.serve_by_age(now_ms, random, out);
             return;
         }
-        let mut searches = 0;
+        self.pass = match whole {
+            true => Pass { searches: GROUP_SEARCHES, ..Pass::default() },
+            false => Pass { racks: Some(touched), searches: RACK_SEARCHES, ..Pass::default() },
+        };
         if self.ramp_limit(now_ms).is_some() {
-            self.serve_by_class(now_ms, Scope::Guaranteed, &mut searches, random, out);
+            self.serve_by_class(now_ms, Scope::Guaranteed, random, out);
         }
-        self.serve_by_class(now_ms, Scope::All, &mut searches, random, out);
+        self.serve_by_class(now_ms, Scope::All, random, out);
+        self.pass = Pass::default();
     }
 
     fn serve_by_age<R>(&mut self, now_ms: u64, random: &mut R, out: &mut Vec<Output>)
@@ -124,19 +153,23 @@
         &mut self,
         now_ms: u64,
         scope: Scope,
-        searches: &mut u32,
         random: &mut R,
         out: &mut Vec<Output>,
     ) where
         R: Rng,
     {
         for class in CLASSES {
-            let mut lines: Vec<Line> = self.queue.lines(class).iter().map(line).collect();
+            let line = |organisation: &u32| Line {
+                organisation: *organisation,
+                class,
+                from: 0,
+                over: false,
+            };
+            let mut lines: Vec<Line> = self.queue.lines(class).keys().map(line).collect();
             while let Some(next) = self.neediest(&lines) {
-                let line = &mut lines[next];
-                let placed = self.serve_line(now_ms, line, scope, searches, random, out);
-                if !placed && *searches >= SEARCHES_PER_PASS {
-                    self.unfinished = true;
+                let placed = self.serve_line(now_ms, &mut lines[next], scope, random, out);
+                if !placed && self.pass.searches == 0 {
+                    self.unfinished = self.pass.racks.is_none();
                     return;
                 }
             }
@@ -145,11 +178,8 @@
 
     /// Returns the line whose organisation uses the least in relation to its guarantee.
     fn neediest(&self, lines: &[Line]) -> Option<usize> {
-        let rest = (0..lines.len()).filter(|index| lines[*index].tried < lines[*index].jobs.len());
-        rest.min_by_key(|index| {
-            let line = &lines[*index];
-            (self.relative_use(line.organisation), line.jobs[line.tried].0)
-        })
+        let rest = (0..lines.len()).filter(|index| !lines[*index].over);
+        rest.min_by_key(|index| (self.relative_use(lines[*index].organisation), lines[*index].from))
     }
 
     /// Returns what an organisation uses in relation to its guarantee, in thousandths.
@@ -164,30 +194,43 @@
         now_ms: u64,
         line: &mut Line,
         scope: Scope,
-        searches: &mut u32,
         random: &mut R,
         out: &mut Vec<Output>,
     ) -> bool
     where
         R: Rng,
     {
-        while let Some((key, waiting)) = line.jobs.get(line.tried).copied() {
-            if self.is_hopeless(&waiting) || self.waits_for(now_ms, &waiting).is_some() {
-                line.tried += 1;
-                continue;
-            }
-            if *searches >= SEARCHES_PER_PASS {
+        while let Some(key) = self.next_of(now_ms, line) {
+            if self.pass.searches == 0 {
                 return false;
             }
-            line.tried += 1;
-            *searches += 1;
+            self.pass.searches -= 1;
+            line.from = key + 1;
             if self.try_job(now_ms, key, scope, random, out) {
                 return true;
             }
         }
+        line.over = true;
         false
     }
 
+    /// Returns the next job of a line that may start and for which there may be room.
+    fn next_of(&self, now_ms: u64, line: &Line) -> Option<JobKey> {
+        let jobs = self.queue.lines(line.class).get(&line.organisation)?;
+        let may_start = |waiting: &Waiting| {
+            !self.is_missed(waiting) && self.waits_for(now_ms, waiting).is_none()
+        };
+        jobs.range(line.from..).find(|(_, waiting)| may_start(waiting)).map(|(key, _)| *key)
+    }
+
+    /// Returns whether the present pass found no room for a demand that is no larger and has the same rights.
+    fn is_missed(&self, waiting: &Waiting) -> bool {
+        match self.pass.racks {
+            Some(_) => covers(&self.pass.missed, waiting),
+            None => self.is_hopeless(waiting),
+        }
+    }
+
     /// Starts an attempt of a waiting job if cells for all its tasks are free or can be taken back.
     fn try_job<R>(
         &mut self,
@@ -205,17 +248,17 @@
         let general = scope == Scope::All && self.reservation.as_ref().is_none_or(|r| r.job != key);
         let placed = self.place(now_ms, key, scope, random, out);
         if !placed && general {
-            self.hopeless.push(missed);
+            match self.pass.racks {
+                Some(_) => self.pass.missed.push(missed),
+                None => self.hopeless.push(missed),
+            }
         }
         placed
     }
 
     /// Returns whether there was no room for a demand that is no larger and has the same rights.
     pub(crate) fn is_hopeless(&self, waiting: &Waiting) -> bool {
-        let covers = |missed: &Hopeless| {
-            missed.rights == waiting.rights && waiting.demand.needs_at_least(&missed.demand)
-        };
-        self.hopeless.iter().any(covers)
+        covers(&self.hopeless, waiting)
     }
 
     /// Returns why a job may not start now, whatever cells are free.
@@ -263,7 +306,9 @@
     }
 }
 
-fn line((organisation, jobs): (&u32, &std::collections::BTreeMap<JobKey, Waiting>)) -> Line {
-    let jobs = jobs.iter().map(|(key, waiting)| (*key, *waiting)).collect();
-    Line { organisation: *organisation, jobs, tried: 0 }
+fn covers(missed: &[Hopeless], waiting: &Waiting) -> bool {
+    let covers = |missed: &Hopeless| {
+        missed.rights == waiting.rights && waiting.demand.needs_at_least(&missed.demand)
+    };
+    missed.iter().any(covers)
 }
--- a/src/scheduler/reclaim.rs
+++ b/src/scheduler/reclaim.rs
@@ -75,13 +75,12 @@
                 self.vacate(now_ms, *victim, Leave::Reclaimed, out);
             }
         }
-        self.claims = true;
+        self.claiming.insert(key);
     }
 
     /// Gives the cells that a job waits for up.
     pub(crate) fn unclaim(&mut self, key: JobKey) {
         self.mark_claim(key, false);
-        self.dirty = true;
     }
 
     fn mark_claim(&mut self, key: JobKey, claimed: bool) {
@@ -98,20 +97,15 @@
             } else {
                 *used = used.saturating_sub(count);
                 self.pool.unclaim(worker, key);
+                self.touch(worker);
+                self.claiming.remove(&key);
             }
         }
     }
 
     /// Goes on with jobs whose cells were given back.
     pub(crate) fn serve_claims(&mut self, now_ms: u64, out: &mut Vec<Output>) {
-        if !self.claims {
-            return;
-        }
-        let claiming = |key: &JobKey| {
-            self.jobs[key].gang.as_ref().is_some_and(|gang| gang.stage == Stage::Claiming)
-        };
-        let keys: Vec<JobKey> = self.active.iter().copied().filter(claiming).collect();
-        self.claims = !keys.is_empty();
+        let keys: Vec<JobKey> = self.claiming.iter().copied().collect();
         for key in keys {
             self.serve_claim(now_ms, key, out);
         }
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -89,7 +89,8 @@
         };
         // No random number is drawn under the product policy.
         let mut random = NoRandom;
-        let Some(plan) = choose(&self.pool, &job.demand, self.policy, &mut random, offer) else {
+        let Some(plan) = choose(&self.pool, &job.demand, self.policy, None, &mut random, offer)
+        else {
             return;
         };
         let cells = cells_of(&plan);
--- a/src/scheduler/search.rs
+++ b/src/scheduler/search.rs
@@ -60,10 +60,14 @@
         R: Rng,
     {
         for way in self.ways(key, scope) {
+            if way.moves_blocks && self.pass.idle.is_empty() {
+                self.pass.idle = self.bindings.idle_masks(&self.pool);
+            }
             let Some(plan) = self.find_cells(now_ms, key, way, random) else { continue };
             if way.moves_blocks && !self.make_room(key, &plan) {
                 continue;
             }
+            self.pass.idle.clear();
             match way.evict {
                 Evict::Nothing => self.begin(now_ms, key, plan, out),
                 _ => {
@@ -113,7 +117,8 @@
     {
         let job = &self.jobs[&key];
         let backfills = self.may_backfill(now_ms, key) || way.reach == Reach::Own;
-        let idle = if way.moves_blocks { self.bindings.idle_masks(&self.pool) } else { Vec::new() };
+        let none = Vec::new();
+        let idle = if way.moves_blocks { &self.pass.idle } else { &none };
         let offer = |position: u32, worker: &Worker| {
             if !worker.takes_work(now_ms) {
                 return None;
@@ -133,7 +138,7 @@
             }
             Some(candidate)
         };
-        choose(&self.pool, &job.demand, self.policy, random, offer)
+        choose(&self.pool, &job.demand, self.policy, self.pass.racks.as_deref(), random, offer)
     }
 
     /// Returns what a job may use on a worker.
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -7,7 +7,7 @@
 
 use super::learn::Learned;
 use super::message::{Block, GroupRules, Input, Output, TaskCell};
-use super::place::Hopeless;
+use super::place::{Hopeless, Pass};
 use super::queue::{Queue, Waiting};
 use super::reserve::Reservation;
 use super::work::{Job, Rights};
@@ -47,12 +47,21 @@
     pub(crate) since_ms: Option<u64>,
     /// Whether that time has passed.
     pub(crate) settled: bool,
-    /// Whether cells became free since the queue was last gone through.
+    /// Whether anything changed that may let any waiting job start.
     pub(crate) dirty: bool,
+    /// Racks in which cells became free since the queue was last gone through.
+    pub(crate) touched: BTreeSet<u32>,
+    /// Whether cells became free since the whole group was last searched.
+    pub(crate) changed: bool,
+    /// When the whole group is searched next even if nothing changed.
+    pub(crate) next_search_ms: u64,
+    /// The present pass over the queue.
+    #[serde(skip)]
+    pub(crate) pass: Pass,
     /// Whether the last pass over the queue was cut short.
     pub(crate) unfinished: bool,
-    /// Whether any job waits for cells that others are giving back.
-    pub(crate) claims: bool,
+    /// Jobs that wait for cells that others are giving back.
+    pub(crate) claiming: BTreeSet<JobKey>,
     /// When the data centre came back into service.
     pub(crate) returned_ms: Option<u64>,
     /// Whether operators took the data centre out.
@@ -140,8 +149,12 @@
             since_ms: None,
             settled: false,
             dirty: false,
+            touched: BTreeSet::new(),
+            changed: false,
+            next_search_ms: 0,
+            pass: Pass::default(),
             unfinished: false,
-            claims: false,
+            claiming: BTreeSet::new(),
             returned_ms: None,
             out_of_service: false,
             last_ms: 0,
@@ -289,6 +302,13 @@
         Some(Rights { organisation, class, borrows: may_borrow && reclaimable, reclaimable })
     }
 
+    /// Notes that cells of a worker became free.
+    pub(crate) fn touch(&mut self, worker: u32) {
+        let rack = self.pool.worker(worker).rack;
+        self.touched.insert(rack);
+        self.changed = true;
+    }
+
     pub(crate) fn job_mut(&mut self, key: JobKey) -> &mut Job {
         self.jobs.get_mut(&key).expect("a key of the scheduler names a job")
     }
