--- a/src/scheduler/place.rs
+++ b/src/scheduler/place.rs
@@ -107,7 +107,7 @@
         R: Rng,
     {
         let whole = self.dirty || self.unfinished;
-        if !self.permitted || !(whole || !self.touched.is_empty()) {
+        if !self.permitted || (!whole && self.touched.is_empty()) {
             return;
         }
         let touched: Vec<u32> = std::mem::take(&mut self.touched).into_iter().collect();
