--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod platform;
 pub mod prelude;
 pub mod process;
-pub mod replay;
 pub mod registration;
 pub mod replay;
 pub mod request;
