--- a/src/replay/compare.rs
+++ b/src/replay/compare.rs
@@ -27,7 +27,7 @@
     value: fn(&Measures) -> Option<f64>,
 }
 
-const QUANTITIES: [Quantity; 9] = [
+const QUANTITIES: [Quantity; 10] = [
     Quantity { name: "urgent p50, s", value: |m| seconds(completion(m, Class::Urgent).p50_ms) },
     Quantity { name: "urgent p99, s", value: |m| seconds(completion(m, Class::Urgent).p99_ms) },
     Quantity { name: "normal p50, s", value: |m| seconds(completion(m, Class::Normal).p50_ms) },
@@ -37,6 +37,10 @@
     Quantity { name: "large gangs' first start p99, s", value: |m| seconds(m.large_start_p99_ms) },
     Quantity { name: "fragmentation", value: |m| Some(m.fragmentation) },
     Quantity { name: "work done in a data centre change", value: |m| m.work_done },
+    Quantity {
+        name: "jobs that succeeded",
+        value: |m| Some(m.ended.get("succeeded").copied().unwrap_or_default() as f64),
+    },
 ];
 
 /// The reports of one user and disturbance, by seed.
@@ -137,9 +141,12 @@
             self.product.iter().filter(|r| !r.broken.is_empty()).map(|r| r.seed).collect();
         let verdict = if broken.is_empty() { "none".to_owned() } else { format!("{broken:?}") };
         let _ = writeln!(text, "- seeds with a broken promise under the product: {verdict}");
-        let baselines = self.first_come.iter().chain(&self.random);
-        let broken = baselines.filter(|report| !report.broken.is_empty()).count();
-        let _ = writeln!(text, "- baseline runs with a broken promise: {broken}");
+        let _ = writeln!(
+            text,
+            "- seeds with a broken promise under the baselines, which ignore guarantees: {} first-come, {} random",
+            count_broken(&self.first_come),
+            count_broken(&self.random)
+        );
     }
 }
 
@@ -161,6 +168,10 @@
     );
 }
 
+fn count_broken(reports: &[Report]) -> usize {
+    reports.iter().filter(|report| !report.broken.is_empty()).count()
+}
+
 fn completion(measures: &Measures, class: Class) -> super::Completion {
     measures.completion.get(&class).copied().unwrap_or_default()
 }
--- a/src/replay/measure.rs
+++ b/src/replay/measure.rs
@@ -16,7 +16,7 @@
 pub struct Measures {
     /// Completion times of each class.
     pub completion: BTreeMap<Class, Completion>,
-    /// Of large gangs that succeeded, the p99 of the time from submission to end less the job's own run time.
+    /// Of large gangs that succeeded or have no end, the p99 of the time from submission to end less the job's own run time.
     pub large_wait_p99_ms: u64,
     /// Of large gangs, the p99 of the time from submission to the first start.
     pub large_start_p99_ms: u64,
@@ -38,7 +38,7 @@
     pub ended: BTreeMap<String, u64>,
 }
 
-/// Completion time of the succeeded jobs of a class, from submission to end, and the bound by their own run times.
+/// Completion time of the jobs of a class that succeeded or have no end, and the bound by their own run times.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Completion {
     /// The number of jobs.
@@ -173,8 +173,8 @@
 
     pub(super) fn finish(&self) -> Measures {
         let large = || self.jobs.values().filter(|job| job.accelerators >= LARGE_ACCELERATORS);
-        let waits = large().filter_map(Measured::wait_ms);
-        let starts = large().filter_map(|job| Some(job.first_start_ms? - job.submitted_ms));
+        let waits = large().filter_map(|job| job.wait_ms(self.now_ms));
+        let starts = large().filter_map(|job| job.first_start_ms(self.now_ms));
         let done_ms = self.done_ms.saturating_sub(self.lost_in_change_ms);
         Measures {
             completion: self.completion(),
@@ -195,9 +195,11 @@
         let mut classes = BTreeMap::new();
         for class in [Class::Urgent, Class::Normal, Class::Batch] {
             let jobs = || self.jobs.values().filter(|job| job.class == class);
-            let times = histogram(jobs().filter_map(Measured::completion_ms));
+            let times = histogram(jobs().filter_map(|job| job.completion_ms(self.now_ms)));
             let bounds = histogram(
-                jobs().filter(|job| job.completion_ms().is_some()).map(|j| j.real.run_ms),
+                jobs()
+                    .filter(|job| job.completion_ms(self.now_ms).is_some())
+                    .map(|j| j.real.run_ms),
             );
             let completion = Completion {
                 jobs: times.len(),
@@ -212,7 +214,7 @@
     }
 
     fn finish_bound_ms(&self) -> u64 {
-        let succeeded = || self.jobs.values().filter(|job| job.completion_ms().is_some());
+        let succeeded = || self.jobs.values().filter(|job| job.has_succeeded());
         let work_ms: u64 = succeeded().map(|j| j.real.run_ms * u64::from(j.accelerators)).sum();
         let first_ms = succeeded().map(|job| job.submitted_ms).min().unwrap_or(0);
         let longest_ms = succeeded().map(|job| job.submitted_ms + job.real.run_ms).max();
@@ -222,15 +224,31 @@
 }
 
 impl Measured {
-    fn completion_ms(&self) -> Option<u64> {
+    /// The time from submission to success. A job without an end counts as if it succeeded now, because leaving it out
+    /// would reward a policy that starves it.
+    fn completion_ms(&self, now_ms: u64) -> Option<u64> {
         match &self.ended {
             Some((at_ms, JobEnd::Succeeded)) => Some(at_ms - self.submitted_ms),
+            None if !self.real.fails => Some(now_ms - self.submitted_ms),
             _ => None,
         }
     }
 
-    fn wait_ms(&self) -> Option<u64> {
-        Some(self.completion_ms()?.saturating_sub(self.real.run_ms))
+    fn wait_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(self.completion_ms(now_ms)?.saturating_sub(self.real.run_ms))
+    }
+
+    /// The time from submission to the first start, or to now.
+    fn first_start_ms(&self, now_ms: u64) -> Option<u64> {
+        match (self.first_start_ms, &self.ended) {
+            (Some(at_ms), _) => Some(at_ms - self.submitted_ms),
+            (None, None) => Some(now_ms - self.submitted_ms),
+            (None, Some(_)) => None,
+        }
+    }
+
+    fn has_succeeded(&self) -> bool {
+        matches!(self.ended, Some((_, JobEnd::Succeeded)))
     }
 }
 
