End connections whose peer takes nothing, and save idle work

A connection whose writer had failed stayed open while the peer sent keep-alives, and an agent that gave up a full connection kept accepting attempts on it. Both now end the connection, so the entry learns that its attempts there have no answer. The agent connects once its endpoint announced itself, instead of being dropped every 3 s, and checks deadlines every 50 ms instead of 5 ms, since the entry keeps the caller's deadline.

--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -24,10 +24,12 @@
     ServiceState,
 };
 
-/// The interval at which deadlines are checked.
-const TICK_INTERVAL: Duration = Duration::from_millis(5);
+/// The interval at which deadlines are checked. The entry keeps the caller's deadline; this one only frees slots.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// The most messages that wait for the actor.
 const MAILBOX_MESSAGES: usize = 4_096;
+/// The pause before a connector looks again whether the endpoint announced itself.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(50);
 /// The shortest and the longest pause before a lost connection is opened again.
 const RECONNECT_MS: std::ops::RangeInclusive<u64> = 50..=250;
 
@@ -38,11 +40,17 @@
     clock: Clock,
     metrics: Metrics,
     target: Option<Target>,
-    connections: HashMap<ConnectionId, LinkSender<AgentMessage>>,
+    connections: HashMap<ConnectionId, Connection>,
     forwards: HashMap<AttemptId, oneshot::Sender<()>>,
     drains: Vec<oneshot::Sender<()>>,
 }
 
+/// A connection to an entry. Dropping it closes the connection.
+struct Connection {
+    sender: LinkSender<AgentMessage>,
+    _close: oneshot::Sender<()>,
+}
+
 /// Where the endpoint listens.
 struct Target {
     client: reqwest::Client,
@@ -96,6 +104,7 @@
     connection: ConnectionId,
     entry: Incarnation,
     sender: LinkSender<AgentMessage>,
+    close: oneshot::Sender<()>,
 }
 
 struct Disconnected {
@@ -160,6 +169,10 @@
 impl Connector {
     async fn run(self) {
         while self.endpoint.is_connected() {
+            if !self.is_announced().await {
+                tokio::time::sleep(ANNOUNCE_PAUSE).await;
+                continue;
+            }
             if let Err(error) = self.connect().await {
                 log::debug!(entry = self.entry.to_string(); "connection to an entry ended: {error}");
             }
@@ -168,6 +181,11 @@
         }
     }
 
+    /// Returns whether there is an endpoint for which to connect; an entry drops a connection that says nothing.
+    async fn is_announced(&self) -> bool {
+        self.endpoint.send(Dump).await.is_ok_and(|summary| summary.endpoint.is_some())
+    }
+
     async fn connect(&self) -> Result<(), LinkError> {
         let limit = Duration::from_millis(self.settings.idle_ms);
         let opened = tokio::time::timeout(limit, TcpStream::connect(self.entry)).await;
@@ -179,11 +197,15 @@
             return Err(LinkError::Closed);
         };
         let connection = ConnectionId(self.last_connection.fetch_add(1, Ordering::Relaxed) + 1);
-        let connected = Connected { connection, entry: incarnation, sender: link.sender };
+        let (close, closed) = oneshot::channel();
+        let connected = Connected { connection, entry: incarnation, sender: link.sender, close };
         let stopping = |_| LinkError::Closed;
         self.endpoint.send(connected).await.map_err(stopping)?;
         log::info!(entry = self.entry.to_string(), connection = connection.0; "connected to an entry");
-        let result = self.receive(connection, &mut link.receiver).await;
+        let result = tokio::select! {
+            result = self.receive(connection, &mut link.receiver) => result,
+            _ = closed => Err(LinkError::Closed),
+        };
         self.endpoint.send(Disconnected { connection }).await.map_err(stopping)?;
         result
     }
@@ -229,7 +251,7 @@
     /// is of no use; the entry then knows that its attempts there have no answer.
     fn send(&mut self, connection: ConnectionId, message: AgentMessage) {
         let open = self.connections.get(&connection);
-        if open.is_some_and(|sender| sender.try_send(message).is_err()) {
+        if open.is_some_and(|open| open.sender.try_send(message).is_err()) {
             self.connections.remove(&connection);
             self.metrics.count("endpoint", "connection_given_up");
         }
@@ -241,11 +263,12 @@
         let (abort, aborted) = oneshot::channel();
         let attempt = forward.attempt;
         let connection = self.agent.connection_of(attempt);
+        let open = connection.and_then(|connection| self.connections.get(&connection));
         let path = forward::Path {
             client: target.client.clone(),
             url: target.url.clone(),
             address: context.mailbox().address(),
-            sender: connection.and_then(|connection| self.connections.get(&connection).cloned()),
+            sender: open.map(|open| open.sender.clone()),
         };
         self.forwards.insert(attempt, abort);
         tokio::spawn(forward::run(path, forward, aborted));
@@ -304,8 +327,8 @@
     type Return = ();
 
     async fn handle(&mut self, connected: Connected, context: &mut Context<Self>) {
-        let Connected { connection, entry, sender } = connected;
-        self.connections.insert(connection, sender);
+        let Connected { connection, entry, sender, close } = connected;
+        self.connections.insert(connection, Connection { sender, _close: close });
         self.apply(AgentInput::Connected { connection, entry }, context);
     }
 }
--- a/src/agent/forward.rs
+++ b/src/agent/forward.rs
@@ -60,7 +60,9 @@
         .body(forward.body);
     let mut response = match request.send().await {
         Ok(response) => response,
-        Err(error) if error.is_connect() => return AgentInput::Unreachable { attempt },
+        Err(error) if error.is_connect() || error.is_builder() => {
+            return AgentInput::Unreachable { attempt };
+        }
         Err(error) => return failed(attempt, &error),
     };
     let status = response.status().as_u16();
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -14,7 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use super::codec::{
@@ -134,10 +134,16 @@
         let decoder = FrameDecoder::new(key, direction.reverse(), limit_bytes);
         let (read_half, write_half) = stream.into_split();
         let (queue, messages) = mpsc::channel(settings.queue_messages);
-        let writer = Writer { write_half, encoder, messages, idle: settings.idle() };
+        let (failed, has_failed) = watch::channel(false);
+        let writer = Writer { write_half, encoder, messages, failed, idle: settings.idle() };
         tokio::spawn(writer.run());
-        let receiver =
-            LinkReceiver { read_half, decoder, settings: settings.clone(), message: PhantomData };
+        let receiver = LinkReceiver {
+            read_half,
+            decoder,
+            has_failed,
+            settings: settings.clone(),
+            message: PhantomData,
+        };
         Ok(Self { sender: LinkSender { queue }, receiver })
     }
 }
@@ -258,6 +264,7 @@
 pub struct LinkReceiver<In> {
     read_half: OwnedReadHalf,
     decoder: FrameDecoder,
+    has_failed: watch::Receiver<bool>,
     settings: LinkSettings,
     message: PhantomData<fn() -> In>,
 }
@@ -281,7 +288,11 @@
             let buffer = self.decoder.buffer_mut();
             buffer.reserve(READ_BYTES);
             let read = timeout(self.settings.idle(), self.read_half.read_buf(buffer));
-            let received = read.await.map_err(|_| idle_error(&self.settings))?;
+            let received = tokio::select! {
+                biased;
+                received = read => received.map_err(|_| idle_error(&self.settings))?,
+                Ok(_) = self.has_failed.wait_for(|failed| *failed) => return ClosedSnafu.fail(),
+            };
             if received.context(SocketSnafu)? == 0 {
                 self.decoder.finish()?;
                 return Ok(None);
@@ -295,6 +306,8 @@
     write_half: OwnedWriteHalf,
     encoder: FrameEncoder,
     messages: mpsc::Receiver<Out>,
+    /// Ends the receiving side too: a peer that takes nothing more would otherwise look alive.
+    failed: watch::Sender<bool>,
     idle: Duration,
 }
 
@@ -315,7 +328,10 @@
             }
             match timeout(self.idle, self.write_half.write_all(&buffer)).await {
                 Ok(Ok(())) => buffer.clear(),
-                Ok(Err(_)) | Err(_) => break,
+                Ok(Err(_)) | Err(_) => {
+                    self.failed.send_replace(true);
+                    return;
+                }
             }
         }
         let _ = self.write_half.shutdown().await;
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -335,6 +335,25 @@
     assert!(matches!(full, Some(LinkError::QueueFull)), "{full:?}");
 }
 
+/// Guards against a peer that sends keep-alives but takes nothing, whose connection would never end.
+#[tokio::test]
+async fn peer_that_takes_nothing_is_dropped() {
+    let mut short = settings(1);
+    short.idle_ms = 300;
+    let (mut agent, _entry) = links(&short, &short).await;
+    let chunk = AnswerChunk::Data { offset_bytes: 0, bytes: vec![0; 64 * 1024] };
+    let attempt = AttemptId { incarnation: Incarnation(9), request: 1, number: 1 };
+    let sender = agent.sender.clone();
+    tokio::spawn(async move {
+        while sender.send(AgentMessage::Answer { attempt, chunk: chunk.clone() }).await.is_ok() {}
+    });
+
+    let limit = std::time::Duration::from_secs(20);
+    let end = tokio::time::timeout(limit, agent.receiver.receive()).await;
+
+    assert!(matches!(end, Ok(Err(LinkError::Closed))), "{end:?}");
+}
+
 /// Guards against a process of another version that would be misunderstood.
 #[tokio::test]
 async fn other_version_fails_the_handshake() {
