Stop renewing a gang as soon as one of its parts is in doubt

A leader that was cut off from the rest of a gang after one part had failed kept the rest for up to a second lease. The other parts are now not renewed while a part is suspected, so they lapse at most three heartbeat intervals after it. A leader's own pause no longer moves the times of its members: a lease counts from what the leader acknowledged, so it lapses during the pause as well. The test that a pause of a minute loses nobody stated the wrong rule and is replaced by two: a pause shorter than the lease loses nobody, and a longer one ends the gangs at once.

--- a/src/leader/answers.rs
+++ b/src/leader/answers.rs
@@ -66,6 +66,10 @@
         R: Rng,
     {
         self.shares.end_task(gang, worker, task);
+        if self.shares.open_tasks(gang, worker).is_empty() {
+            let over = MembersInput::PartOver { gang: gang.clone(), worker: worker.clone() };
+            self.members.handle(now_ms, &over);
+        }
         let (gang, worker) = (gang.clone(), worker.clone());
         let input = scheduler::Input::TaskEnded { gang, worker, task, end };
         self.schedule(now_ms, &input, random);
--- a/src/membership/gangs.rs
+++ b/src/membership/gangs.rs
@@ -12,7 +12,8 @@
 #[serde(deny_unknown_fields)]
 pub(super) struct GangParts {
     gangs: Vec<KnownGang>,
-    /// Gangs that were partial when the members had answered a new leader; their leases are never renewed.
+    /// Gangs that lack a part: one that no member told a new leader, or one on a member that was lost. Their leases are
+    /// never renewed again.
     partial: BTreeSet<GangId>,
 }
 
@@ -54,23 +55,34 @@
         self.partial.remove(gang);
     }
 
-    /// Forgets the parts on a member that was lost.
+    /// Forgets a part whose tasks ended.
+    pub(super) fn remove_part(&mut self, gang: &GangId, worker: &WorkerId) {
+        for known in self.gangs.iter_mut().filter(|known| &known.id == gang) {
+            known.parts.remove(worker);
+        }
+        self.gangs.retain(|gang| !gang.parts.is_empty());
+    }
+
+    /// Forgets the parts on a member that was lost, which makes their gangs partial.
     pub(super) fn remove_worker(&mut self, worker: &WorkerId) {
         for gang in &mut self.gangs {
-            gang.parts.remove(worker);
+            if gang.parts.remove(worker).is_some() && !gang.parts.is_empty() {
+                self.partial.insert(gang.id.clone());
+            }
         }
         self.gangs.retain(|gang| !gang.parts.is_empty());
     }
 
-    /// Returns the gangs whose lease a member's answer must not renew: those that miss a part, and those with a part
-    /// on a member whose lease lapsed.
-    pub(super) fn withheld<L>(&self, worker: &WorkerId, is_lapsed: L) -> Vec<GangId>
+    /// Returns the gangs whose lease a member's answer must not renew: those that lack a part, and those with a part on
+    /// a member that is in doubt.
+    pub(super) fn withheld<D>(&self, worker: &WorkerId, in_doubt: D) -> Vec<GangId>
     where
-        L: Fn(&WorkerId) -> bool,
+        D: Fn(&WorkerId) -> bool,
     {
         let here = self.gangs.iter().filter(|gang| gang.parts.contains_key(worker));
-        let broken = here.filter(|gang| !gang.is_whole() || gang.parts.keys().any(&is_lapsed));
-        broken.map(|gang| gang.id.clone()).chain(self.partial.iter().cloned()).collect()
+        let broken = here.filter(|gang| !gang.is_whole() || gang.parts.keys().any(&in_doubt));
+        let doubtful: BTreeSet<&GangId> = broken.map(|gang| &gang.id).collect();
+        doubtful.into_iter().chain(&self.partial).cloned().collect()
     }
 
     /// Returns the gangs with a part on a member, and the members that hold their other parts.
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -27,7 +27,6 @@
     recovering_since_ms: Option<u64>,
     permit_until_ms: u64,
     trusted: bool,
-    tick_ms: u64,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -80,7 +79,6 @@
             recovering_since_ms: (!first).then_some(now_ms),
             permit_until_ms: 0,
             trusted: true,
-            tick_ms: now_ms,
         }
     }
 
@@ -108,6 +106,7 @@
             }
             MembersInput::Trusted { trusted } => self.trusted = *trusted,
             MembersInput::GangOn { gang, worker } => self.gangs.add(gang, worker),
+            MembersInput::PartOver { gang, worker } => self.gangs.remove_part(gang, worker),
             MembersInput::GangOver { gang } => self.gangs.remove(gang),
             MembersInput::Fence { worker } => self.fence(worker, &mut outputs),
             MembersInput::Tick => self.tick(now_ms, &mut outputs),
@@ -188,14 +187,16 @@
     }
 
     fn acknowledgement(&self, now_ms: u64, worker: &WorkerId, sequence: u64) -> LeaderMessage {
-        let is_lapsed = |other: &WorkerId| {
-            self.members.get(other).is_none_or(|m| matches!(m.state, MemberState::Lapsed))
+        // The other parts of a gang are not renewed from the moment when one part is in doubt. They lapse at most three
+        // intervals later than that part, whatever fails in the meantime; if it recovers they have lost nothing.
+        let in_doubt = |other: &WorkerId| {
+            self.members.get(other).is_none_or(|m| !m.is_up() || self.is_suspect(now_ms, m))
         };
         LeaderMessage::HeartbeatAck {
             sequence,
             lease_ms: clamp_u32(self.config.gang_lease_ms),
             permit_ms: clamp_u32(self.permit_left_ms(now_ms)),
-            withheld: self.gangs.withheld(worker, is_lapsed),
+            withheld: self.gangs.withheld(worker, in_doubt),
         }
     }
 
@@ -344,7 +345,6 @@
     }
 
     fn tick(&mut self, now_ms: u64, outputs: &mut Vec<MembersOutput>) {
-        self.allow_for_pause(now_ms);
         self.recover_if_done(now_ms, outputs);
         let lease_ms = surely_beyond(self.config.gang_lease_ms);
         let silent = |member: &Member, wait_ms| now_ms >= member.heard_ms + wait_ms;
@@ -372,21 +372,6 @@
         }
     }
 
-    /// Counts time during which this process was paused as not observed: the heartbeats wait in its socket.
-    fn allow_for_pause(&mut self, now_ms: u64) {
-        let gap_ms = now_ms.saturating_sub(self.tick_ms);
-        self.tick_ms = now_ms;
-        if gap_ms <= self.config.heartbeat_ms {
-            return;
-        }
-        for member in self.members.values_mut() {
-            member.heard_ms += gap_ms;
-        }
-        if let Some(since_ms) = &mut self.recovering_since_ms {
-            *since_ms += gap_ms;
-        }
-    }
-
     /// Ends the other parts of the gangs of a member whose lease lapsed, so that no gang runs partially.
     fn drop_parts(&mut self, id: &WorkerId, outputs: &mut Vec<MembersOutput>) {
         let lapsed: BTreeSet<(GangId, WorkerId)> = self.gangs.other_parts(id).into_iter().collect();
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -204,6 +204,13 @@
         /// The worker.
         worker: WorkerId,
     },
+    /// The tasks of a gang on one member ended.
+    PartOver {
+        /// The gang.
+        gang: GangId,
+        /// The worker.
+        worker: WorkerId,
+    },
     /// No task of a gang runs any more.
     GangOver {
         /// The gang.
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -331,15 +331,46 @@
     assert_eq!(leader.last_ack().unwrap().1, [gang()]);
 }
 
-/// Guards against members that count as lost because the leader itself was paused.
+/// Guards against members that count as lost because the leader itself was paused for less than a lease.
 #[test]
-fn pause_of_the_leader_loses_nobody() {
+fn short_pause_of_the_leader_loses_nobody() {
     let mut leader = Leader::joined();
     leader.run(0, 5_000, &[0, 1, 2, 3]);
-    leader.run(65_000, 70_000, &[]);
+    leader.run(13_000, 14_000, &[]);
+    leader.run(14_000, 30_000, &[0, 1, 2, 3]);
     assert_eq!(leader.lost(), []);
 }
 
+/// Guards against a leader that was paused for longer than a lease and keeps gangs whose leases lapsed meanwhile.
+#[test]
+fn long_pause_of_the_leader_ends_gangs_at_once() {
+    let mut leader = Leader::joined();
+    for n in [0, 1] {
+        leader.input(0, MembersInput::GangOn { gang: gang(), worker: id(n) });
+    }
+    leader.run(0, 5_000, &[0, 1, 2, 3]);
+    leader.input(65_000, MembersInput::Tick);
+    assert!(leader.outputs.contains(&MembersOutput::EndGang { gang: gang(), worker: id(1) }));
+    assert_eq!(leader.lost(), [id(0), id(1), id(2), id(3)]);
+}
+
+/// Guards against a partial gang when its leader is cut off from the rest of it later: a part in doubt is enough.
+#[test]
+fn gang_with_a_suspected_part_is_not_renewed() {
+    let mut leader = Leader::joined();
+    for n in [0, 1] {
+        leader.input(0, MembersInput::GangOn { gang: gang(), worker: id(n) });
+    }
+    leader.run(0, HEARTBEAT_MS, &[0, 1, 2, 3]);
+    leader.run(HEARTBEAT_MS, 4_000, &[0, 2, 3]);
+    assert_eq!(leader.last_ack().unwrap().1, [], "of member 3, which holds no part");
+    leader.beat(4_000, 0);
+    assert_eq!(leader.last_ack().unwrap().1, [gang()]);
+    leader.beat(4_100, 1);
+    leader.beat(5_000, 0);
+    assert_eq!(leader.last_ack().unwrap().1, []);
+}
+
 /// Guards against a new leader that renews or adopts a gang of which a part is missing.
 #[test]
 fn recovery_renews_only_whole_gangs_and_waits_for_the_leases_of_the_missing() {
