--- a/src/agent/leader.rs
+++ b/src/agent/leader.rs
@@ -339,7 +339,8 @@
         let sequence = self.permit.ask(now_ms);
         let asked = self.entries.values().nth(sequence as usize % self.entries.len());
         if let Some(sender) = asked {
-            drop(sender.try_send(AgentMessage::AskPermit { sequence }));
+            let data_centre = self.parameters.worker.data_centre.clone();
+            drop(sender.try_send(AgentMessage::AskPermit { data_centre, sequence }));
         }
     }
 }
--- a/src/endpoint/agent.rs
+++ b/src/endpoint/agent.rs
@@ -189,10 +189,11 @@
                 let message = self.applied();
                 outputs.push(AgentOutput::Send { connection, message });
             }
+            EntryMessage::Drain => self.drain(outputs),
             EntryMessage::Hello { .. }
             | EntryMessage::Config { .. }
-            | EntryMessage::Leader { .. }
             | EntryMessage::Permit { .. }
+            | EntryMessage::Leader { .. }
             | EntryMessage::SubmitJob { .. }
             | EntryMessage::CancelJobs { .. } => {}
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod agent;
 pub mod api;
 pub mod bundle;
+pub mod command;
 pub mod directory;
 pub mod endpoint;
 pub mod entry;
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -193,6 +193,8 @@
     },
     /// A leader asks how long starts are permitted in its data centre.
     AskPermit {
+        /// The data centre.
+        data_centre: DataCentreId,
         /// Rises with each question; the answer repeats it, and the permit is counted from the question, so that a
         /// leader that was paused takes no time from an answer that waited in its socket.
         sequence: u64,
@@ -224,6 +226,8 @@
         /// Its sequence number on this connection.
         sequence: u64,
     },
+    /// Operators take the endpoint out of use: refuse new attempts, and let those in flight end.
+    Drain,
     /// A signed bundle, as JSON.
     Config {
         /// The version.
