--- a/src/api/configuration.rs
+++ b/src/api/configuration.rs
@@ -85,38 +85,6 @@
     }
 }
 
-/// An endpoint that is connected to the entry that answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct EndpointStatus {
-    /// The endpoint.
-    pub id: EndpointId,
-    /// The incarnation of its agent.
-    pub incarnation: Incarnation,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Attempts that this entry has under way there.
-    pub in_use: u32,
-    /// Whether it takes no new work.
-    pub draining: bool,
-}
-
-/// A worker whose agent is connected to the entry that answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct WorkerStatus {
-    /// The agent beside the worker.
-    pub process: ProcessId,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
-    /// Its rack.
-    pub rack: RackId,
-    /// Its group by the bundle in force.
-    pub group: Option<GroupId>,
-}
-
 impl From<bundle::Refusal> for ApiError {
     fn from(refusal: bundle::Refusal) -> Self {
         let code = match &refusal {
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -59,15 +59,6 @@
         /// The sending side.
         sender: LinkSender<EntryMessage>,
     },
-    /// A leader asked how long starts are permitted.
-    AskPermit {
-        /// The connection.
-        connection: ConnectionId,
-        /// The data centre.
-        data_centre: DataCentreId,
-        /// The number of the question.
-        sequence: u64,
-    },
     /// The agent confirmed what is in force there.
     Applied {
         /// The connection.
@@ -77,6 +68,15 @@
         /// The version of the data centre's state.
         service_version: u64,
     },
+    /// A leader asked how long starts are permitted.
+    AskPermit {
+        /// The connection.
+        connection: ConnectionId,
+        /// The leader's data centre.
+        data_centre: DataCentreId,
+        /// The number of the question.
+        sequence: u64,
+    },
     /// The connection ended.
     Disconnected {
         /// The connection.
@@ -235,19 +235,21 @@
 {
     let mut next = Some(first);
     while let Some(message) = next {
-        match message {
+        let event = match message {
             AgentMessage::Applied { bundle, service_version } => {
-                let event = ConfigEvent::Applied { connection, bundle, service_version };
-                let _ = actors.config.send(event).await;
+                Some(ConfigEvent::Applied { connection, bundle, service_version })
             }
             AgentMessage::AskPermit { data_centre, sequence } => {
-                let event = ConfigEvent::AskPermit { connection, data_centre, sequence };
-                let _ = actors.config.send(event).await;
+                Some(ConfigEvent::AskPermit { connection, data_centre, sequence })
             }
             message => {
                 let from = groups::FromAgent { connection, message };
                 actors.groups.send(from).await.map_err(|_| LinkError::Closed)?;
+                None
             }
+        };
+        if let Some(event) = event {
+            let _ = actors.config.send(event).await;
         }
         next = receiver.receive().await?;
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,5 +5,6 @@
 pub mod jobs;
 mod keys;
 pub mod listener;
+pub mod overview;
 pub mod request_routes;
 pub mod requests;
--- a/src/platform/endpoint.rs
+++ b/src/platform/endpoint.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 use warp::Filter;
 
-use super::{EndpointRun, Platform, wait_for};
+use super::{EndpointRun, Platform};
 use crate::process::{self, BindSnafu};
 use crate::settings::EndpointSettings;
 
@@ -32,7 +32,9 @@
     let run = run.then(move |query: HashMap<String, String>, body: Bytes| {
         answer(settings_for_run.clone(), platform.clone(), query, body)
     });
-    tokio::spawn(warp::serve(run).incoming(listener).graceful(wait_for(stopped.clone())).run());
+    tokio::spawn(
+        warp::serve(run).incoming(listener).graceful(process::wait_for(stopped.clone())).run(),
+    );
     tokio::spawn(announce(settings.clone(), stopped));
     Ok(())
 }
@@ -66,6 +68,7 @@
         "url": format!("http://{}/run", settings.http_address),
         "slots": settings.slots,
         "connections": settings.connections,
+        "instance": crate::process::new_incarnation().to_string(),
     });
     while !*stopped.borrow() {
         if let Err(error) = client.post(&url).json(&body).send().await {
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -186,18 +186,19 @@
     },
     /// The first message on a connection of a group's leader, and again every second.
     Lead(GroupSummary),
-    /// A leader confirms that a job arrived.
-    JobAccepted {
-        /// The job.
-        job: JobId,
-    },
-    /// A leader asks how long starts are permitted in its data centre.
+    /// A leader asks whether starts are permitted in its data centre. The permit counts from this question, so that a
+    /// leader that was paused takes no time from an answer that waited in its socket.
     AskPermit {
         /// The data centre.
         data_centre: DataCentreId,
-        /// Rises with each question; the answer repeats it, and the permit is counted from the question.
+        /// Rises with each question; the answer repeats it.
         sequence: u64,
     },
+    /// A leader confirms that a job arrived.
+    JobAccepted {
+        /// The job.
+        job: JobId,
+    },
     /// Confirms [`EntryMessage::Config`] and [`EntryMessage::Service`].
     Applied {
         /// The version of the bundle in force.
@@ -225,6 +226,8 @@
         /// Its sequence number on this connection.
         sequence: u64,
     },
+    /// Operators take the endpoint out of use: refuse new attempts, and let those in flight end.
+    Drain,
     /// A signed bundle, as JSON.
     Config {
         /// The version.
@@ -254,6 +257,8 @@
     Leader {
         /// The group.
         group: GroupId,
+        /// The number of its workers by the bundle in force.
+        group_workers: u32,
         /// The leader's epoch and its UDP address, if it has a leader.
         leader: Option<(Epoch, std::net::SocketAddr)>,
     },
