--- a/src/agent/leader.rs
+++ b/src/agent/leader.rs
@@ -12,23 +12,26 @@
 use tokio::task::JoinHandle;
 use xtra::prelude::*;
 
-use super::leader_entry::{self, PermitQuestions};
+use super::leader_entry;
 use super::leader_table;
 use super::worker::WorkerParameters;
 use crate::bundle::{InForce, Offered, SignedBundle, verify};
 use crate::guarantee::admit;
 use crate::leader::{Input, Leader, LeaderConfig, Output, Place};
 use crate::membership::MembersConfig;
+use crate::permit::Permit;
 use crate::prelude::*;
 use crate::process::{Clock, Metrics, new_incarnation};
 use crate::store::{RowVersion, Table, Writer};
 use crate::wire::{
     AgentMessage, DatagramDecoder, DatagramEncoder, EntryMessage, GroupSummary, LeaderDatagram,
-    LinkSender, MAX_DATAGRAM_BYTES, MemberMessage,
+    LinkSender, MAX_DATAGRAM_BYTES, MemberMessage, ServiceState,
 };
 
 /// The most messages that wait for the actor.
 const MAILBOX_MESSAGES: usize = 4_096;
+/// The time between two questions for the start permit, which is valid for 2 s.
+const ASK_MS: u64 = 500;
 
 /// What a leader is told when its epoch begins.
 #[derive(Clone, Debug)]
@@ -60,7 +63,8 @@
     trusted: bool,
     bundle: InForce,
     service_version: u64,
-    questions: PermitQuestions,
+    permit: Permit,
+    next_question_ms: u64,
     entries: HashMap<usize, LinkSender<AgentMessage>>,
     addresses: HashMap<WorkerId, SocketAddr>,
     socket: Arc<UdpSocket>,
@@ -152,7 +156,8 @@
         trusted: true,
         bundle: InForce::default(),
         service_version: 0,
-        questions: PermitQuestions::default(),
+        permit: Permit::default(),
+        next_question_ms: 0,
         entries: HashMap::new(),
         addresses: HashMap::new(),
         socket,
@@ -298,14 +303,18 @@
             }
             EntryMessage::Service { state, version, .. } => {
                 self.service_version = self.service_version.max(version);
+                if state == ServiceState::Out {
+                    self.permit.withdraw(RowVersion(version));
+                }
                 self.apply(&Input::Service { state, version }, context);
                 self.confirm(from.entry);
             }
             EntryMessage::Permit { sequence, version, permit_ms } => {
-                if let Some(remaining_ms) = self.questions.answer(now_ms, sequence, permit_ms) {
-                    self.service_version = self.service_version.max(version);
-                    self.apply(&Input::Permit { version, remaining_ms }, context);
-                }
+                self.permit.take_answer(sequence, RowVersion(version), permit_ms);
+                let (version, remaining_ms) =
+                    (self.permit.version().0, self.permit.remaining_ms(now_ms));
+                self.service_version = self.service_version.max(version);
+                self.apply(&Input::Permit { version, remaining_ms }, context);
             }
             EntryMessage::SubmitJob { job } => {
                 self.apply(&Input::Submit { job: job.id.clone() }, context);
@@ -320,14 +329,17 @@
         }
     }
 
-    /// Asks the next entry for a start permit when it is time.
+    /// Asks an entry for a start permit when it is time.
     fn ask_permit(&mut self) {
         let now_ms = self.clock.now_ms();
-        let mut connected: Vec<usize> = self.entries.keys().copied().collect();
-        connected.sort_unstable();
-        let Some((entry, sequence)) = self.questions.ask(now_ms, &connected) else { return };
-        let data_centre = self.parameters.worker.data_centre.clone();
-        if let Some(sender) = self.entries.get(&entry) {
+        if now_ms < self.next_question_ms || self.entries.is_empty() {
+            return;
+        }
+        self.next_question_ms = now_ms + ASK_MS;
+        let sequence = self.permit.ask(now_ms);
+        let asked = self.entries.values().nth(sequence as usize % self.entries.len());
+        if let Some(sender) = asked {
+            let data_centre = self.parameters.worker.data_centre.clone();
             drop(sender.try_send(AgentMessage::AskPermit { data_centre, sequence }));
         }
     }
--- a/src/agent/leader_entry.rs
+++ b/src/agent/leader_entry.rs
@@ -1,6 +1,5 @@
 //! The connections of a group's leader to the entries.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,46 +10,9 @@
 use super::leader::{EntryConnected, EntryLost, FromEntry, GroupLeader, LeaderParameters, Summary};
 use crate::store::Table;
 use crate::wire::{AgentMessage, EntryMessage, Link, LinkError, LinkSettings};
-use crate::worker::less_drift;
 
 /// The shortest and the longest pause before a lost connection is opened again.
 const RECONNECT_MS: std::ops::RangeInclusive<u64> = 50..=250;
-/// The time between two questions for the start permit, which is valid for 2 s.
-const ASK_MS: u64 = 500;
-/// The questions that are remembered.
-const KEPT_QUESTIONS: usize = 16;
-
-/// The questions for a start permit that are not answered. A permit counts from the sending of its question.
-#[derive(Debug, Default)]
-pub(super) struct PermitQuestions {
-    asked: VecDeque<(u64, u64)>,
-    sequence: u64,
-    next_ms: u64,
-}
-
-impl PermitQuestions {
-    /// Returns the entry to be asked now, one after the other, and the number of the question.
-    pub(super) fn ask(&mut self, now_ms: u64, connected: &[usize]) -> Option<(usize, u64)> {
-        if now_ms < self.next_ms || connected.is_empty() {
-            return None;
-        }
-        self.next_ms = now_ms + ASK_MS;
-        self.sequence += 1;
-        self.asked.push_back((self.sequence, now_ms));
-        if self.asked.len() > KEPT_QUESTIONS {
-            self.asked.pop_front();
-        }
-        let entry = connected[self.sequence as usize % connected.len()];
-        Some((entry, self.sequence))
-    }
-
-    /// Returns what is left of a permit, or `None` if the answer is to no question that is remembered.
-    pub(super) fn answer(&mut self, now_ms: u64, sequence: u64, permit_ms: u64) -> Option<u64> {
-        let index = self.asked.iter().position(|(asked, _)| *asked == sequence)?;
-        let (_, asked_ms) = self.asked.remove(index)?;
-        Some((asked_ms + less_drift(permit_ms)).saturating_sub(now_ms))
-    }
-}
 
 /// Keeps a connection to each entry while the leader lives.
 pub(super) fn connect<T>(leader: &Address<GroupLeader<T>>, parameters: &LeaderParameters)
