--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -4,7 +4,6 @@
 mod error;
 
 pub use configuration::{
-    BundleChanged, BundleOrder, BundleStatus, EndpointStatus, OrganisationStatus, ServiceOrder,
-    WorkerStatus,
+    BundleChanged, BundleOrder, BundleStatus, OrganisationStatus, ServiceOrder,
 };
 pub use error::{ApiError, ErrorCode};
