Route jobs to the group that guarantees their organisation a block

Cause: ./local showed an owner's gang of 16 accelerators sent to a full group that guarantees it nothing, where it waited for over 60 s while its own cells were lent out elsewhere. Change: the directory admits the bundle as leaders do and prefers guarantees with room, then room for work that may borrow, then guarantees to be reclaimed. Conclusion: a job no longer waits where its organisation has no claim while its claim is elsewhere.

--- a/examples/local/check.rs
+++ b/examples/local/check.rs
@@ -139,7 +139,7 @@
     if status < 400 {
         return Err(format!("rolled out with one signature: {body}"));
     }
-    Ok(format!("{}", body["message"].as_str().unwrap_or_default()))
+    Ok(body["message"].as_str().unwrap_or_default().to_owned())
 }
 
 /// Retries a request until endpoints have announced themselves.
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -9,14 +9,16 @@
 
 pub use message::{Input, Output};
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 
 use crate::bundle::{Bundle, Group};
+use crate::guarantee;
 use crate::prelude::*;
 use crate::request::ConnectionId;
+use crate::scheduler::Block;
 use crate::wire::{GroupSummary, ServiceState};
 
 /// A summary that is older does not count any more. Leaders send one every second.
@@ -30,6 +32,8 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Directory {
     groups: BTreeMap<GroupId, GroupEntry>,
+    /// Kinds of work that may use cells guaranteed to others.
+    borrowing_kinds: BTreeSet<KindId>,
     out: BTreeMap<DataCentreId, ServiceState>,
     deliveries: BTreeMap<JobId, Delivery>,
 }
@@ -39,6 +43,8 @@
     group: Group,
     /// Accelerators of one worker, which no task may exceed.
     worker_accelerators: u32,
+    /// The blocks that admission assigned to the group for each organisation.
+    guarantees: BTreeMap<OrganisationId, Vec<Block>>,
     lead: Option<Lead>,
 }
 
@@ -80,8 +86,10 @@
 
     /// Returns the group that should get a job, or why no group can ever run it.
     ///
-    /// The better of two random groups that could start the job now is taken, so that entries with the same view do
-    /// not all choose the same group. If none could, the choice is among all groups that could hold it when empty.
+    /// Groups that guarantee the organisation a block for the job and have room come first. Then come groups with room
+    /// for work that may borrow, or those that guarantee a block, which they reclaim; at last all that could hold the
+    /// job when empty. Among equals the better of two random groups is taken, so that entries with the same view do not
+    /// all choose the same one.
     ///
     /// # Errors
     ///
@@ -104,12 +112,26 @@
         let led: Vec<&GroupEntry> =
             candidates.iter().copied().filter(|entry| entry.is_led(now_ms)).collect();
         let candidates = if led.is_empty() { candidates } else { led };
-        let ready: Vec<&GroupEntry> =
-            candidates.iter().copied().filter(|entry| entry.has_room(job)).collect();
-        let candidates = if ready.is_empty() { candidates } else { ready };
+        let preferences: [fn(&GroupEntry, &JobSpec) -> bool; 3] = if self.may_borrow(&job.kind) {
+            [GroupEntry::guarantees_room, GroupEntry::has_room, GroupEntry::guarantees]
+        } else {
+            // Free cells elsewhere may be guaranteed to others, where the job would wait.
+            [GroupEntry::guarantees_room, GroupEntry::guarantees, GroupEntry::has_room]
+        };
+        for preferred in preferences {
+            let chosen: Vec<&GroupEntry> =
+                candidates.iter().copied().filter(|entry| preferred(entry, job)).collect();
+            if !chosen.is_empty() {
+                return Ok(better_of_two(&chosen, random).group.id.clone());
+            }
+        }
         Ok(better_of_two(&candidates, random).group.id.clone())
     }
 
+    fn may_borrow(&self, kind: &KindId) -> bool {
+        self.borrowing_kinds.contains(kind)
+    }
+
     /// Returns the summaries that still count, for the dump and the list of groups.
     pub fn summaries(&self, now_ms: u64) -> Vec<GroupSummary> {
         let led = self.groups.values().filter(|entry| entry.is_led(now_ms));
@@ -126,14 +148,22 @@
     }
 
     fn apply_bundle(&mut self, bundle: &Bundle) -> Vec<Output> {
+        // Bundles are admitted before they are in force; without proof no group counts as guaranteed.
+        let admission = guarantee::admit(bundle).ok();
         let mut groups = BTreeMap::new();
         for group in bundle.groups() {
             let data_centre = bundle.data_centres.iter().find(|d| d.id == group.data_centre);
             let worker_accelerators = data_centre.map_or(0, |d| d.worker.accelerators);
             let lead = self.groups.remove(&group.id).and_then(|entry| entry.lead);
-            groups.insert(group.id.clone(), GroupEntry { group, worker_accelerators, lead });
+            let rules = admission.as_ref().and_then(|admission| admission.group_rules(&group.id));
+            let guarantees = rules.into_iter().flat_map(|rules| rules.guarantees);
+            let guarantees = guarantees.map(|held| (held.organisation, held.blocks)).collect();
+            let entry = GroupEntry { group, worker_accelerators, guarantees, lead };
+            groups.insert(entry.group.id.clone(), entry);
         }
         self.groups = groups;
+        let borrowing = bundle.kinds.iter().filter(|rule| rule.may_borrow);
+        self.borrowing_kinds = borrowing.map(|rule| rule.id.clone()).collect();
         Vec::new()
     }
 
@@ -229,6 +259,18 @@
         }
     }
 
+    /// Returns whether the job fits a block that is guaranteed to its organisation in this group.
+    fn guarantees(&self, job: &JobSpec) -> bool {
+        let blocks = self.guarantees.get(&job.organisation).map_or(&[][..], Vec::as_slice);
+        blocks.iter().any(|block| {
+            job.accelerators() <= block.accelerators && block.adjacency <= job.adjacency
+        })
+    }
+
+    fn guarantees_room(&self, job: &JobSpec) -> bool {
+        self.guarantees(job) && self.has_room(job)
+    }
+
     fn is_led(&self, now_ms: u64) -> bool {
         self.lead.as_ref().is_some_and(|lead| now_ms < lead.heard_at_ms + SUMMARY_LIFETIME_MS)
     }
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -19,8 +19,11 @@
     let bundle = json!({
         "version": 1,
         "data_centres": [data_centre("a", 4), data_centre("b", 2)],
-        "organisations": [],
-        "kinds": [],
+        "organisations": [{
+            "id": "owner",
+            "guarantee": [{"data_centre": "b", "accelerators": 16, "adjacency": "rack", "count": 1}],
+        }],
+        "kinds": [{"id": "borrower", "class": "batch", "may_borrow": true, "preemptible": true}],
         "policy": {
             "group_workers": 128, "reclaim_checkpoint_ms": 1, "reclaim_stop_ms": 1, "reservation_age_ms": 1,
             "return_ramp_ms": 1, "retry_budget_per_mille": 1, "queue_limit_urgent": 1, "queue_limit_normal": 1,
@@ -133,3 +136,20 @@
     assert_eq!(stale, Vec::new());
     assert_eq!(directory.summaries(30)[0].epoch, Epoch(2));
 }
+
+/// Guards against an owner whose job waits in another group while its guaranteed cells could be reclaimed.
+#[test]
+fn job_goes_to_the_group_that_guarantees_it_even_if_full() {
+    let mut directory = directory();
+    lead(&mut directory, 0, OLD, summary("a.0", 1, 32));
+    lead(&mut directory, 0, NEW, summary("b.0", 1, 0));
+
+    let kind = KindId::from("borrower");
+    let borrower =
+        JobSpec { kind, organisation: OrganisationId::from("owner"), ..job(2, Adjacency::Rack) };
+    let owned = JobSpec { organisation: OrganisationId::from("owner"), ..job(2, Adjacency::Rack) };
+
+    assert_eq!(choose(&directory, 0, &owned), Ok(GroupId::from("b.0")));
+    assert_eq!(choose(&directory, 0, &borrower), Ok(GroupId::from("a.0")));
+    assert_eq!(choose(&directory, 0, &job(2, Adjacency::Rack)), Ok(GroupId::from("a.0")));
+}
