Check that a gang still exists before its deadline is acted on

The list of late gangs is now checked again before each. The comparison runs its three disturbances at the same time.

--- a/src/replay/compare.rs
+++ b/src/replay/compare.rs
@@ -59,9 +59,13 @@
 pub fn compare(comparison: Comparison) -> Result<String> {
     let mut text = String::new();
     for user in [User::Consortium, User::Fraser] {
-        for disturbance in [Disturbance::None, Disturbance::DataCentreChange, Disturbance::Faults] {
-            let case = run_case(comparison, user, disturbance)?;
-            case.write(&mut text, user, disturbance);
+        let disturbances = [Disturbance::None, Disturbance::DataCentreChange, Disturbance::Faults];
+        let cases = std::thread::scope(|scope| {
+            let threads = disturbances.map(|d| scope.spawn(move || run_case(comparison, user, d)));
+            threads.map(|thread| thread.join().expect("a replay does not panic"))
+        });
+        for (disturbance, case) in disturbances.into_iter().zip(cases) {
+            case?.write(&mut text, user, disturbance);
         }
     }
     Ok(text)
--- a/src/scheduler/finish.rs
+++ b/src/scheduler/finish.rs
@@ -169,7 +169,10 @@
         };
         let late: Vec<JobKey> = self.active.iter().copied().filter(overdue).collect();
         for key in late {
-            self.overdue(now_ms, key, out);
+            // A deadline that was acted on before may have ended this gang too.
+            if self.jobs.get(&key).is_some_and(|job| job.gang.is_some()) {
+                self.overdue(now_ms, key, out);
+            }
         }
         self.check_strays(now_ms, out);
         self.move_away(now_ms, out);
