Give the request actors an ordered inbox

Requests and parts of answers now arrive through a channel that the actor reads besides its mailbox, so no sender waits and the order holds.

--- a/benches/requests.rs
+++ b/benches/requests.rs
@@ -82,6 +82,22 @@
     Measured { latency_us, refused, failed }
 }
 
+/// Sends one request after the other, so that nothing but the path itself takes time.
+async fn one_at_a_time(urls: &[String], body: &'static [u8]) -> Measured {
+    let mut latency_us = Histogram::new_with_bounds(1, 60_000_000, 3).unwrap();
+    let client = client();
+    let begin = Instant::now();
+    let mut failed = 0;
+    while begin.elapsed() < MEASURED {
+        let sent = Instant::now();
+        let response = client.post(&urls[0]).body(body).send().await.unwrap();
+        failed += u64::from(response.status() != 200);
+        response.bytes().await.unwrap();
+        latency_us.record(sent.elapsed().as_micros() as u64).unwrap();
+    }
+    Measured { latency_us, refused: 0, failed }
+}
+
 fn report(name: &str, measured: &Measured) {
     let [p50, p99, p999] = [50.0, 99.0, 99.9].map(|p| measured.percentile_ms(p));
     let (done, refused, failed) = (measured.per_second(), measured.refused, measured.failed);
@@ -112,6 +128,8 @@
 
     println!("| run | done/s | p50 ms | p99 ms | p99.9 ms | refused | failed |");
     println!("|---|---|---|---|---|---|---|");
+    report("no work, one at a time, straight", &one_at_a_time(&direct, quick).await);
+    report("no work, one at a time, routed", &one_at_a_time(&routed, quick).await);
     let half = SATURATING_PER_SECOND / 2;
     for seed in 1..=3 {
         for (name, body) in [("no work", quick), ("20 ms of work", work)] {
--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -17,7 +17,7 @@
 use super::forward;
 use crate::endpoint::{AgentInput, AgentOutput, EndpointAgent, Forward};
 use crate::prelude::*;
-use crate::process::{Clock, Metrics};
+use crate::process::{Clock, InboxActor, Metrics, run_with_inbox};
 use crate::request::ConnectionId;
 use crate::wire::{
     AgentMessage, EndpointSpec, EntryMessage, Link, LinkError, LinkSender, LinkSettings,
@@ -26,7 +26,7 @@
 
 /// The interval at which deadlines are checked. The entry keeps the caller's deadline; this one only frees slots.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// The most messages that wait for the actor.
+/// The most messages, and the most events, that wait for the actor.
 const MAILBOX_MESSAGES: usize = 4_096;
 /// The pause before a connector looks again whether the endpoint announced itself.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(50);
@@ -43,6 +43,7 @@
     connections: HashMap<ConnectionId, Connection>,
     forwards: HashMap<AttemptId, oneshot::Sender<()>>,
     drains: Vec<oneshot::Sender<()>>,
+    inbox: mpsc::Sender<Event>,
 }
 
 /// A connection to an entry. Dropping it closes the connection.
@@ -58,8 +59,25 @@
     connections: u32,
 }
 
-/// An input that a task of the actor reports.
-pub(super) struct Report(pub(super) AgentInput);
+/// What arrives in the actor's ordered inbox.
+pub enum Event {
+    /// A connection to an entry is open.
+    Connected(Connected),
+    /// A connection ended.
+    Disconnected(ConnectionId),
+    /// An entry or the endpoint said something.
+    Input(AgentInput),
+}
+
+/// A connection to an entry is open.
+pub struct Connected {
+    connection: ConnectionId,
+    entry: Incarnation,
+    sender: LinkSender<AgentMessage>,
+    close: oneshot::Sender<()>,
+}
+
+struct OpenInbox;
 
 /// The endpoint announced itself.
 pub struct Announce {
@@ -100,19 +118,9 @@
 
 struct Tick;
 
-struct Connected {
-    connection: ConnectionId,
-    entry: Incarnation,
-    sender: LinkSender<AgentMessage>,
-    close: oneshot::Sender<()>,
-}
-
-struct Disconnected {
-    connection: ConnectionId,
-}
-
 /// Starts the actor, and the task that keeps its time.
 pub fn spawn(clock: Clock, metrics: &Metrics) -> Address<Endpoint> {
+    let (inbox, events) = mpsc::channel(MAILBOX_MESSAGES);
     let actor = Endpoint {
         agent: EndpointAgent::new(),
         clock,
@@ -121,8 +129,10 @@
         connections: HashMap::new(),
         forwards: HashMap::new(),
         drains: Vec::new(),
+        inbox,
     };
-    let address = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_MESSAGES));
+    let (address, mailbox) = Mailbox::bounded(MAILBOX_MESSAGES);
+    tokio::spawn(run_with_inbox(mailbox, actor, events));
     let weak = address.downgrade();
     tokio::spawn(async move {
         let mut interval = tokio::time::interval(TICK_INTERVAL);
@@ -199,14 +209,15 @@
         let connection = ConnectionId(self.last_connection.fetch_add(1, Ordering::Relaxed) + 1);
         let (close, closed) = oneshot::channel();
         let connected = Connected { connection, entry: incarnation, sender: link.sender, close };
+        let inbox = self.endpoint.send(OpenInbox).await.map_err(|_| LinkError::Closed)?;
         let stopping = |_| LinkError::Closed;
-        self.endpoint.send(connected).await.map_err(stopping)?;
+        inbox.send(Event::Connected(connected)).await.map_err(stopping)?;
         log::info!(entry = self.entry.to_string(), connection = connection.0; "connected to an entry");
         let result = tokio::select! {
-            result = self.receive(connection, &mut link.receiver) => result,
+            result = self.receive(connection, &mut link.receiver, &inbox) => result,
             _ = closed => Err(LinkError::Closed),
         };
-        self.endpoint.send(Disconnected { connection }).await.map_err(stopping)?;
+        inbox.send(Event::Disconnected(connection)).await.map_err(stopping)?;
         result
     }
 
@@ -214,25 +225,26 @@
         &self,
         connection: ConnectionId,
         receiver: &mut crate::wire::LinkReceiver<EntryMessage>,
+        inbox: &mpsc::Sender<Event>,
     ) -> Result<(), LinkError> {
         while let Some(message) = receiver.receive().await? {
             if let EntryMessage::Config { signed, .. } = message {
                 let _ = self.bundles.send(signed).await;
                 continue;
             }
-            let report = Report(AgentInput::Received { connection, message });
-            self.endpoint.send(report).await.map_err(|_| LinkError::Closed)?;
+            let event = Event::Input(AgentInput::Received { connection, message });
+            inbox.send(event).await.map_err(|_| LinkError::Closed)?;
         }
         Ok(())
     }
 }
 
 impl Endpoint {
-    fn apply(&mut self, input: AgentInput, context: &Context<Self>) {
+    fn apply(&mut self, input: AgentInput) {
         for output in self.agent.handle(self.clock.now_ms(), input) {
             match output {
                 AgentOutput::Send { connection, message } => self.send(connection, message),
-                AgentOutput::Forward(forward) => self.forward(forward, context),
+                AgentOutput::Forward(forward) => self.forward(forward),
                 AgentOutput::Abort { attempt } => {
                     self.metrics.count("endpoint", "aborted");
                     self.forwards.remove(&attempt);
@@ -257,7 +269,7 @@
         }
     }
 
-    fn forward(&mut self, forward: Forward, context: &Context<Self>) {
+    fn forward(&mut self, forward: Forward) {
         let Some(target) = &self.target else { return };
         self.metrics.count("endpoint", "forwarded");
         let (abort, aborted) = oneshot::channel();
@@ -267,7 +279,7 @@
         let path = forward::Path {
             client: target.client.clone(),
             url: target.url.clone(),
-            address: context.mailbox().address(),
+            inbox: self.inbox.clone(),
             sender: open.map(|open| open.sender.clone()),
         };
         self.forwards.insert(attempt, abort);
@@ -287,14 +299,10 @@
 impl Handler<Announce> for Endpoint {
     type Return = Result<(), String>;
 
-    async fn handle(
-        &mut self,
-        announce: Announce,
-        context: &mut Context<Self>,
-    ) -> Result<(), String> {
+    async fn handle(&mut self, announce: Announce, _: &mut Context<Self>) -> Result<(), String> {
         let Announce { endpoint, url, instance } = announce;
         self.set_target(url, endpoint.connections).map_err(|error| error.to_string())?;
-        self.apply(AgentInput::Announced { endpoint, instance }, context);
+        self.apply(AgentInput::Announced { endpoint, instance });
         Ok(())
     }
 }
@@ -302,14 +310,14 @@
 impl Handler<Drain> for Endpoint {
     type Return = oneshot::Receiver<()>;
 
-    async fn handle(&mut self, _: Drain, context: &mut Context<Self>) -> oneshot::Receiver<()> {
+    async fn handle(&mut self, _: Drain, _: &mut Context<Self>) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
         let is_drained = self.agent.is_draining() && self.agent.running() == 0;
         if is_drained {
             let _ = sender.send(());
         } else {
             self.drains.push(sender);
-            self.apply(AgentInput::Drain, context);
+            self.apply(AgentInput::Drain);
         }
         receiver
     }
@@ -318,49 +326,50 @@
 impl Handler<BundleApplied> for Endpoint {
     type Return = ();
 
-    async fn handle(&mut self, applied: BundleApplied, context: &mut Context<Self>) {
-        self.apply(AgentInput::Bundle { version: applied.version }, context);
-    }
-}
-
-impl Handler<Connected> for Endpoint {
-    type Return = ();
-
-    async fn handle(&mut self, connected: Connected, context: &mut Context<Self>) {
-        let Connected { connection, entry, sender, close } = connected;
-        self.connections.insert(connection, Connection { sender, _close: close });
-        self.apply(AgentInput::Connected { connection, entry }, context);
+    async fn handle(&mut self, applied: BundleApplied, _: &mut Context<Self>) {
+        self.apply(AgentInput::Bundle { version: applied.version });
     }
 }
 
-impl Handler<Disconnected> for Endpoint {
-    type Return = ();
+impl InboxActor for Endpoint {
+    type Event = Event;
 
-    async fn handle(&mut self, lost: Disconnected, context: &mut Context<Self>) {
-        self.connections.remove(&lost.connection);
-        self.apply(AgentInput::Disconnected { connection: lost.connection }, context);
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Connected(Connected { connection, entry, sender, close }) => {
+                self.connections.insert(connection, Connection { sender, _close: close });
+                self.apply(AgentInput::Connected { connection, entry });
+            }
+            Event::Disconnected(connection) => {
+                self.connections.remove(&connection);
+                self.apply(AgentInput::Disconnected { connection });
+            }
+            Event::Input(input) => {
+                if let AgentInput::End { attempt }
+                | AgentInput::Failed { attempt, .. }
+                | AgentInput::Unreachable { attempt } = &input
+                {
+                    self.forwards.remove(attempt);
+                }
+                self.apply(input);
+            }
+        }
     }
 }
 
-impl Handler<Report> for Endpoint {
-    type Return = ();
+impl Handler<OpenInbox> for Endpoint {
+    type Return = mpsc::Sender<Event>;
 
-    async fn handle(&mut self, report: Report, context: &mut Context<Self>) {
-        if let AgentInput::End { attempt }
-        | AgentInput::Failed { attempt, .. }
-        | AgentInput::Unreachable { attempt } = &report.0
-        {
-            self.forwards.remove(attempt);
-        }
-        self.apply(report.0, context);
+    async fn handle(&mut self, _: OpenInbox, _: &mut Context<Self>) -> mpsc::Sender<Event> {
+        self.inbox.clone()
     }
 }
 
 impl Handler<Tick> for Endpoint {
     type Return = ();
 
-    async fn handle(&mut self, _: Tick, context: &mut Context<Self>) {
-        self.apply(AgentInput::Tick, context);
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self>) {
+        self.apply(AgentInput::Tick);
     }
 }
 
--- a/src/agent/forward.rs
+++ b/src/agent/forward.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 use reqwest::Url;
-use tokio::sync::oneshot;
-use xtra::WeakAddress;
+use tokio::sync::{mpsc, oneshot};
 
-use super::endpoint::{Endpoint, Report};
+use super::endpoint::Event;
 use crate::endpoint::{AgentInput, Forward};
 use crate::prelude::*;
 use crate::wire::{AgentMessage, LinkSender};
@@ -18,7 +17,7 @@
     /// The endpoint.
     pub(super) url: Url,
     /// The agent.
-    pub(super) address: WeakAddress<Endpoint>,
+    pub(super) inbox: mpsc::Sender<Event>,
     /// The connection of the entry, if it is still open. No more is read from the endpoint than it takes.
     pub(super) sender: Option<LinkSender<AgentMessage>>,
 }
@@ -37,7 +36,7 @@
 /// Forwards a request, and reports its answer part by part, until `abort` fires.
 pub(super) async fn run(path: Path, forward: Forward, abort: oneshot::Receiver<()>) {
     let attempt = forward.attempt;
-    let address = path.address.clone();
+    let inbox = path.inbox.clone();
     let last = tokio::select! {
         last = exchange(&path, forward) => last,
         _ = abort => {
@@ -45,7 +44,7 @@
             AgentInput::Failed { attempt, reason }
         }
     };
-    let _ = address.send(Report(last)).await;
+    let _ = inbox.send(Event::Input(last)).await;
 }
 
 /// Returns how the exchange ended.
@@ -66,7 +65,7 @@
         Err(error) => return failed(attempt, &error),
     };
     let status = response.status().as_u16();
-    let _ = path.address.send(Report(AgentInput::Head { attempt, status })).await;
+    let _ = path.inbox.send(Event::Input(AgentInput::Head { attempt, status })).await;
     loop {
         match response.chunk().await {
             Ok(Some(bytes)) => {
@@ -74,7 +73,7 @@
                     sender.ready().await;
                 }
                 let input = AgentInput::Data { attempt, bytes: bytes.to_vec() };
-                let _ = path.address.send(Report(input)).await;
+                let _ = path.inbox.send(Event::Input(input)).await;
             }
             Ok(None) => return AgentInput::End { attempt },
             Err(error) => return failed(attempt, &error),
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -9,7 +9,9 @@
 use xtra::Address;
 
 use super::groups::{self, Groups};
-use super::requests::{EndpointConnected, EndpointDisconnected, FromEndpoint, Requests};
+use super::requests::{
+    EndpointConnected, EndpointDisconnected, Event, FromEndpoint, OpenInbox, Requests,
+};
 use crate::prelude::*;
 use crate::request::ConnectionId;
 use crate::store::Table;
@@ -175,13 +177,14 @@
     let (close, mut closed) = oneshot::channel();
     let connected = EndpointConnected { connection, sender: link.sender, close, endpoint };
     let stopping = |_| LinkError::Closed;
-    actors.requests.send(connected).await.map_err(stopping)?;
+    let inbox = actors.requests.send(OpenInbox).await.map_err(stopping)?;
+    inbox.send(Event::Connected(connected)).await.map_err(|_| LinkError::Closed)?;
     let result = tokio::select! {
-        result = receive_endpoint(connection, link.receiver, actors) => result,
+        result = receive_endpoint(connection, link.receiver, actors, &inbox) => result,
         _ = &mut closed => Err(LinkError::Closed),
     };
     let lost = EndpointDisconnected { connection };
-    actors.requests.send(lost).await.map_err(stopping)?;
+    inbox.send(Event::Disconnected(lost)).await.map_err(|_| LinkError::Closed)?;
     result
 }
 
@@ -189,6 +192,7 @@
     connection: ConnectionId,
     mut receiver: LinkReceiver<AgentMessage>,
     actors: &Actors<T>,
+    inbox: &mpsc::Sender<Event>,
 ) -> Result<(), LinkError>
 where
     T: Table + Clone,
@@ -200,7 +204,7 @@
             continue;
         }
         let from = FromEndpoint { connection, message };
-        actors.requests.send(from).await.map_err(|_| LinkError::Closed)?;
+        inbox.send(Event::Received(from)).await.map_err(|_| LinkError::Closed)?;
     }
     Ok(())
 }
--- a/src/entry/request_routes.rs
+++ b/src/entry/request_routes.rs
@@ -8,13 +8,13 @@
 use bytes::{Buf, Bytes};
 use futures::{Stream, StreamExt};
 use serde::Deserialize;
-use tokio::sync::mpsc;
+use tokio::sync::{OnceCell, mpsc};
 use warp::http::StatusCode;
 use warp::reply::{Response, with_header, with_status};
 use warp::{Filter, Rejection, Reply};
 use xtra::Address;
 
-use super::requests::{CallerGone, Part, Requests, Submit, part_channel};
+use super::requests::{CallerGone, Event, OpenInbox, Part, Requests, Submit, part_channel};
 use crate::api::{ApiError, ErrorCode};
 use crate::prelude::*;
 use crate::request::{Refusal, RequestEnd, RequestSpec};
@@ -36,6 +36,7 @@
     T: Table + Clone,
 {
     requests: Address<Requests<T>>,
+    inbox: Arc<OnceCell<mpsc::Sender<Event>>>,
     incarnation: Incarnation,
     body_limit_bytes: u64,
     last_request: Arc<AtomicU64>,
@@ -51,7 +52,13 @@
         incarnation: Incarnation,
         body_limit_bytes: u64,
     ) -> Self {
-        Self { requests, incarnation, body_limit_bytes, last_request: Arc::default() }
+        let (inbox, last_request) = (Arc::default(), Arc::default());
+        Self { requests, inbox, incarnation, body_limit_bytes, last_request }
+    }
+
+    async fn inbox(&self) -> Result<mpsc::Sender<Event>, ApiError> {
+        let open = || async { self.requests.send(OpenInbox).await.map_err(|_| stopping()) };
+        self.inbox.get_or_try_init(open).await.cloned()
     }
 }
 
@@ -62,6 +69,7 @@
     fn clone(&self) -> Self {
         Self {
             requests: self.requests.clone(),
+            inbox: self.inbox.clone(),
             incarnation: self.incarnation,
             body_limit_bytes: self.body_limit_bytes,
             last_request: self.last_request.clone(),
@@ -131,6 +139,10 @@
     submit(&route, RequestSpec { body, deadline_ms, ..spec }).await
 }
 
+fn stopping() -> ApiError {
+    ApiError::new(ErrorCode::Unavailable, "this entry is stopping")
+}
+
 fn bad_input(message: &str) -> ApiError {
     ApiError::new(ErrorCode::BadInput, message)
 }
@@ -219,22 +231,22 @@
 where
     T: Table + Clone,
 {
+    let inbox = match route.inbox().await {
+        Ok(inbox) => inbox,
+        Err(error) => return error.into_response(),
+    };
     let request = route.last_request.fetch_add(1, Ordering::Relaxed) + 1;
     let (sender, receiver) = part_channel();
-    let guard = Guard { requests: route.requests.clone(), request, armed: true };
+    let guard = Guard { inbox: inbox.clone(), request, armed: true };
     let submit = Submit { request, spec, parts: sender };
-    if route.requests.send(submit).await.is_err() {
-        let error = ApiError::new(ErrorCode::Unavailable, "this entry is stopping");
-        return error.into_response();
+    if inbox.send(Event::Submit(submit)).await.is_err() {
+        return stopping().into_response();
     }
     let name = format!("{}-{request}", route.incarnation);
     with_header(first_part(guard, receiver).await, REQUEST_HEADER, name).into_response()
 }
 
-async fn first_part<T>(mut guard: Guard<T>, mut parts: mpsc::Receiver<Part>) -> Response
-where
-    T: Table + Clone,
-{
+async fn first_part(mut guard: Guard, mut parts: mpsc::Receiver<Part>) -> Response {
     match parts.recv().await {
         Some(Part::Head { status }) => {
             let answer = warp::reply::stream(stream(guard, parts));
@@ -255,13 +267,10 @@
 }
 
 /// Passes on the parts of an answer. An error in the stream breaks the caller's connection.
-fn stream<T>(
-    guard: Guard<T>,
+fn stream(
+    guard: Guard,
     parts: mpsc::Receiver<Part>,
-) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send + Sync + use<T>
-where
-    T: Table + Clone,
-{
+) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send + Sync + use<> {
     futures::stream::unfold(Some((guard, parts)), |state| async move {
         let (mut guard, mut parts) = state?;
         match parts.recv().await {
@@ -319,24 +328,19 @@
 }
 
 /// Tells the router that the caller is gone, if it is dropped before the request's end.
-struct Guard<T>
-where
-    T: Table + Clone,
-{
-    requests: Address<Requests<T>>,
+struct Guard {
+    inbox: mpsc::Sender<Event>,
     request: u64,
     armed: bool,
 }
 
-impl<T> Drop for Guard<T>
-where
-    T: Table + Clone,
-{
+impl Drop for Guard {
     fn drop(&mut self) {
         let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
         if self.armed {
-            let (requests, request) = (self.requests.clone(), self.request);
-            runtime.spawn(async move { requests.send(CallerGone { request }).await });
+            let (inbox, request) = (self.inbox.clone(), self.request);
+            runtime
+                .spawn(async move { inbox.send(Event::CallerGone(CallerGone { request })).await });
         }
     }
 }
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -10,10 +10,10 @@
 
 use super::keys;
 use crate::prelude::*;
-use crate::process::{Clock, Metrics};
+use crate::process::{Clock, InboxActor, Metrics, run_with_inbox};
 use crate::request::{
-    ConnectionId, EndpointView, KeyClaim, RequestEnd, RequestSpec, Router, RouterInput,
-    RouterOutput, RouterRules, RouterSummary,
+    ClaimResult, ConnectionId, EndpointView, KeyClaim, RequestEnd, RequestSpec, Router,
+    RouterInput, RouterOutput, RouterRules, RouterSummary,
 };
 use crate::store::{Table, Writer};
 use crate::wire::{AgentMessage, EndpointSpec, EntryMessage, LinkSender, ServiceState};
@@ -22,7 +22,7 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
 /// The most outcomes that wait to be recorded while the table is down.
 const MAX_RECORDS: usize = 256;
-/// The most messages that wait for the actor.
+/// The most messages, and the most events, that wait for the actor.
 const MAILBOX_MESSAGES: usize = 4_096;
 /// The most parts of an answer that wait for a caller. With parts of 32 KiB, a slow caller costs at most 8 MiB.
 const MAX_WAITING_PARTS: usize = 256;
@@ -42,6 +42,7 @@
     callers: HashMap<u64, mpsc::Sender<Part>>,
     connections: HashMap<ConnectionId, Connection>,
     records: Arc<Semaphore>,
+    inbox: mpsc::Sender<Event>,
 }
 
 /// A connection of an agent beside an endpoint. Dropping it closes the connection.
@@ -128,10 +129,31 @@
 /// Asks for what operators may see.
 pub struct Dump;
 
+/// Asks for the sender of [`Event`]s.
+pub struct OpenInbox;
+
 struct Tick;
 
-/// An input that a task of the actor reports.
-struct Report(RouterInput);
+/// What arrives in the actor's ordered inbox.
+pub enum Event {
+    /// A caller sends a request.
+    Submit(Submit),
+    /// A caller disconnected.
+    CallerGone(CallerGone),
+    /// An agent announced an endpoint.
+    Connected(EndpointConnected),
+    /// An agent sent a further message.
+    Received(FromEndpoint),
+    /// A connection ended.
+    Disconnected(EndpointDisconnected),
+    /// The table answered a claim.
+    Claim {
+        /// The request.
+        request: u64,
+        /// The answer.
+        result: ClaimResult,
+    },
+}
 
 /// Starts the actor, and the task that keeps its time.
 pub fn spawn<T>(
@@ -144,6 +166,7 @@
 where
     T: Table + Clone,
 {
+    let (inbox, events) = mpsc::channel(MAILBOX_MESSAGES);
     let actor = Requests {
         router: Router::new(incarnation),
         incarnation,
@@ -154,8 +177,10 @@
         callers: HashMap::new(),
         connections: HashMap::new(),
         records: Arc::new(Semaphore::new(MAX_RECORDS)),
+        inbox,
     };
-    let address = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_MESSAGES));
+    let (address, mailbox) = Mailbox::bounded(MAILBOX_MESSAGES);
+    tokio::spawn(run_with_inbox(mailbox, actor, events));
     let weak = address.downgrade();
     tokio::spawn(async move {
         let mut interval = tokio::time::interval(TICK_INTERVAL);
@@ -175,23 +200,23 @@
     T: Table + Clone,
 {
     /// Handles an input, and then what follows from messages that could not be sent.
-    fn apply(&mut self, input: RouterInput, context: &Context<Self>) {
+    fn apply(&mut self, input: RouterInput) {
         let mut inputs = vec![input];
         while let Some(input) = inputs.pop() {
             let now_ms = self.clock.now_ms();
             for output in self.router.handle(now_ms, input, &mut self.random) {
-                inputs.extend(self.perform(output, context));
+                inputs.extend(self.perform(output));
             }
         }
     }
 
-    fn perform(&mut self, output: RouterOutput, context: &Context<Self>) -> Option<RouterInput> {
+    fn perform(&mut self, output: RouterOutput) -> Option<RouterInput> {
         match output {
             RouterOutput::Send { connection, message } => return self.send(connection, message),
             RouterOutput::Close { connection } => {
                 self.connections.remove(&connection);
             }
-            RouterOutput::Claim { request, claim } => self.claim(request, claim, context),
+            RouterOutput::Claim { request, claim } => self.claim(request, claim),
             RouterOutput::Finish { request, claim, outcome } => {
                 self.record(request, claim, outcome);
             }
@@ -206,6 +231,13 @@
         None
     }
 
+    fn connected(&mut self, connected: EndpointConnected) {
+        let EndpointConnected { connection, sender, close, endpoint } = connected;
+        log::info!(endpoint = endpoint.id.as_str(), connection = connection.0; "endpoint connected");
+        self.connections.insert(connection, Connection { sender, _close: close });
+        self.apply(RouterInput::Announced { connection, endpoint });
+    }
+
     /// Queues a message on its connection. An attempt that does not fit certainly never runs.
     fn send(&self, connection: ConnectionId, message: EntryMessage) -> Option<RouterInput> {
         let attempt = match &message {
@@ -243,12 +275,12 @@
         }
     }
 
-    fn claim(&self, request: u64, claim: KeyClaim, context: &Context<Self>) {
+    fn claim(&self, request: u64, claim: KeyClaim) {
         let (writer, entry) = (self.writer.clone(), self.incarnation);
-        let address = context.mailbox().address();
+        let inbox = self.inbox.clone();
         tokio::spawn(async move {
             let result = keys::claim(&writer, entry, request, &claim).await;
-            let _ = address.send(Report(RouterInput::Claim { request, result })).await;
+            let _ = inbox.send(Event::Claim { request, result }).await;
         });
     }
 
@@ -271,78 +303,59 @@
     }
 }
 
-impl<T> Handler<Submit> for Requests<T>
-where
-    T: Table + Clone,
-{
-    type Return = ();
-
-    async fn handle(&mut self, submit: Submit, context: &mut Context<Self>) {
-        let Submit { request, spec, parts } = submit;
-        self.callers.insert(request, parts);
-        self.apply(RouterInput::Submit { request, spec }, context);
-    }
-}
-
-impl<T> Handler<CallerGone> for Requests<T>
+impl<T> InboxActor for Requests<T>
 where
     T: Table + Clone,
 {
-    type Return = ();
-
-    async fn handle(&mut self, gone: CallerGone, context: &mut Context<Self>) {
-        if self.callers.remove(&gone.request).is_some() {
-            self.metrics.count("requests", "caller_gone");
-            self.apply(RouterInput::CallerGone { request: gone.request }, context);
+    type Event = Event;
+
+    /// Handles an event. Messages of a connection that was closed may still be on their way, and are ignored.
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Submit(Submit { request, spec, parts }) => {
+                self.callers.insert(request, parts);
+                self.apply(RouterInput::Submit { request, spec });
+            }
+            Event::CallerGone(CallerGone { request }) => {
+                if self.callers.remove(&request).is_some() {
+                    self.metrics.count("requests", "caller_gone");
+                    self.apply(RouterInput::CallerGone { request });
+                }
+            }
+            Event::Connected(connected) => self.connected(connected),
+            Event::Received(FromEndpoint { connection, message }) => {
+                if self.connections.contains_key(&connection) {
+                    self.apply(router_input(connection, message));
+                }
+            }
+            Event::Disconnected(EndpointDisconnected { connection }) => {
+                if self.connections.remove(&connection).is_some() {
+                    log::info!(connection = connection.0; "endpoint disconnected");
+                    self.apply(RouterInput::Disconnected { connection });
+                }
+            }
+            Event::Claim { request, result } => {
+                self.apply(RouterInput::Claim { request, result });
+            }
         }
     }
 }
 
-impl<T> Handler<EndpointConnected> for Requests<T>
-where
-    T: Table + Clone,
-{
-    type Return = ();
-
-    async fn handle(&mut self, connected: EndpointConnected, context: &mut Context<Self>) {
-        let EndpointConnected { connection, sender, close, endpoint } = connected;
-        log::info!(endpoint = endpoint.id.as_str(), connection = connection.0; "endpoint connected");
-        self.connections.insert(connection, Connection { sender, _close: close });
-        self.apply(RouterInput::Announced { connection, endpoint }, context);
-    }
-}
-
-impl<T> Handler<FromEndpoint> for Requests<T>
-where
-    T: Table + Clone,
-{
-    type Return = ();
-
-    /// Ignores messages of a connection that was closed, which may still be on their way.
-    async fn handle(&mut self, from: FromEndpoint, context: &mut Context<Self>) {
-        let FromEndpoint { connection, message } = from;
-        if !self.connections.contains_key(&connection) {
-            return;
-        }
-        let input = match message {
-            AgentMessage::Announce(endpoint) => RouterInput::Announced { connection, endpoint },
-            message => RouterInput::Received { connection, message },
-        };
-        self.apply(input, context);
+fn router_input(connection: ConnectionId, message: AgentMessage) -> RouterInput {
+    match message {
+        AgentMessage::Announce(endpoint) => RouterInput::Announced { connection, endpoint },
+        message => RouterInput::Received { connection, message },
     }
 }
 
-impl<T> Handler<EndpointDisconnected> for Requests<T>
+impl<T> Handler<OpenInbox> for Requests<T>
 where
     T: Table + Clone,
 {
-    type Return = ();
+    type Return = mpsc::Sender<Event>;
 
-    async fn handle(&mut self, lost: EndpointDisconnected, context: &mut Context<Self>) {
-        if self.connections.remove(&lost.connection).is_some() {
-            log::info!(connection = lost.connection.0; "endpoint disconnected");
-            self.apply(RouterInput::Disconnected { connection: lost.connection }, context);
-        }
+    async fn handle(&mut self, _: OpenInbox, _: &mut Context<Self>) -> mpsc::Sender<Event> {
+        self.inbox.clone()
     }
 }
 
@@ -352,8 +365,8 @@
 {
     type Return = ();
 
-    async fn handle(&mut self, apply: ApplyRules, context: &mut Context<Self>) {
-        self.apply(RouterInput::Rules(apply.rules), context);
+    async fn handle(&mut self, apply: ApplyRules, _: &mut Context<Self>) {
+        self.apply(RouterInput::Rules(apply.rules));
     }
 }
 
@@ -363,9 +376,9 @@
 {
     type Return = ();
 
-    async fn handle(&mut self, apply: ApplyService, context: &mut Context<Self>) {
+    async fn handle(&mut self, apply: ApplyService, _: &mut Context<Self>) {
         let ApplyService { data_centre, state } = apply;
-        self.apply(RouterInput::Service { data_centre, state }, context);
+        self.apply(RouterInput::Service { data_centre, state });
     }
 }
 
@@ -375,19 +388,8 @@
 {
     type Return = ();
 
-    async fn handle(&mut self, _: Tick, context: &mut Context<Self>) {
-        self.apply(RouterInput::Tick, context);
-    }
-}
-
-impl<T> Handler<Report> for Requests<T>
-where
-    T: Table + Clone,
-{
-    type Return = ();
-
-    async fn handle(&mut self, report: Report, context: &mut Context<Self>) {
-        self.apply(report.0, context);
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self>) {
+        self.apply(RouterInput::Tick);
     }
 }
 
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,10 +1,12 @@
 //! What all programs share: options, logs, clock, shutdown signals, and the routes that show what a process does.
 
 mod clock;
+mod inbox;
 mod observe;
 mod options;
 
 pub use clock::{Clock, new_incarnation};
+pub use inbox::{InboxActor, run_with_inbox};
 pub use observe::{Metrics, Readiness, observe_routes, serve};
 pub use options::{Options, Parsed, parse};
 
--- a/tests/requests/deployment.rs
+++ b/tests/requests/deployment.rs
@@ -276,7 +276,6 @@
 async fn answer(record: &Record, body: Bytes) -> warp::reply::Response {
     use warp::Reply;
     record.bodies.lock().unwrap().push(body.to_vec());
-    let large = large_answer(&body);
     if body.starts_with(b"work") {
         tokio::time::sleep(WORK).await;
     }
@@ -284,7 +283,7 @@
         record.release.notified().await;
     }
     if body.starts_with(b"large") {
-        return large.into_response();
+        return large_answer(&body).into_response();
     }
     if body.starts_with(b"break") {
         let release = record.release.clone();
@@ -292,7 +291,7 @@
             release.notified().await;
             Err(std::io::Error::other("endpoint died"))
         };
-        let broken = futures::stream::iter([Ok(Bytes::from(large))]);
+        let broken = futures::stream::iter([Ok(Bytes::from(large_answer(&body)))]);
         let broken = broken.chain(futures::stream::once(end));
         return warp::reply::stream(broken).into_response();
     }
