Add commands for bundles, keys, organisations and replays

A partner signs the digest that the command line computes from the content, never one that an entry only claims. Editing a bundle file validates the result first and replaces the file as a whole; a refused edit leaves it as it was. datacentre out and in send the operator's name, which the entry requires.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,9 +1,14 @@
 //! The command line for operators and callers.
 
+mod bundle;
 mod client;
+mod document;
 mod inspect;
 mod job;
+mod key;
 mod options;
+mod organisation;
+mod replay;
 mod request;
 mod service;
 mod table;
@@ -109,12 +114,17 @@
 Usage: teaselhall COMMAND [SUBCOMMAND] [options]
 
 Commands:
+  bundle check|propose|approve|rollout|show|diff
+                                      bundles of rules, signed by two partners
+  key new                             key file of a partner
+  organisation add|list|show          organisations and their guarantees
   job submit|show|list|cancel|wait    gang jobs
   request                             one request to an endpoint
   datacentre out|in|list              take a data centre out of service, or bring it back
   endpoint drain|list                 endpoints
   worker list                         capacity groups and their workers
   dump                                state of the entries
+  replay                              run a session under a virtual clock
 
 Each command takes --help. Options of all commands:
   --entries URL,URL   entries to try in turn (also: settings file, TEASELHALL_ENTRIES)
@@ -124,6 +134,10 @@
 
 Exit codes: 0 done, 1 refused or certainly not run, 2 usage or bad input, 3 unknown outcome.";
 
+/// The commands that have subcommands.
+const GROUPS: [&str; 7] =
+    ["bundle", "key", "organisation", "job", "datacentre", "endpoint", "worker"];
+
 /// Runs the command line and returns what it prints.
 ///
 /// # Errors
@@ -134,6 +148,17 @@
     match words.as_slice() {
         [] | ["help" | "--help" | "-h", ..] => Ok(Output::done(USAGE)),
         ["--version", ..] => Ok(Output::done(concat!("teaselhall ", env!("CARGO_PKG_VERSION")))),
+        ["bundle", "check", rest @ ..] => bundle::check(rest).await,
+        ["bundle", "propose", rest @ ..] => bundle::propose(rest).await,
+        ["bundle", "approve", rest @ ..] => bundle::approve(rest).await,
+        ["bundle", "rollout", rest @ ..] => bundle::roll_out(rest).await,
+        ["bundle", "show", rest @ ..] => bundle::show(rest).await,
+        ["bundle", "diff", rest @ ..] => bundle::diff(rest).await,
+        ["key", "new", rest @ ..] => key::new(rest).await,
+        ["organisation", "add", rest @ ..] => organisation::add(rest).await,
+        ["organisation", "list", rest @ ..] => organisation::list(rest).await,
+        ["organisation", "show", rest @ ..] => organisation::show(rest).await,
+        ["replay", rest @ ..] => replay::run(rest).await,
         ["job", "submit", rest @ ..] => job::submit(rest).await,
         ["job", "show", rest @ ..] => job::show(rest).await,
         ["job", "list", rest @ ..] => job::list(rest).await,
@@ -147,8 +172,9 @@
         ["endpoint", "list", rest @ ..] => inspect::endpoints(rest).await,
         ["worker", "list", rest @ ..] => inspect::workers(rest).await,
         ["dump", rest @ ..] => inspect::dump(rest).await,
+        [group, "--help" | "-h"] if GROUPS.contains(group) => Ok(Output::done(USAGE)),
         [command, ..] => {
-            let known = ["job", "datacentre", "endpoint", "worker"].contains(command);
+            let known = GROUPS.contains(command);
             let what = if known { "subcommand" } else { "command" };
             let reason = format!("unknown {what} in {:?}; try teaselhall --help", words.join(" "));
             Err(Error::Usage { reason })
--- a/src/command/service.rs
+++ b/src/command/service.rs
@@ -2,7 +2,7 @@
 
 use getopts::Options;
 use reqwest::Method;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::client::Retry;
 use super::inspect::render_values;
@@ -10,20 +10,32 @@
 
 /// `datacentre out` and `datacentre in`.
 pub(super) async fn change(arguments: &[&str], state: &str) -> Result<Output> {
-    let usage = format!("datacentre {state} ID");
-    let context = match Context::parse(&usage, arguments, Options::new(), 1..=1)? {
+    let mut options = Options::new();
+    options.optopt("", "operator", "name for the record, default $USER", "NAME");
+    let usage = format!("datacentre {state} ID [options]");
+    let context = match Context::parse(&usage, arguments, options, 1..=1)? {
         Ok(context) => context,
         Err(help) => return Ok(help),
     };
     let path = format!("/v1/datacentres/{}/{state}", context.argument(0));
     // Setting the same state again is harmless.
-    let answer = context.client()?.send(&Method::POST, &path, None, Retry::Idempotent).await?;
+    let body = json!({"operator": operator(&context)?});
+    let client = context.client()?;
+    let answer = client.send(&Method::POST, &path, Some(&body), Retry::Idempotent).await?;
     if context.json {
         return Ok(Output::done(&answer.to_string()));
     }
     Ok(Output::done(&format!("data centre {} is {state}", context.argument(0))))
 }
 
+fn operator(context: &Context) -> Result<String> {
+    let from_environment = || std::env::var("USER").ok().filter(|name| !name.is_empty());
+    match context.matches.opt_str("operator").or_else(from_environment) {
+        Some(name) => Ok(name),
+        None => context.required("operator"),
+    }
+}
+
 /// `datacentre list`.
 pub(super) async fn list(arguments: &[&str]) -> Result<Output> {
     let context = match Context::parse("datacentre list", arguments, Options::new(), 0..=0)? {
--- a/src/command/tests.rs
+++ b/src/command/tests.rs
@@ -1,5 +1,7 @@
 //! Guards against commands that accept wrong input, and against exit codes that scripts cannot rely on.
 
+mod configuration;
+
 use test_case::test_case;
 
 use super::job::job_table;
--- a/src/entry/configuration/mod.rs
+++ b/src/entry/configuration/mod.rs
@@ -9,7 +9,7 @@
 mod register;
 mod routes;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub use actor::{Configuration, Dump};
 pub use routes::routes;
--- a/src/entry/configuration/tests.rs
+++ b/src/entry/configuration/tests.rs
@@ -24,7 +24,7 @@
 
 /// A table in memory that can be down or lose its answers.
 #[derive(Clone, Debug, Default)]
-struct FaultyTable {
+pub(crate) struct FaultyTable {
     store: MemoryStore,
     fault: Arc<AtomicU8>,
 }
@@ -60,13 +60,14 @@
 }
 
 /// An entry that serves its routes.
-struct Entry {
+pub(crate) struct Entry {
     handle: Handle<FaultyTable, MemoryStore>,
-    url: String,
+    /// The base URL of its HTTP interface.
+    pub(crate) url: String,
 }
 
 /// Starts an entry on a shared table, without any connections of agents.
-async fn entry(name: &str, table: &FaultyTable) -> Entry {
+pub(crate) async fn entry(name: &str, table: &FaultyTable) -> Entry {
     let identity = Identity {
         process: ProcessId::from(name),
         incarnation: Incarnation(1),
@@ -104,7 +105,7 @@
     json!(BundleOrder { version: BundleVersion(version), digest, signature })
 }
 
-async fn wait_registered(table: &FaultyTable, entries: usize) {
+pub(crate) async fn wait_registered(table: &FaultyTable, entries: usize) {
     let registered = async {
         while table.store.scan_rows("entry/").len() < entries {
             tokio::time::sleep(Duration::from_millis(10)).await;
