--- a/examples/local/check.rs
+++ b/examples/local/check.rs
@@ -43,6 +43,15 @@
     report.check("P3 no task starts after a data centre was taken out", take_out(deployment));
     report
         .check("P7, P8 drained endpoint gets no new work and finishes its own", drain(deployment));
+    report.check(
+        "leader killed: the group goes on under another, nothing runs twice",
+        kill_leader(deployment),
+    );
+    report.check(
+        "leader paused past its lease: it starts nothing when it goes on",
+        pause_leader(deployment),
+    );
+    report.check("P8 entry asked to end: no request in flight is cut", end_entry(deployment));
     report.check("no worker was ever overcommitted", no_overcommit(deployment));
     report.held
 }
@@ -457,3 +466,112 @@
         None => Ok(format!("{} starts", starts.len())),
     }
 }
+
+/// The group whose leader is killed and paused.
+const GROUP: &str = "surrey-1.0";
+/// A pause that is longer than the leader's lease of 3 s.
+const PAUSE: Duration = Duration::from_secs(6);
+
+fn leader_of(deployment: &Deployment, group: &str) -> Result<Option<(String, u64)>> {
+    for name in deployment.names("agent-").iter().filter(|name| name.contains("-w")) {
+        let leader = deployment.dump(name)?["worker"]["leader"].clone();
+        if leader["config"]["group"] == group {
+            return Ok(Some((name.clone(), leader["epoch"].as_u64().unwrap_or_default())));
+        }
+    }
+    Ok(None)
+}
+
+fn wait_for_leader(deployment: &Deployment, after_epoch: u64) -> Result<(String, Duration)> {
+    let leads = |found: &Option<(String, u64)>| {
+        found.as_ref().is_some_and(|(_, epoch)| *epoch > after_epoch)
+    };
+    let waited = deployment
+        .wait_until("another leader", STEP_LIMIT, |d| Ok(leads(&leader_of(d, GROUP)?)))?;
+    let leader = leader_of(deployment, GROUP)?.ok_or("the leader is gone again")?;
+    Ok((leader.0, waited))
+}
+
+/// Submits a job that only the group guarantees, and waits for its success.
+fn run_in_group(deployment: &Deployment, repeat: &[&str]) -> Result<String> {
+    let job = [
+        "--organisation",
+        "marine-seals",
+        "--kind",
+        "cure-run",
+        "--tasks",
+        "2",
+        "--accelerators",
+        "8",
+    ];
+    let job = submit(
+        deployment,
+        &[&job[..], &["--adjacency", "rack", "--run-ms", "1000"], repeat].concat(),
+    )?;
+    let (code, text) = deployment.command(&["job", "wait", &job, "--timeout-ms", "60000"])?;
+    if code == 0 { Ok(job) } else { Err(format!("job wait {job} exited with {code}: {text}")) }
+}
+
+/// Fails if two tasks of the same index of a job ever ran to success.
+fn succeeded_once(deployment: &Deployment, job: &str) -> Result<()> {
+    let records = deployment.platform_json("/record/tasks")?;
+    let records = records.as_array().cloned().unwrap_or_default();
+    let succeeded = records.iter().filter(|record| {
+        let task = record["report"]["task"].as_str().unwrap_or_default();
+        task.starts_with(job) && record["report"]["state"] == "succeeded"
+    });
+    match succeeded.count() {
+        2 => Ok(()),
+        count => Err(format!("{count} tasks of 2 succeeded")),
+    }
+}
+
+fn kill_leader(deployment: &mut Deployment) -> Result<String> {
+    let (leader, epoch) = leader_of(deployment, GROUP)?.ok_or("the group has no leader")?;
+    deployment.kill(&leader)?;
+    let (successor, waited) = wait_for_leader(deployment, epoch)?;
+    let job = run_in_group(deployment, &["--never-repeat"])?;
+    succeeded_once(deployment, &job)?;
+    deployment.start_process(&leader)?;
+    Ok(format!("{successor} took over after {waited:.1?}, and a job that may run once succeeded"))
+}
+
+fn pause_leader(deployment: &mut Deployment) -> Result<String> {
+    let (leader, epoch) = leader_of(deployment, GROUP)?.ok_or("the group has no leader")?;
+    deployment.pause(&leader, true)?;
+    std::thread::sleep(PAUSE);
+    deployment.pause(&leader, false)?;
+    let (successor, _) = wait_for_leader(deployment, epoch)?;
+    let job = run_in_group(deployment, &["--never-repeat"])?;
+    succeeded_once(deployment, &job)?;
+    Ok(format!("{successor} leads, and a job that may run once succeeded"))
+}
+
+fn end_entry(deployment: &mut Deployment) -> Result<String> {
+    let (name, requests) = ("entry-3", 16);
+    let address = deployment.address(name).ok_or("no address")?;
+    let answers = std::thread::scope(|scope| -> Result<Vec<Result<u16>>> {
+        let threads: Vec<_> =
+            (0..requests).map(|n| scope.spawn(move || slow_request(address, n))).collect();
+        std::thread::sleep(Duration::from_millis(700));
+        deployment.terminate(name, STEP_LIMIT)?;
+        Ok(threads.into_iter().map(|t| t.join().unwrap_or(Err("panicked".to_owned()))).collect())
+    })?;
+    deployment.start_process(name)?;
+    match answers.iter().find(|answer| **answer != Ok(200)) {
+        Some(answer) => Err(format!("{answer:?}")),
+        None => Ok(format!("{requests} requests in flight were answered")),
+    }
+}
+
+/// Sends a request whose body the endpoint takes over a second to answer.
+fn slow_request(entry: std::net::SocketAddr, number: usize) -> Result<u16> {
+    let url = format!(
+        "http://{entry}/v1/requests?organisation=fraser&kind=press-review&deadline_ms=20000"
+    );
+    super::deployment::block_on(async move {
+        let answer =
+            reqwest::Client::new().post(url).body(format!("work_ms=1500;{number}")).send().await;
+        answer.map(|answer| answer.status().as_u16()).map_err(|error| error.to_string())
+    })
+}
--- a/src/platform/endpoint.rs
+++ b/src/platform/endpoint.rs
@@ -1,6 +1,5 @@
 //! An endpoint of the stand-in: it announces itself to the agent beside it and answers requests with their own body.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +17,8 @@
 /// The greatest body of a request.
 const BODY_LIMIT_BYTES: u64 = 16 << 20;
 
-/// Starts an endpoint, which serves `POST /run?work_ms=N` until `stopped`.
+/// Starts an endpoint, which serves `POST /run` until `stopped`. A body may begin with the time that its answer takes:
+/// `work_ms=1500;`.
 pub(super) async fn spawn(
     settings: &EndpointSettings,
     platform: &Platform,
@@ -28,10 +28,8 @@
     let listener = tokio::net::TcpListener::bind(address).await.context(BindSnafu { address })?;
     let (settings_for_run, platform) = (settings.clone(), platform.clone());
     let body = warp::body::content_length_limit(BODY_LIMIT_BYTES).and(warp::body::bytes());
-    let run = warp::path!("run").and(warp::post()).and(warp::query()).and(body);
-    let run = run.then(move |query: HashMap<String, String>, body: Bytes| {
-        answer(settings_for_run.clone(), platform.clone(), query, body)
-    });
+    let run = warp::path!("run").and(warp::post()).and(body);
+    let run = run.then(move |body: Bytes| answer(settings_for_run.clone(), platform.clone(), body));
     tokio::spawn(
         warp::serve(run).incoming(listener).graceful(process::wait_for(stopped.clone())).run(),
     );
@@ -39,12 +37,7 @@
     Ok(())
 }
 
-async fn answer(
-    settings: EndpointSettings,
-    platform: Platform,
-    query: HashMap<String, String>,
-    body: Bytes,
-) -> Vec<u8> {
+async fn answer(settings: EndpointSettings, platform: Platform, body: Bytes) -> Vec<u8> {
     let index = {
         let at_ms = platform.clock.now_ms();
         let body_hash = blake3::hash(&body).to_hex().to_string();
@@ -53,13 +46,18 @@
         inner.runs.push(run);
         inner.runs.len() - 1
     };
-    let work_ms =
-        query.get("work_ms").and_then(|text| text.parse().ok()).unwrap_or(settings.work_ms);
+    let work_ms = work_ms_of(&body).unwrap_or(settings.work_ms);
     tokio::time::sleep(Duration::from_millis(work_ms)).await;
     platform.lock().runs[index].finished = true;
     body.to_vec()
 }
 
+fn work_ms_of(body: &[u8]) -> Option<u64> {
+    let text = body.strip_prefix(b"work_ms=")?;
+    let digits = text.split(|byte| *byte == b';').next()?;
+    std::str::from_utf8(digits).ok()?.parse().ok()
+}
+
 async fn announce(settings: EndpointSettings, stopped: watch::Receiver<bool>) {
     let client = reqwest::Client::new();
     let url = format!("{}/v1/announce", settings.agent_url.trim_end_matches('/'));
