Tell the truth about work whose start is in doubt, and stop work from reclaiming in circles

A job that may not be repeated was told as failed although its worker died before anything was known to run; only unknown is true. A job with a reservation took cells of work on its own organisation's guarantee, which took them back at once. A guarantee counted the cores of cells that it could not take, and work that had used more than its organisation's share of a worker could still use all of the share.

--- a/src/guarantee/binding.rs
+++ b/src/guarantee/binding.rs
@@ -240,6 +240,7 @@
         worker.state == WorkerState::Up
             && worker.whole() & mask == *mask
             && worker.pinned_by_others(block.organisation) & mask == 0
+            && worker.can_back(block.organisation, 0)
     };
     !block.cells.is_empty() && block.cells.iter().all(usable)
 }
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -117,6 +117,11 @@
             .fold(0, |all, (_, mask)| all | mask)
     }
 
+    /// Returns the accelerators that are guaranteed to an organisation and not held for good by others.
+    fn takeable_by(&self, organisation: u32) -> u64 {
+        self.bound_to(organisation) & !self.pinned_by_others(organisation)
+    }
+
     /// Returns the accelerators that an organisation's gang may use.
     pub fn reachable(&self, organisation: u32, reach: Reach) -> u64 {
         match reach {
@@ -161,16 +166,23 @@
                 && !self.bound[..*index].iter().any(|(earlier, _)| earlier == owner)
         });
         owners.fold((0, 0), |sum, (_, (owner, _))| {
-            let (cores, memory_mb) = self.share_of(self.bound_to(*owner).count_ones());
+            let (cores, memory_mb) = self.share_of(self.takeable_by(*owner).count_ones());
             let (used_cores, used_mb) = self.pinned_size(|other| other == *owner);
             (sum.0 + cores.saturating_sub(used_cores), sum.1 + memory_mb.saturating_sub(used_mb))
         })
     }
 
+    /// Returns the cores and memory of an organisation's own guarantee that its work does not use yet.
+    pub fn left_of_own(&self, organisation: u32) -> (u32, u64) {
+        let (cores, memory_mb) = self.share_of(self.takeable_by(organisation).count_ones());
+        let (used_cores, used_mb) = self.pinned_size(|other| other == organisation);
+        (cores.saturating_sub(used_cores), memory_mb.saturating_sub(used_mb))
+    }
+
     /// Returns whether `accelerators` more can be kept for an organisation, with the cores and memory that go with them.
     pub fn can_back(&self, organisation: u32, accelerators: u32) -> bool {
         let (cores, memory_mb) =
-            self.share_of(accelerators + self.bound_to(organisation).count_ones());
+            self.share_of(accelerators + self.takeable_by(organisation).count_ones());
         let (kept_cores, kept_mb) = self.kept_for_others(organisation);
         let (used_cores, used_mb) = self.pinned_size(|other| other != organisation);
         let shape = self.spec.shape;
--- a/src/scheduler/finish.rs
+++ b/src/scheduler/finish.rs
@@ -1,6 +1,5 @@
 //! How gangs leave their cells: stop, checkpoint, fence, and what becomes of their jobs.
 
-use super::gang::cancelled;
 use super::message::Output;
 use super::reclaim::URGENT_STOP_MS;
 use super::state::{LEASE_MS, Scheduler};
@@ -17,8 +16,7 @@
                 self.leave(now_ms, key, Leave::Cancelled, out);
                 self.finish_if_over(now_ms, key, out);
             } else {
-                let ran = self.jobs[&key].may_have_run;
-                self.end_job(key, cancelled(ran), out);
+                self.end_cancelled(key, out);
             }
         }
     }
@@ -107,12 +105,25 @@
             return;
         }
         match gang.leaves {
-            Some(Leave::Cancelled) => self.end_job(key, cancelled(gang.ran), out),
+            Some(Leave::Cancelled) => self.end_cancelled(key, out),
             Some(Leave::Failed(worker)) => self.finish_failed(now_ms, key, &gang, worker, out),
             why => self.finish_stopped(now_ms, key, &gang, why, out),
         }
     }
 
+    /// Ends a job that its caller cancelled.
+    pub(crate) fn end_cancelled(&mut self, key: JobKey, out: &mut Vec<Output>) {
+        let end = self.jobs[&key].end(JobEnd::Cancelled, "the job was cancelled before it started");
+        let end = match end {
+            JobEnd::Unknown { .. } => {
+                let reason = "the job was cancelled, and it is not known whether it had started";
+                JobEnd::Unknown { reason: reason.to_owned() }
+            }
+            end => end,
+        };
+        self.end_job(key, end, out);
+    }
+
     fn finish_failed(
         &mut self,
         now_ms: u64,
@@ -149,15 +160,15 @@
             _ => "a task or its worker was lost",
         };
         let reason = format!("{cause}, and the job may not be repeated");
-        let end = match gang.ran {
-            true => JobEnd::Failed { reason },
-            false => JobEnd::NotRun { reason },
-        };
+        let end = self.jobs[&key].end(JobEnd::Failed { reason: reason.clone() }, &reason);
         self.end_job(key, end, out);
     }
 
     fn requeue(&mut self, now_ms: u64, key: JobKey, gang: &Gang, out: &mut Vec<Output>) {
-        let saved_ms = self.jobs[&key].saved_ms;
+        let job = self.job_mut(key);
+        job.ran |= gang.ran;
+        job.in_doubt |= gang.in_doubt;
+        let saved_ms = job.saved_ms;
         out.push(Output::WriteQueued { gang: gang.id.clone(), saved_ms });
         self.wait_again(key, now_ms);
     }
@@ -243,7 +254,7 @@
     /// Notes that the tasks of a gang on a worker have ended without a report.
     pub(crate) fn lose_share(&mut self, key: JobKey, worker: u32) {
         let gang = self.gang_mut(key);
-        gang.ran = true;
+        gang.in_doubt = true;
         if let Some(share) = gang.share_mut(worker) {
             share.ended = u64::MAX >> (64 - share.tasks.len().clamp(1, 64));
         }
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -43,7 +43,9 @@
         job.demand = demand;
         job.attempts = attempts;
         job.saved_ms = saved_ms;
-        job.may_have_run = attempts > 0;
+        job.may_still_run = attempts > 0;
+        job.in_doubt = attempts > 0;
+        job.ran = saved_ms > 0;
         if let Some(reason) = refusal {
             let end = match attempts {
                 0 => JobEnd::NotRun { reason },
@@ -100,6 +102,7 @@
             deadline_ms,
             started_ms: now_ms,
             ran: false,
+            in_doubt: false,
             leaves: None,
             backfill,
             for_urgent: false,
@@ -221,7 +224,6 @@
     fn start(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
         let job = self.job_mut(key);
         job.conflicts = 0;
-        job.may_have_run = true;
         job.resumed_ms = job.saved_ms;
         let saved_ms = job.saved_ms;
         let gang = self.gang_mut(key);
@@ -289,9 +291,9 @@
         self.active.remove(&key);
         let job = self.job_mut(key);
         let gang = job.gang.take().expect("an active job has a gang");
-        let (repeats, ran, saved_ms) = (job.repeats(), job.may_have_run, job.saved_ms);
+        let (repeats, saved_ms) = (job.repeats(), job.saved_ms);
         if why == Leave::Cancelled {
-            self.end_job(key, cancelled(ran), out);
+            self.end_cancelled(key, out);
         } else if durable && !repeats {
             let reason = "the start was given up before any task was started, and the job may not be repeated";
             self.end_job(key, JobEnd::NotRun { reason: reason.to_owned() }, out);
@@ -365,7 +367,12 @@
             share.succeeded |= 1 << position;
             self.pool.worker_mut(worker).failed_jobs.clear();
         }
-        self.gang_mut(key).ran |= end != TaskEnd::Refused;
+        let current = self.gang_mut(key);
+        match end {
+            TaskEnd::Succeeded | TaskEnd::Failed => current.ran = true,
+            TaskEnd::Stopped | TaskEnd::Lost => current.in_doubt = true,
+            TaskEnd::Refused => {}
+        }
         self.run_if_whole(now_ms, key);
         self.after_task(now_ms, key, worker, end, out);
     }
@@ -415,11 +422,3 @@
         weight: job.demand.accelerators(),
     }
 }
-
-/// Returns the end of a job that was cancelled while no gang of it could run.
-pub(crate) fn cancelled(may_have_run: bool) -> JobEnd {
-    match may_have_run {
-        true => JobEnd::Cancelled,
-        false => JobEnd::NotRun { reason: "the job was cancelled before it started".to_owned() },
-    }
-}
--- a/src/scheduler/members.rs
+++ b/src/scheduler/members.rs
@@ -109,7 +109,7 @@
         };
         let job = self.job_mut(key);
         job.attempts = job.attempts.max(share.gang.number);
-        job.may_have_run = true;
+        job.may_still_run = true;
         job.gang = Some(Gang {
             id: share.gang.clone(),
             stage: Stage::Adopting,
@@ -117,6 +117,7 @@
             deadline_ms: now_ms + LEASE_MS,
             started_ms: now_ms,
             ran: true,
+            in_doubt: false,
             leaves: None,
             backfill: false,
             for_urgent: false,
@@ -201,7 +202,7 @@
     /// Ends a waiting job if an earlier attempt may have run and a further one is not allowed.
     pub(crate) fn settle_unrepeatable(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
         let job = &self.jobs[&key];
-        if job.may_have_run && !job.repeats() && self.is_settled(now_ms) {
+        if job.may_still_run && !job.repeats() && self.is_settled(now_ms) {
             let reason =
                 "an earlier attempt may have run, and the job may not be repeated".to_owned();
             self.end_job(key, JobEnd::Unknown { reason }, out);
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -5,7 +5,7 @@
 use super::queue::CLASSES;
 use super::search::mask_of;
 use super::state::Scheduler;
-use super::work::Job;
+use super::work::{Job, Rights};
 use crate::placement::{Candidate, Holding, JobKey, Plan, Policy, Reach, Worker, choose};
 use crate::prelude::*;
 
@@ -77,8 +77,7 @@
     fn reserve_for(&mut self, now_ms: u64, key: JobKey) {
         let job = &self.jobs[&key];
         let rights = job.rights;
-        let reach = if rights.borrows { Reach::Any } else { Reach::Spare };
-        let offer = |_: u32, worker: &Worker| {
+        let offer = |reach: Reach, worker: &Worker| {
             let shape = worker.spec.shape;
             worker.takes_work(now_ms).then(|| Candidate {
                 mask: worker.reachable(rights.organisation, reach),
@@ -89,10 +88,14 @@
         };
         // No random number is drawn under the product policy.
         let mut random = NoRandom;
-        let Some(plan) = choose(&self.pool, &job.demand, self.policy, None, &mut random, offer)
-        else {
-            return;
+        // Work on cells of others must give them back at once when they are wanted, so borrowed cells come last.
+        let mut choose_within = |reach| {
+            let offer = |_: u32, worker: &Worker| offer(reach, worker);
+            choose(&self.pool, &job.demand, self.policy, None, &mut random, offer)
         };
+        let borrowed = rights.borrows.then_some(Reach::Any);
+        let reaches = [Some(Reach::Spare), borrowed];
+        let Some(plan) = reaches.into_iter().flatten().find_map(&mut choose_within) else { return };
         let cells = cells_of(&plan);
         for (worker, mask) in &cells {
             self.pool.worker_mut(*worker).reserved = *mask;
@@ -138,7 +141,14 @@
     }
 
     /// Returns whether a gang on reserved cells leaves them when the reserved job can start.
-    pub(crate) fn gives_way(&self, holding: &Holding, class: Class) -> bool {
+    ///
+    /// Work on cells of its own organisation's guarantee does not: it would take them back at once.
+    pub(crate) fn gives_way(&self, worker: &Worker, holding: &Holding, rights: &Rights) -> bool {
+        let own = worker.bound_to(holding.organisation);
+        if holding.organisation != rights.organisation && holding.mask & own != 0 {
+            return false;
+        }
+        let class = rights.class;
         let backfill = self
             .jobs
             .get(&holding.job)
--- a/src/scheduler/search.rs
+++ b/src/scheduler/search.rs
@@ -161,11 +161,12 @@
                 }
             }
         }
-        let keeps = self.policy == Policy::Product && !rights.reclaimable && !way.moves_blocks;
-        if keeps && !(way.reach == Reach::Own && in_proportion(job, worker)) {
-            let (cores, memory_mb) = worker.kept_for_others(rights.organisation);
-            offer.cores = offer.cores.saturating_sub(cores);
-            offer.memory_mb = offer.memory_mb.saturating_sub(memory_mb);
+        if self.policy == Policy::Product && !rights.reclaimable && !way.moves_blocks {
+            let (kept_cores, kept_mb) = worker.kept_for_others(rights.organisation);
+            let (own_cores, own_mb) = worker.left_of_own(rights.organisation);
+            offer.cores = offer.cores.saturating_sub(kept_cores).max(offer.cores.min(own_cores));
+            offer.memory_mb =
+                offer.memory_mb.saturating_sub(kept_mb).max(offer.memory_mb.min(own_mb));
         }
         offer
     }
@@ -230,7 +231,7 @@
             return false;
         }
         let job = &self.jobs[&key];
-        let class = job.rights.class;
+        let rights = job.rights;
         let mut victims = Vec::new();
         for (position, tasks) in &reservation.plan {
             let worker = self.pool.worker(*position);
@@ -238,11 +239,13 @@
             let mut holders = worker.holdings.iter().filter(|h| h.mask & mask != 0);
             let reach = if job.rights.borrows { Reach::Any } else { Reach::Spare };
             let allowed = mask & !worker.reachable(job.rights.organisation, reach) == 0;
-            if !allowed || worker.claimed & mask != 0 || holders.any(|h| !self.gives_way(h, class))
+            if !allowed
+                || worker.claimed & mask != 0
+                || holders.any(|h| !self.gives_way(worker, h, &rights))
             {
                 return false;
             }
-            let giving = worker.holdings.iter().filter(|h| self.gives_way(h, class));
+            let giving = worker.holdings.iter().filter(|h| self.gives_way(worker, h, &rights));
             victims.extend(victims_on(job, worker, tasks, giving));
             if !has_size_after(job, worker, tasks, &victims) {
                 return false;
@@ -301,13 +304,6 @@
         && memory_mb >= kept_mb + u64::from(count) * job.demand.task.memory_mb
 }
 
-/// Returns whether a task needs no more cores and memory than go with its accelerators.
-fn in_proportion(job: &Job, worker: &Worker) -> bool {
-    let task = job.demand.task;
-    let (cores, memory_mb) = worker.share_of(task.accelerators);
-    task.cores <= cores && task.memory_mb <= memory_mb
-}
-
 /// Returns the accelerators of some tasks.
 pub(crate) fn mask_of(tasks: &[TaskCell]) -> u64 {
     tasks.iter().fold(0, |all, cell| all | cell.accelerator_mask)
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -333,7 +333,9 @@
                 arrived_ms: now_ms,
                 attempts: 0,
                 saved_ms: 0,
-                may_have_run: false,
+                may_still_run: false,
+                ran: false,
+                in_doubt: false,
                 retry_at_ms: 0,
                 conflicts: 0,
                 failures: 0,
@@ -353,7 +355,7 @@
             demand: job.demand,
             arrived_ms: job.arrived_ms,
             retry_at_ms: job.retry_at_ms,
-            after_takeover: job.may_have_run,
+            after_takeover: job.may_still_run,
         };
         self.queue.insert(key, waiting);
     }
--- a/src/scheduler/work.rs
+++ b/src/scheduler/work.rs
@@ -34,8 +34,12 @@
     pub attempts: u32,
     /// Progress saved in a checkpoint.
     pub saved_ms: u64,
-    /// Whether an earlier attempt may have started tasks.
-    pub may_have_run: bool,
+    /// Whether an attempt under an earlier leader may still run.
+    pub may_still_run: bool,
+    /// Whether a task of an earlier attempt is known to have run.
+    pub ran: bool,
+    /// Whether it is unknown if a task of an earlier attempt ran.
+    pub in_doubt: bool,
     /// Before this time the job is not tried again.
     pub retry_at_ms: u64,
     /// Conflicting intents in a row.
@@ -80,8 +84,10 @@
     /// When the stage is overdue; `u64::MAX` if it may last.
     pub deadline_ms: u64,
     pub started_ms: u64,
-    /// Whether a task is known or believed to have run.
+    /// Whether a task is known to have run.
     pub ran: bool,
+    /// Whether it is unknown if a task ran, because its worker was lost or an agent stopped what it had only reserved.
+    pub in_doubt: bool,
     /// Why the gang leaves its cells.
     pub leaves: Option<Leave>,
     /// Whether the gang runs on cells that wait for a reservation.
@@ -171,6 +177,19 @@
         GangId { job: self.spec.id.clone(), number: self.attempts + 1 }
     }
 
+    /// Returns the end of the job if it ends now and `ran` is its end in case a task ran.
+    pub fn end(&self, ran: JobEnd, reason: &str) -> JobEnd {
+        let reason = reason.to_owned();
+        let gang = self.gang.as_ref();
+        if self.ran || gang.is_some_and(|gang| gang.ran) {
+            ran
+        } else if self.in_doubt || gang.is_some_and(|gang| gang.in_doubt) {
+            JobEnd::Unknown { reason }
+        } else {
+            JobEnd::NotRun { reason }
+        }
+    }
+
     /// Returns whether a second attempt is allowed once the start of a first became durable.
     pub fn repeats(&self) -> bool {
         self.spec.repeat == Repeat::Allowed
