--- a/src/replay/promise.rs
+++ b/src/replay/promise.rs
@@ -169,6 +169,18 @@
         }
     }
 
+    /// Counts the time of partial gangs anew for which a new leader is responsible now.
+    pub(super) fn restart_partial<F>(&mut self, now_ms: u64, is_of_leader: F)
+    where
+        F: Fn(&JobId) -> bool,
+    {
+        for (gang, since_ms) in &mut self.partial {
+            if is_of_leader(&gang.job) {
+                *since_ms = now_ms;
+            }
+        }
+    }
+
     fn update_partial(&mut self, now_ms: u64, gang: &GangId) {
         let partial = self.jobs.get(&gang.job).is_some_and(|truth| {
             let attempt = truth.attempts.get(&gang.number);
--- a/src/replay/world/lead.rs
+++ b/src/replay/world/lead.rs
@@ -229,6 +229,9 @@
         let leader = self.add_leader(group, epoch, false);
         self.log(format!("leader  {} taken over, epoch {epoch}", self.groups[group].id));
         self.refresh_contacts(group);
+        let rows = &self.rows.jobs;
+        let is_of_leader = |job: &JobId| rows.get(job).is_some_and(|row| row.group == group);
+        self.promises.restart_partial(self.agenda.now_ms(), is_of_leader);
         self.scan_open(leader);
         let wait_ms = self.ask_members(group, leader);
         self.agenda.after(wait_ms, Happening::Adopted { leader });
