Check the promises of a group under faults, and fix what that found

A simulation in virtual time drives agents, leases, leaders, the scheduler, workers and a table through lost, doubled and slow datagrams, pauses, restarts, partitions, drifting clocks, lost and late table answers and outages, and checks starts, partial gangs, two attempts at once, overlaps, and the truth of each job's end.

--- a/src/scheduler/place.rs
+++ b/src/scheduler/place.rs
@@ -217,10 +217,14 @@
     /// Returns the next job of a line that may start and for which there may be room.
     fn next_of(&self, now_ms: u64, line: &Line) -> Option<JobKey> {
         let jobs = self.queue.lines(line.class).get(&line.organisation)?;
-        let may_start = |waiting: &Waiting| {
-            !self.is_missed(waiting) && self.waits_for(now_ms, waiting).is_none()
+        // Others miss room because of the reservation, which says nothing about the job that holds it.
+        let has_reservation =
+            |key: JobKey| self.reservation.as_ref().is_some_and(|held| held.job == key);
+        let may_start = |key: JobKey, waiting: &Waiting| {
+            (has_reservation(key) || !self.is_missed(waiting))
+                && self.waits_for(now_ms, waiting).is_none()
         };
-        jobs.range(line.from..).find(|(_, waiting)| may_start(waiting)).map(|(key, _)| *key)
+        jobs.range(line.from..).find(|(key, waiting)| may_start(**key, waiting)).map(|(k, _)| *k)
     }
 
     /// Returns whether the present pass found no room for a demand that is no larger and has the same rights.
--- a/src/worker/agent.rs
+++ b/src/worker/agent.rs
@@ -176,6 +176,10 @@
             if matches!(gang.phase, Phase::Held { .. }) {
                 gang.phase = Phase::Ended { at_ms: now_ms, never_ran: true };
             }
+            // A gang that the new leader is told of again needs all its ends, or the leader waits for the others.
+            if gang.may_run() || gang.ends.values().any(|end| !end.noted) {
+                gang.ends.values_mut().for_each(|end| end.noted = false);
+            }
         }
     }
 
--- a/src/worker/tests.rs
+++ b/src/worker/tests.rs
@@ -344,6 +344,25 @@
     assert_eq!(joined_gangs(&fixture.input(3_200, Input::Tick)), Some(told));
 }
 
+/// Guards against a new leader that adopts a gang and never learns the ends which the earlier leader noted.
+#[test]
+fn new_leader_is_told_all_ends_of_a_gang_or_none() {
+    let mut fixture = Fixture::joined();
+    let tasks = [(0, 0b01), (1, 0b10)];
+    let cell = |(task, accelerator_mask)| TaskCell { task, accelerator_mask };
+    let share = Share { worker: "w1".into(), tasks: tasks.map(cell).to_vec() };
+    let job = Box::new(job("a", 4, 100, 1));
+    let reserve = LeaderMessage::Reserve { gang: gang("a"), job, share, hold_ms: HOLD_MS };
+    fixture.leader(10, reserve);
+    fixture.leader(20, start("a"));
+    fixture.answer(30, WorkerAnswer::Started { gang: gang("a") });
+    fixture.list(100, 9, &[("a#1/0", TaskState::Succeeded), ("a#1/1", TaskState::Succeeded)]);
+    fixture.leader(200, LeaderMessage::EndNoted { gang: gang("a"), task: 0 });
+    fixture.epoch = Epoch(2);
+    fixture.leader(300, LeaderMessage::Joined);
+    assert_eq!(ends(&fixture.input(1_000, Input::Tick)), [TaskEnd::Succeeded; 2]);
+}
+
 /// Guards against a `Join` that does not fit in a datagram of 1,200 bytes.
 #[test]
 fn join_with_many_gangs_is_split() {
--- /dev/null
+++ b/tests/group/world.rs
@@ -0,0 +1,692 @@
+//! A capacity group in virtual time: agents, leases, leaders, workers, a table and a network with faults.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use futures::executor::block_on;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use teaselhall::job::{GroupJobRow, JobRow, group_job_key, group_job_prefix, job_key};
+use teaselhall::leader::{self, IndexEntry, Leader, LeaderConfig, Place, change_job};
+use teaselhall::membership::{
+    LeaderLease, LeaseConfig, LeaseInput, LeaseOutput, LeaseRow, MembersConfig, Versioned,
+    epoch_key, lease_key,
+};
+use teaselhall::permit::surely_within;
+use teaselhall::prelude::*;
+use teaselhall::scheduler::{GroupRules, Policy, WorkerSpec};
+use teaselhall::store::{Commit, Condition, OperationId, RowVersion, Write, Writer};
+use teaselhall::wire::{LeaderMessage, MemberMessage, ServiceState};
+use teaselhall::worker::{
+    self, TaskName, TaskState, WorkerAgent, WorkerAnswer, WorkerCall, WorkerConfig,
+};
+
+use super::fixture;
+use super::machine::{Machine, Task};
+use super::table::FaultyTable;
+
+pub const HEARTBEAT_MS: u64 = 1_000;
+pub const GANG_LEASE_MS: u64 = 10_000;
+const LEADER_LEASE_MS: u64 = 5_000;
+const TICK_MS: u64 = 100;
+const ENTRY_READ_MS: u64 = 500;
+
+/// Faults of the network, in thousandths of the datagrams.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NetworkFaults {
+    pub lost_per_mille: u32,
+    pub doubled_per_mille: u32,
+    pub slow_per_mille: u32,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Tick,
+    ToMember { epoch: Epoch, incarnation: Incarnation, message: LeaderMessage },
+    ToLeader { message: MemberMessage },
+    Call { call: WorkerCall, decided_ms: u64 },
+    Answer { answer: WorkerAnswer },
+    Lease { input: LeaseInput },
+    Leader { epoch: Epoch, input: leader::Input },
+    Permit { epoch: Epoch, asked_ms: u64, version: u64, permit_ms: u64 },
+    Found { leader: Option<(Epoch, usize)> },
+}
+
+struct Queued {
+    node: usize,
+    boot: u64,
+    event: Event,
+}
+
+/// One agent, with its worker and its own clock.
+pub struct Node {
+    pub id: WorkerId,
+    boot: u64,
+    pub agent: WorkerAgent,
+    pub lease: LeaderLease,
+    pub leader: Option<(Leader, Place)>,
+    leader_node: Option<(Epoch, usize)>,
+    trusted: bool,
+    next_permit_ms: u64,
+    /// The difference of its clock's rate from the true one, in thousandths.
+    drift_per_mille: i64,
+    paused_until_ms: u64,
+    pub machine: Machine,
+    last_call_ms: u64,
+}
+
+/// The data centre's state as an entry sees it.
+struct Entry {
+    state: ServiceState,
+    version: u64,
+    read_ms: u64,
+}
+
+pub struct World {
+    pub now_ms: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Queued>,
+    sequence: u64,
+    pub nodes: Vec<Node>,
+    pub table: FaultyTable,
+    late: Vec<(u64, Commit)>,
+    pub network: NetworkFaults,
+    /// Nodes that can exchange datagrams with those of the same side only.
+    pub sides: Vec<u8>,
+    pub random: ChaCha8Rng,
+    entry: Entry,
+    /// The state of the data centre in the table, its version and the time of its last change.
+    pub service: (ServiceState, u64, u64),
+    pub log: Vec<String>,
+    pub problems: Vec<String>,
+    started: BTreeMap<String, u64>,
+    partial_since: BTreeMap<GangId, u64>,
+    pub jobs: Vec<JobId>,
+}
+
+impl World {
+    pub fn new(seed: u64, nodes: usize) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let drifts: Vec<i64> = (0..nodes).map(|_| random.random_range(-5..=5)).collect();
+        let mut world = Self {
+            now_ms: 1_000,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            sequence: 0,
+            nodes: Vec::new(),
+            table: FaultyTable::new(seed),
+            late: Vec::new(),
+            network: NetworkFaults::default(),
+            sides: vec![0; nodes],
+            random,
+            entry: Entry { state: ServiceState::In, version: 1, read_ms: 0 },
+            service: (ServiceState::In, 1, 0),
+            log: Vec::new(),
+            problems: Vec::new(),
+            started: BTreeMap::new(),
+            partial_since: BTreeMap::new(),
+            jobs: Vec::new(),
+        };
+        for (index, drift_per_mille) in drifts.into_iter().enumerate() {
+            let machine = Machine::default();
+            world.nodes.push(new_node(index, 1, drift_per_mille, machine, nodes));
+            world.push(index, index as u64, Event::Tick);
+        }
+        world
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while let Some(Reverse((at_ms, sequence))) = self.queue.peek().copied() {
+            if at_ms > end_ms {
+                break;
+            }
+            self.queue.pop();
+            self.now_ms = at_ms;
+            let Some(queued) = self.events.remove(&sequence) else { continue };
+            self.read_as_entry();
+            self.apply_late();
+            let node = &self.nodes[queued.node];
+            if queued.boot != node.boot {
+                continue;
+            }
+            if self.now_ms < node.paused_until_ms {
+                let delay_ms = node.paused_until_ms - self.now_ms;
+                self.push(queued.node, delay_ms, queued.event);
+                continue;
+            }
+            self.dispatch(queued.node, queued.event);
+        }
+        self.now_ms = end_ms;
+    }
+
+    pub fn pause(&mut self, node: usize, duration_ms: u64) {
+        self.nodes[node].paused_until_ms = self.now_ms + duration_ms;
+        self.note(format!("n{node} is paused for {duration_ms} ms"));
+    }
+
+    /// Replaces the agent of a worker; the worker and its tasks stay.
+    pub fn restart(&mut self, node: usize) {
+        let old = &mut self.nodes[node];
+        let (boot, drift) = (old.boot + 1, old.drift_per_mille);
+        let machine = std::mem::take(&mut old.machine);
+        self.nodes[node] = new_node(node, boot, drift, machine, self.sides.len());
+        self.push(node, 1, Event::Tick);
+        self.note(format!("n{node} restarts"));
+    }
+
+    /// Returns the node that leads with a lease that holds, if any.
+    pub fn leading(&self) -> Option<usize> {
+        (0..self.nodes.len())
+            .find(|index| self.nodes[*index].lease.leads(self.local_ms(*index)).is_some())
+    }
+
+    /// Makes a job durable and tells a leader of it or not.
+    pub fn submit(&mut self, job: JobSpec) {
+        let row = JobRow {
+            spec: job.clone(),
+            group: group(),
+            state: JobState::Queued,
+            saved_ms: 0,
+            attempts: 0,
+            cancel_requested: false,
+        };
+        let (key, index_key) = (job_key(&job.id), group_job_key(&group(), &job.id));
+        let absent = |key: &str| Condition { key: key.to_owned(), version: RowVersion::ABSENT };
+        let index = GroupJobRow { cancel_requested: false };
+        let write = |key: &str, value| Write { key: key.to_owned(), value };
+        let commit = Commit {
+            operation: OperationId(job.id.to_string()),
+            conditions: vec![absent(&key), absent(&index_key)],
+            writes: vec![
+                write(&key, serde_json::to_value(row).unwrap()),
+                write(&index_key, serde_json::to_value(index).unwrap()),
+            ],
+        };
+        self.table.store.apply(&commit).unwrap();
+        self.jobs.push(job.id.clone());
+        let told = self.random.random_range(0..10) < 7;
+        if let Some(node) = self.leading().filter(|_| told) {
+            let epoch = self.nodes[node].leader.as_ref().map(|(leader, _)| leader.epoch());
+            let input = leader::Input::Submit { job: job.id };
+            if let Some(epoch) = epoch {
+                self.push(node, 5, Event::Leader { epoch, input });
+            }
+        }
+    }
+
+    pub fn set_service(&mut self, state: ServiceState) {
+        self.service = (state, self.service.1 + 1, self.now_ms);
+        self.note(format!("data centre {state:?}"));
+    }
+
+    pub fn job(&self, job: &JobId) -> JobRow {
+        let row = self.table.store.read_row(&job_key(job)).expect("the row of a job stays");
+        serde_json::from_value(row.value).unwrap()
+    }
+
+    /// Returns the attempts of a job of which any task was ever started.
+    pub fn attempts_started(&self, job: &JobId) -> Vec<u32> {
+        let names = self.started.keys().filter_map(|name| name.parse::<TaskName>().ok());
+        let mut numbers: Vec<u32> =
+            names.filter(|name| &name.gang.job == job).map(|name| name.gang.number).collect();
+        numbers.dedup();
+        numbers.sort_unstable();
+        numbers.dedup();
+        numbers
+    }
+
+    pub fn note(&mut self, text: String) {
+        let (seconds, millis) = (self.now_ms / 1_000, self.now_ms % 1_000);
+        self.log.push(format!("{seconds:3}.{millis:03} {text}"));
+    }
+
+    fn problem(&mut self, text: String) {
+        self.note(format!("PROBLEM {text}"));
+        self.problems.push(text);
+    }
+
+    fn local_ms(&self, node: usize) -> u64 {
+        let drift = self.nodes[node].drift_per_mille;
+        (self.now_ms as i64 + self.now_ms as i64 * drift / 1_000) as u64
+    }
+
+    fn push(&mut self, node: usize, delay_ms: u64, event: Event) {
+        self.sequence += 1;
+        let boot = self.nodes[node].boot;
+        self.queue.push(Reverse((self.now_ms + delay_ms, self.sequence)));
+        self.events.insert(self.sequence, Queued { node, boot, event });
+    }
+
+    fn read_as_entry(&mut self) {
+        if !self.table.is_down() && self.now_ms >= self.entry.read_ms + ENTRY_READ_MS {
+            let (state, version, _) = self.service;
+            self.entry = Entry { state, version, read_ms: self.now_ms };
+        }
+    }
+
+    fn apply_late(&mut self) {
+        for commit in self.table.take_late() {
+            let at_ms = self.now_ms + self.random.random_range(10..4_000);
+            self.late.push((at_ms, commit));
+        }
+        let (due, rest) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(at_ms, _)| *at_ms <= self.now_ms);
+        self.late = rest;
+        let due: Vec<(u64, Commit)> = due;
+        for (_, commit) in due {
+            let _ = self.table.store.apply(&commit);
+        }
+    }
+
+    /// Sends a datagram, which may be lost, doubled or late.
+    fn transmit(&mut self, from: usize, to: usize, event: Event) {
+        if self.sides[from] != self.sides[to] {
+            return;
+        }
+        let faults = if from == to { NetworkFaults::default() } else { self.network };
+        let copies = 1 + u32::from(self.random.random_range(0..1_000) < faults.doubled_per_mille);
+        for _ in 0..copies {
+            if self.random.random_range(0..1_000) < faults.lost_per_mille {
+                continue;
+            }
+            let slow = self.random.random_range(0..1_000) < faults.slow_per_mille;
+            let delay_ms = if slow { 3_000 } else { 30 };
+            let delay_ms = self.random.random_range(1..=delay_ms);
+            self.push(to, delay_ms, event.clone());
+        }
+    }
+
+    fn dispatch(&mut self, node: usize, event: Event) {
+        match event {
+            Event::Tick => self.tick(node),
+            Event::ToMember { epoch, incarnation, message } => {
+                // The tag of a datagram for another incarnation is wrong.
+                if incarnation == self.nodes[node].agent.incarnation() {
+                    if epoch >= self.nodes[node].agent.epoch() {
+                        self.apply_lease(node, &LeaseInput::LeaderHeard);
+                    }
+                    let input = worker::Input::Leader { epoch, incarnation, message };
+                    self.apply_agent(node, &input);
+                }
+            }
+            Event::ToLeader { message } => {
+                self.apply_leader(node, &leader::Input::Member { message });
+            }
+            Event::Call { call, decided_ms } => self.call(node, call, decided_ms),
+            Event::Answer { answer } => {
+                self.apply_agent(node, &worker::Input::Worker { answer });
+            }
+            Event::Lease { input } => self.apply_lease(node, &input),
+            Event::Leader { epoch, input } => {
+                if self.epoch_led(node) == Some(epoch) {
+                    self.apply_leader(node, &input);
+                }
+            }
+            Event::Permit { epoch, asked_ms, version, permit_ms } => {
+                let until_ms = asked_ms + surely_within(permit_ms);
+                let remaining_ms = until_ms.saturating_sub(self.local_ms(node));
+                if self.epoch_led(node) == Some(epoch) {
+                    self.apply_leader(node, &leader::Input::Permit { version, remaining_ms });
+                }
+            }
+            Event::Found { leader } => {
+                if let Some((epoch, leader)) = leader {
+                    self.note_leader(node, epoch, leader);
+                }
+            }
+        }
+    }
+
+    fn epoch_led(&self, node: usize) -> Option<Epoch> {
+        self.nodes[node].leader.as_ref().map(|(leader, _)| leader.epoch())
+    }
+
+    fn tick(&mut self, node: usize) {
+        self.push(node, TICK_MS, Event::Tick);
+        self.apply_agent(node, &worker::Input::Tick);
+        self.apply_lease(node, &LeaseInput::Tick);
+        self.apply_leader(node, &leader::Input::Tick);
+        self.ask_permit(node);
+        self.check();
+    }
+
+    fn ask_permit(&mut self, node: usize) {
+        let (local_ms, epoch) = (self.local_ms(node), self.epoch_led(node));
+        let Some(epoch) = epoch.filter(|_| local_ms >= self.nodes[node].next_permit_ms) else {
+            return;
+        };
+        self.nodes[node].next_permit_ms = local_ms + 500;
+        let left_ms = (self.entry.read_ms + surely_within(2_000)).saturating_sub(self.now_ms);
+        let is_in = self.entry.state == ServiceState::In;
+        let permit_ms = if is_in { left_ms } else { 0 };
+        let (version, delay_ms) = (self.entry.version, self.random.random_range(1..200));
+        let permit = Event::Permit { epoch, asked_ms: local_ms, version, permit_ms };
+        self.push(node, delay_ms, permit);
+        // The entry pushes the state too, and the message may be lost with its connection.
+        if self.random.random_range(0..3) > 0 {
+            let input = leader::Input::Service { state: self.entry.state, version };
+            self.push(node, delay_ms, Event::Leader { epoch, input });
+        }
+    }
+
+    fn apply_agent(&mut self, node: usize, input: &worker::Input) {
+        let local_ms = self.local_ms(node);
+        for output in self.nodes[node].agent.handle(local_ms, input, &mut self.random) {
+            match output {
+                worker::Output::Send { message } => {
+                    let leader = self.nodes[node].leader_node;
+                    let epoch = self.nodes[node].agent.epoch();
+                    if let Some((_, to)) = leader.filter(|(known, _)| *known == epoch) {
+                        self.note_member_message(node, &message);
+                        self.transmit(node, to, Event::ToLeader { message });
+                    }
+                }
+                worker::Output::FindLeader => self.find_leader(node),
+                worker::Output::Call { call } => {
+                    let delay_ms = self.random.random_range(1..20);
+                    let at_ms = (self.now_ms + delay_ms).max(self.nodes[node].last_call_ms);
+                    self.nodes[node].last_call_ms = at_ms;
+                    let decided_ms = local_ms;
+                    self.push(node, at_ms - self.now_ms, Event::Call { call, decided_ms });
+                }
+            }
+        }
+    }
+
+    fn find_leader(&mut self, node: usize) {
+        if self.table.is_down() {
+            return;
+        }
+        let row = self.table.store.read_row(&lease_key(&group()));
+        let row = row.and_then(|row| serde_json::from_value::<LeaseRow>(row.value).ok());
+        let leader = row.map(|row| (row.epoch, usize::from(row.address.port())));
+        let delay_ms = self.random.random_range(5..50);
+        self.push(node, delay_ms, Event::Found { leader });
+    }
+
+    fn note_leader(&mut self, node: usize, epoch: Epoch, leader: usize) {
+        if self.nodes[node].leader_node.is_none_or(|(known, _)| epoch > known) {
+            self.nodes[node].leader_node = Some((epoch, leader));
+        }
+        self.apply_agent(node, &worker::Input::EpochSeen { epoch });
+    }
+
+    fn apply_lease(&mut self, node: usize, input: &LeaseInput) {
+        let local_ms = self.local_ms(node);
+        for output in self.nodes[node].lease.handle(local_ms, input, &mut self.random) {
+            let delay_ms = self.random.random_range(1..30);
+            match output {
+                LeaseOutput::Read => {
+                    let input = self.read_lease();
+                    self.push(node, delay_ms, Event::Lease { input });
+                }
+                LeaseOutput::Commit { commit } => {
+                    use teaselhall::store::Table;
+                    let input = match block_on(self.table.commit(&commit)) {
+                        Ok(_) => LeaseInput::Durable,
+                        Err(_) => LeaseInput::NotDurable,
+                    };
+                    self.push(node, delay_ms, Event::Lease { input });
+                }
+                LeaseOutput::Lead { epoch, epoch_version, first } => {
+                    self.note(format!("n{node} leads in epoch {epoch}"));
+                    let place = Place { group: group(), epoch_version };
+                    let leader =
+                        Leader::new(leader_config(self.nodes.len()), epoch, local_ms, first);
+                    self.nodes[node].leader = Some((leader, place));
+                    self.nodes[node].trusted = true;
+                    let rules = Box::new(rules());
+                    self.apply_leader(node, &leader::Input::Rules { rules });
+                    self.note_leader(node, epoch, node);
+                }
+                LeaseOutput::Resign => {
+                    self.note(format!("n{node} resigns"));
+                    self.nodes[node].leader = None;
+                }
+                LeaseOutput::Done => {}
+            }
+        }
+        let known = self.nodes[node].lease.known_leader();
+        if let Some((epoch, address)) = known
+            && epoch > self.nodes[node].agent.epoch()
+        {
+            self.note_leader(node, epoch, usize::from(address.port()));
+        }
+    }
+
+    fn read_lease(&self) -> LeaseInput {
+        if self.table.is_down() {
+            return LeaseInput::ReadFailed;
+        }
+        LeaseInput::Read {
+            lease: self.read_row(&lease_key(&group())),
+            epoch: self.read_row(&epoch_key(&group())),
+        }
+    }
+
+    fn read_row<T>(&self, key: &str) -> Versioned<T>
+    where
+        T: serde::de::DeserializeOwned,
+    {
+        match self.table.store.read_row(key) {
+            None => Versioned::absent(),
+            Some(row) => {
+                Versioned { version: row.version, row: serde_json::from_value(row.value).ok() }
+            }
+        }
+    }
+
+    fn apply_leader(&mut self, node: usize, input: &leader::Input) {
+        let local_ms = self.local_ms(node);
+        let trusted = self.nodes[node].lease.leads(local_ms).is_some();
+        let Node { leader, trusted: known, .. } = &mut self.nodes[node];
+        let Some((leader, place)) = leader else { return };
+        let mut outputs = Vec::new();
+        if std::mem::replace(known, trusted) != trusted {
+            let input = leader::Input::Trusted { trusted };
+            outputs.extend(leader.handle(local_ms, &input, &mut self.random));
+        }
+        outputs.extend(leader.handle(local_ms, input, &mut self.random));
+        let (epoch, place) = (leader.epoch(), place.clone());
+        for output in outputs {
+            self.follow_leader(node, epoch, &place, output);
+        }
+    }
+
+    fn follow_leader(&mut self, node: usize, epoch: Epoch, place: &Place, output: leader::Output) {
+        let delay_ms = self.random.random_range(1..30);
+        let input = match output {
+            leader::Output::Send { worker, incarnation, message } => {
+                self.note_leader_message(node, &worker, &message);
+                let to = self.nodes.iter().position(|n| n.id == worker).unwrap();
+                let event = Event::ToMember { epoch, incarnation, message };
+                return self.transmit(node, to, event);
+            }
+            leader::Output::Scan if !self.table.is_down() => self.scan(),
+            leader::Output::ReadJobs { jobs } if !self.table.is_down() => {
+                leader::Input::Jobs { rows: jobs.iter().map(|job| self.job(job)).collect() }
+            }
+            leader::Output::Change { job, change } => {
+                let writer = Writer::new(self.table.clone());
+                let limit = Duration::ZERO;
+                let random = &mut self.random;
+                let changing = change_job(&writer, place, &job, &change, limit, random);
+                let result = block_on(changing);
+                self.note(format!("n{node} {job} {change:?}: {result:?}"));
+                leader::Input::Changed { job, result }
+            }
+            leader::Output::Deposed => {
+                self.nodes[node].leader = None;
+                return;
+            }
+            _ => return,
+        };
+        self.push(node, delay_ms, Event::Leader { epoch, input });
+    }
+
+    fn scan(&self) -> leader::Input {
+        let prefix = group_job_prefix(&group());
+        let rows = self.table.store.scan_rows(&prefix);
+        let entry = |row: &teaselhall::store::Row| IndexEntry {
+            job: row.key.strip_prefix(&prefix).unwrap().into(),
+            cancel_requested: false,
+        };
+        leader::Input::Index { entries: rows.iter().map(entry).collect() }
+    }
+
+    fn call(&mut self, node: usize, call: WorkerCall, decided_ms: u64) {
+        let elapsed_ms = self.local_ms(node) - decided_ms;
+        let now_ms = self.now_ms;
+        self.nodes[node].machine.settle(now_ms);
+        let answer = match call {
+            WorkerCall::Start { gang, valid_ms, .. } if elapsed_ms >= valid_ms => {
+                WorkerAnswer::StartFailed { gang, never_ran: true }
+            }
+            WorkerCall::Start { ref gang, .. } => {
+                let gang = gang.clone();
+                self.start_tasks(node, &call, elapsed_ms);
+                WorkerAnswer::Started { gang }
+            }
+            WorkerCall::Renew { tasks, lease_ms } => {
+                let lease_until_ms = now_ms + lease_ms.saturating_sub(elapsed_ms);
+                return self.nodes[node].machine.renew(&tasks, lease_until_ms);
+            }
+            WorkerCall::Stop { tasks } => return self.nodes[node].machine.stop(&tasks),
+            WorkerCall::List { number } => {
+                WorkerAnswer::Listed { number, tasks: self.nodes[node].machine.list() }
+            }
+            WorkerCall::Checkpoint { gang, .. } => WorkerAnswer::Checkpointed { gang, saved_ms: 0 },
+            WorkerCall::Probe => WorkerAnswer::Probed { succeeded: true },
+        };
+        let delay_ms = self.random.random_range(1..10);
+        self.push(node, delay_ms, Event::Answer { answer });
+    }
+
+    fn start_tasks(&mut self, node: usize, call: &WorkerCall, elapsed_ms: u64) {
+        let WorkerCall::Start { gang, tasks, run_ms, lease_ms, .. } = call else { return };
+        let row = self.job(&gang.job);
+        if row.state != (JobState::Running { attempt: gang.number }) {
+            self.problem(format!("{gang} starts on n{node} while its row says {:?}", row.state));
+        }
+        let (state, _, changed_ms) = self.service;
+        if state == ServiceState::Out && self.now_ms > changed_ms + 2_000 {
+            let late_ms = self.now_ms - changed_ms;
+            self.problem(format!("{gang} starts {late_ms} ms after the data centre went out"));
+        }
+        for task in tasks {
+            let fails = self.random.random_range(0..50) == 0;
+            if self.started.insert(task.name.clone(), self.now_ms).is_some() {
+                self.problem(format!("{} starts twice", task.name));
+            }
+            let mask = task.accelerator_mask;
+            if self.nodes[node].machine.running().any(|other| other.mask & mask != 0) {
+                self.problem(format!("{} overlaps another task on n{node}", task.name));
+            }
+            let new = Task {
+                name: task.name.parse().unwrap(),
+                all_tasks: row.spec.tasks,
+                mask,
+                state: TaskState::Running,
+                lease_until_ms: self.now_ms + lease_ms.saturating_sub(elapsed_ms),
+                ends_ms: self.now_ms + run_ms,
+                fails,
+            };
+            self.nodes[node].machine.tasks.insert(task.name.clone(), new);
+        }
+        self.note(format!("n{node} starts {gang}"));
+    }
+
+    /// Checks the promises that hold at each moment.
+    fn check(&mut self) {
+        let now_ms = self.now_ms;
+        self.nodes.iter_mut().for_each(|node| node.machine.settle(now_ms));
+        let mut parts: BTreeMap<GangId, (u32, u32, u32)> = BTreeMap::new();
+        for task in self.nodes.iter().flat_map(|node| node.machine.tasks.values()) {
+            let part = parts.entry(task.name.gang.clone()).or_insert((0, 0, task.all_tasks));
+            part.0 += u32::from(task.state == TaskState::Running);
+            part.1 += u32::from(task.state == TaskState::Succeeded);
+        }
+        parts.retain(|_, (running, _, _)| *running > 0);
+        self.partial_since.retain(|gang, _| parts.contains_key(gang));
+        let mut jobs: BTreeMap<&JobId, u32> = BTreeMap::new();
+        parts.keys().for_each(|gang| *jobs.entry(&gang.job).or_default() += 1);
+        let twice: Vec<JobId> =
+            jobs.iter().filter(|(_, n)| **n > 1).map(|(job, _)| (*job).clone()).collect();
+        for job in twice {
+            self.problem(format!("two attempts of {job} run at once"));
+        }
+        for (gang, (running, succeeded, all)) in parts {
+            if running + succeeded == all {
+                self.partial_since.remove(&gang);
+                continue;
+            }
+            let since_ms = *self.partial_since.entry(gang.clone()).or_insert(now_ms);
+            if now_ms - since_ms > fixture::PARTIAL_LIMIT_MS {
+                self.problem(format!("{gang} has been partial since {since_ms}"));
+            }
+        }
+    }
+
+    fn note_member_message(&mut self, node: usize, message: &MemberMessage) {
+        if !matches!(message, MemberMessage::Heartbeat { .. }) {
+            self.note(format!("n{node} -> leader {}", fixture::short(&format!("{message:?}"))));
+        }
+    }
+
+    fn note_leader_message(&mut self, node: usize, to: &WorkerId, message: &LeaderMessage) {
+        if !matches!(message, LeaderMessage::HeartbeatAck { .. }) {
+            self.note(format!("n{node} -> {to} {}", fixture::short(&format!("{message:?}"))));
+        }
+    }
+}
+
+fn new_node(index: usize, boot: u64, drift: i64, machine: Machine, nodes: usize) -> Node {
+    let id = WorkerId::from(format!("n{index}"));
+    let worker = WorkerSpec { id: id.clone(), rack: "r".into(), shape: fixture::shape() };
+    let incarnation = Incarnation(boot * 1_000_000);
+    Node {
+        id,
+        boot,
+        agent: WorkerAgent::new(WorkerConfig { worker, incarnation, heartbeat_ms: HEARTBEAT_MS }),
+        lease: LeaderLease::new(LeaseConfig {
+            group: group(),
+            holder: format!("n{index}").into(),
+            incarnation,
+            address: ([127, 0, 0, 1], index as u16).into(),
+            lease_ms: LEADER_LEASE_MS,
+            group_workers: nodes as u32,
+        }),
+        leader: None,
+        leader_node: None,
+        trusted: true,
+        next_permit_ms: 0,
+        drift_per_mille: drift,
+        paused_until_ms: 0,
+        machine,
+        last_call_ms: 0,
+    }
+}
+
+fn group() -> GroupId {
+    "g".into()
+}
+
+fn leader_config(nodes: usize) -> LeaderConfig {
+    LeaderConfig {
+        group: group(),
+        members: MembersConfig {
+            group_workers: nodes as u32,
+            heartbeat_ms: HEARTBEAT_MS,
+            gang_lease_ms: GANG_LEASE_MS,
+        },
+        policy: Policy::Product,
+    }
+}
+
+fn rules() -> GroupRules {
+    fixture::rules()
+}
