--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -79,3 +79,16 @@
 
     assert!(error.contains(expected), "{error}");
 }
+
+/// Guards against examples that no longer match the programs.
+#[test_case("consortium")]
+#[test_case("fraser")]
+fn examples_of_both_users_are_accepted(user: &str) {
+    let file = |name: &str| {
+        std::path::PathBuf::from(format!("{}/examples/{user}/{name}", env!("CARGO_MANIFEST_DIR")))
+    };
+    super::read::<EntrySettings>(&file("entry.json")).expect("entry");
+    super::read::<AgentSettings>(&file("worker-agent.json")).expect("worker agent");
+    super::read::<AgentSettings>(&file("endpoint-agent.json")).expect("endpoint agent");
+    super::read::<PlatformSettings>(&file("platform.json")).expect("platform");
+}
