Count jobs under way against their group, and wait for the group that guarantees a job

Change: the directory adds what it sent within two seconds to a group's load; work that may not borrow prefers the guarantee even if the group has no leader for the moment. Measured: 7 tests of the directory pass, 2 of them new.

--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -25,6 +25,8 @@
 const SUMMARY_LIFETIME_MS: u64 = 5_000;
 /// The interval at which a job is sent again until its leader confirms it.
 const RESEND_MS: u64 = 1_000;
+/// The time for which a job counts against its group on top of the leader's summary: two summaries.
+const PROMISE_MS: u64 = 2_000;
 /// The time after which a job is left to the leader's scan of the table.
 const GIVE_UP_MS: u64 = 15_000;
 
@@ -46,6 +48,14 @@
     /// The blocks that admission assigned to the group for each organisation.
     guarantees: BTreeMap<OrganisationId, Vec<Block>>,
     lead: Option<Lead>,
+    /// Jobs that this entry sent here lately, which the last summary may not count yet.
+    promises: Vec<Promise>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Promise {
+    made_at_ms: u64,
+    accelerators: u32,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -109,27 +119,32 @@
         let in_service: Vec<&GroupEntry> =
             fitting.iter().copied().filter(|entry| !self.is_out(entry)).collect();
         let candidates = if in_service.is_empty() { fitting } else { in_service };
-        let led: Vec<&GroupEntry> =
-            candidates.iter().copied().filter(|entry| entry.is_led(now_ms)).collect();
-        let candidates = if led.is_empty() { candidates } else { led };
-        let preferences: [fn(&GroupEntry, &JobSpec) -> bool; 3] = if self.may_borrow(&job.kind) {
-            [GroupEntry::guarantees_room, GroupEntry::has_room, GroupEntry::guarantees]
+        // A group may have no leader for a few seconds, but its guarantees stay there.
+        let holds: Preference = GroupEntry::guarantees;
+        let has_room: Preference = GroupEntry::has_room;
+        let both: Preference =
+            |entry, job, now_ms| entry.guarantees(job, now_ms) && entry.has_room(job, now_ms);
+        let is_led: Preference = |entry, _, now_ms| entry.is_led(now_ms);
+        let preferences = if self.may_borrow(job) {
+            [both, has_room, holds, is_led]
         } else {
-            // Free cells elsewhere may be guaranteed to others, where the job would wait.
-            [GroupEntry::guarantees_room, GroupEntry::guarantees, GroupEntry::has_room]
+            // Free cells elsewhere may be guaranteed to others, where the job would wait or be refused.
+            [both, holds, has_room, is_led]
         };
         for preferred in preferences {
-            let chosen: Vec<&GroupEntry> =
-                candidates.iter().copied().filter(|entry| preferred(entry, job)).collect();
+            let chosen = candidates.iter().copied().filter(|entry| preferred(entry, job, now_ms));
+            let chosen: Vec<&GroupEntry> = chosen.collect();
             if !chosen.is_empty() {
-                return Ok(better_of_two(&chosen, random).group.id.clone());
+                return Ok(better_of_two(&chosen, now_ms, random).group.id.clone());
             }
         }
-        Ok(better_of_two(&candidates, random).group.id.clone())
+        Ok(better_of_two(&candidates, now_ms, random).group.id.clone())
     }
 
-    fn may_borrow(&self, kind: &KindId) -> bool {
-        self.borrowing_kinds.contains(kind)
+    /// Work that can neither be repeated nor resumed never borrows, whatever its kind.
+    fn may_borrow(&self, job: &JobSpec) -> bool {
+        let can_be_stopped = job.can_checkpoint || job.repeat == Repeat::Allowed;
+        can_be_stopped && self.borrowing_kinds.contains(&job.kind)
     }
 
     /// Returns the summaries that still count, for the dump and the list of groups.
@@ -158,7 +173,8 @@
             let rules = admission.as_ref().and_then(|admission| admission.group_rules(&group.id));
             let guarantees = rules.into_iter().flat_map(|rules| rules.guarantees);
             let guarantees = guarantees.map(|held| (held.organisation, held.blocks)).collect();
-            let entry = GroupEntry { group, worker_accelerators, guarantees, lead };
+            let promises = Vec::new();
+            let entry = GroupEntry { group, worker_accelerators, guarantees, lead, promises };
             groups.insert(entry.group.id.clone(), entry);
         }
         self.groups = groups;
@@ -205,6 +221,11 @@
             first_sent_at_ms: now_ms,
             sent_at_ms: now_ms,
         };
+        if let Some(entry) = self.groups.get_mut(group) {
+            entry.promises.retain(|promise| now_ms < promise.made_at_ms + PROMISE_MS);
+            let accelerators = job.accelerators();
+            entry.promises.push(Promise { made_at_ms: now_ms, accelerators });
+        }
         let output = self.connection_of(group).map(|connection| delivery.send(now_ms, connection));
         self.deliveries.insert(job.id.clone(), delivery);
         output.into_iter().collect()
@@ -260,50 +281,59 @@
     }
 
     /// Returns whether the job fits a block that is guaranteed to its organisation in this group.
-    fn guarantees(&self, job: &JobSpec) -> bool {
+    fn guarantees(&self, job: &JobSpec, _now_ms: u64) -> bool {
         let blocks = self.guarantees.get(&job.organisation).map_or(&[][..], Vec::as_slice);
         blocks.iter().any(|block| {
             job.accelerators() <= block.accelerators && block.adjacency <= job.adjacency
         })
     }
 
-    fn guarantees_room(&self, job: &JobSpec) -> bool {
-        self.guarantees(job) && self.has_room(job)
-    }
-
     fn is_led(&self, now_ms: u64) -> bool {
         self.lead.as_ref().is_some_and(|lead| now_ms < lead.heard_at_ms + SUMMARY_LIFETIME_MS)
     }
 
-    fn has_room(&self, job: &JobSpec) -> bool {
-        let Some(lead) = &self.lead else {
+    fn has_room(&self, job: &JobSpec, now_ms: u64) -> bool {
+        let Some(lead) = self.lead.as_ref().filter(|_| self.is_led(now_ms)) else {
             return false;
         };
+        let summary = &lead.summary;
         let block = match job.adjacency {
-            Adjacency::Worker => lead.summary.largest_worker_block,
-            Adjacency::Rack => lead.summary.largest_rack_block,
-            Adjacency::DataCentre => lead.summary.free_accelerators,
+            Adjacency::Worker => summary.largest_worker_block,
+            Adjacency::Rack => summary.largest_rack_block,
+            Adjacency::DataCentre => summary.free_accelerators,
         };
-        lead.summary.queued_jobs == 0 && job.accelerators() <= block
+        let free = summary.free_accelerators.saturating_sub(self.promised(now_ms));
+        summary.queued_jobs == 0 && job.accelerators() <= block.min(free)
+    }
+
+    fn promised(&self, now_ms: u64) -> u32 {
+        let recent =
+            self.promises.iter().filter(|promise| now_ms < promise.made_at_ms + PROMISE_MS);
+        recent.map(|promise| promise.accelerators).sum()
     }
 
-    /// Orders groups by load: jobs that wait first, then accelerators in use.
-    fn load(&self) -> (u32, u32) {
+    /// Orders groups by load: jobs that wait first, then accelerators in use or promised.
+    fn load(&self, now_ms: u64) -> (u32, u32) {
         self.lead.as_ref().map_or((u32::MAX, u32::MAX), |lead| {
             let summary = &lead.summary;
-            (
-                summary.queued_jobs,
-                summary.total_accelerators.saturating_sub(summary.free_accelerators),
-            )
+            let used = summary.total_accelerators.saturating_sub(summary.free_accelerators);
+            (summary.queued_jobs, used + self.promised(now_ms))
         })
     }
 }
 
-fn better_of_two<'a, R>(candidates: &[&'a GroupEntry], random: &mut R) -> &'a GroupEntry
+/// Whether a group is preferred for a job at a time.
+type Preference = fn(&GroupEntry, &JobSpec, u64) -> bool;
+
+fn better_of_two<'a, R>(
+    candidates: &[&'a GroupEntry],
+    now_ms: u64,
+    random: &mut R,
+) -> &'a GroupEntry
 where
     R: Rng,
 {
     let first = candidates[random.random_range(0..candidates.len())];
     let second = candidates[random.random_range(0..candidates.len())];
-    if second.load() < first.load() { second } else { first }
+    if second.load(now_ms) < first.load(now_ms) { second } else { first }
 }
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -153,3 +153,36 @@
     assert_eq!(choose(&directory, 0, &borrower), Ok(GroupId::from("a.0")));
     assert_eq!(choose(&directory, 0, &job(2, Adjacency::Rack)), Ok(GroupId::from("a.0")));
 }
+
+/// Guards against a burst of jobs that all follow one summary to the same group.
+#[test]
+fn burst_spreads_over_groups_before_the_next_summary() {
+    let mut directory = directory();
+    lead(&mut directory, 0, OLD, summary("a.0", 1, 16));
+    lead(&mut directory, 0, NEW, summary("b.0", 1, 16));
+
+    let mut chosen = Vec::new();
+    for number in 0..2 {
+        let job = JobSpec { id: JobId::from(format!("j{number}")), ..job(2, Adjacency::Rack) };
+        let group = choose(&directory, 0, &job).expect("both groups can hold the job");
+        directory.handle(0, &Input::Deliver { job: Box::new(job), group: group.clone() });
+        chosen.push(group);
+    }
+
+    assert_ne!(chosen[0], chosen[1]);
+}
+
+/// Guards against a refusal in another group while the group that guarantees the job has no leader for a moment.
+#[test]
+fn job_that_may_not_borrow_waits_for_the_group_that_guarantees_it() {
+    let mut directory = directory();
+    lead(&mut directory, 0, OLD, summary("a.0", 1, 32));
+
+    let kind = KindId::from("borrower");
+    let organisation = OrganisationId::from("owner");
+    let repeatable = JobSpec { kind, organisation, ..job(2, Adjacency::Rack) };
+    let once = JobSpec { repeat: Repeat::Never, ..repeatable.clone() };
+
+    assert_eq!(choose(&directory, 0, &once), Ok(GroupId::from("b.0")));
+    assert_eq!(choose(&directory, 0, &repeatable), Ok(GroupId::from("a.0")));
+}
