Stop jobs with a reservation from being stopped for the next one

A gang now gives way only to the job whose cells it backfills, and that job is tried first. Released cells also cool down, because a reservation that overtakes the release of the same cells is refused.

--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::message::{Output, ReserveResult, Share, TaskCell, TaskEnd, WriteResult};
-use super::state::Scheduler;
+use super::state::{Scheduler, Stray};
 use super::work::{Gang, GangShare, Job, Leave, Rights, ShareState, Stage};
 use crate::placement::{Holding, JobKey, Plan};
 use crate::prelude::*;
@@ -14,6 +14,8 @@
 const START_MS: u64 = 5_000;
 /// The time for which a worker gets no new work after its agent refused some.
 const REFUSED_MS: u64 = 1_000;
+/// The time that the release of a reservation may take to arrive.
+const RELEASE_MS: u64 = 200;
 /// The time before a job is tried again after an attempt that did not start.
 const RETRY_MS: u64 = 200;
 /// Conflicting intents in a row after which the job's row certainly belongs to somebody else.
@@ -87,7 +89,8 @@
             let mask = tasks.iter().fold(0, |all, cell| all | cell.accelerator_mask);
             self.pool.worker(*worker).reserved & mask != 0
         };
-        let backfill = plan.iter().any(reserved);
+        let holder = self.reservation.as_ref().map(|reservation| reservation.job);
+        let backfill = holder.filter(|holder| *holder != key && plan.iter().any(reserved));
         let job = self.job_mut(key);
         let id = job.next_gang();
         job.attempts += 1;
@@ -253,7 +256,7 @@
             return;
         }
         // The row belongs to somebody else, so its end is not ours to write; a scan of the table submits it again.
-        self.release_all(key, out);
+        self.release_all(now_ms, key, out);
         self.active.remove(&key);
         if let Some(job) = self.jobs.remove(&key) {
             self.keys.remove(&job.spec.id);
@@ -261,7 +264,7 @@
     }
 
     /// Releases all reservations of a gang that was not told to start.
-    pub(crate) fn release_all(&mut self, key: JobKey, out: &mut Vec<Output>) {
+    pub(crate) fn release_all(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Output>) {
         let gang = self.gang_mut(key).clone();
         if gang.stage == Stage::Claiming {
             self.unclaim(key);
@@ -269,6 +272,7 @@
         }
         for share in &gang.shares {
             self.free_share(key, share.worker);
+            self.cool_down(now_ms, &gang.id, share.worker, holding(&self.jobs[&key], &share.tasks));
             out.push(Output::Release {
                 gang: gang.id.clone(),
                 worker: self.worker_id(share.worker),
@@ -276,6 +280,20 @@
         }
     }
 
+    /// Keeps released cells for as long as the release may take to arrive.
+    ///
+    /// A reservation that overtakes the release of the same cells is refused, and two jobs can do this to each other for
+    /// ever.
+    fn cool_down(&mut self, now_ms: u64, gang: &GangId, worker: u32, mut holding: Holding) {
+        let key = self.new_key();
+        holding.job = key;
+        holding.class = Class::Batch;
+        holding.reclaimable = true;
+        self.pool.hold(worker, holding);
+        let (gang, deadline_ms) = (gang.clone(), now_ms + RELEASE_MS);
+        self.strays.push(Stray { key, gang, worker, tasks: Vec::new(), ended: 0, deadline_ms });
+    }
+
     /// Ends an attempt that was not told to start, and decides what becomes of its job.
     ///
     /// `durable` says whether the intent was written.
@@ -287,7 +305,7 @@
         durable: bool,
         out: &mut Vec<Output>,
     ) {
-        self.release_all(key, out);
+        self.release_all(now_ms, key, out);
         self.active.remove(&key);
         let job = self.job_mut(key);
         let gang = job.gang.take().expect("an active job has a gang");
--- a/src/scheduler/members.rs
+++ b/src/scheduler/members.rs
@@ -119,7 +119,7 @@
             ran: true,
             in_doubt: false,
             leaves: None,
-            backfill: false,
+            backfill: None,
             for_urgent: false,
         });
         self.active.insert(key);
@@ -279,7 +279,9 @@
             }
             let worker = self.strays[index].worker;
             let entry = self.pool.worker(worker);
-            if entry.state != WorkerState::Fenced {
+            if self.strays[index].tasks.is_empty() {
+                self.drop_stray(index);
+            } else if entry.state != WorkerState::Fenced {
                 self.strays[index].deadline_ms = now_ms + LEASE_MS;
                 self.fence(now_ms, worker, out);
             } else if entry.fenced_until_ms <= now_ms {
--- a/src/scheduler/place.rs
+++ b/src/scheduler/place.rs
@@ -127,6 +127,7 @@
             true => Pass { searches: GROUP_SEARCHES, ..Pass::default() },
             false => Pass { racks: Some(touched), searches: RACK_SEARCHES, ..Pass::default() },
         };
+        self.serve_reserved(now_ms, random, out);
         if self.ramp_limit(now_ms).is_some() {
             self.serve_by_class(now_ms, Scope::Guaranteed, random, out);
         }
@@ -134,6 +135,20 @@
         self.pass = Pass::default();
     }
 
+    /// Tries the job that holds the reservation before others can fill its cells again.
+    fn serve_reserved<R>(&mut self, now_ms: u64, random: &mut R, out: &mut Vec<Output>)
+    where
+        R: Rng,
+    {
+        let Some(key) = self.reservation.as_ref().map(|reservation| reservation.job) else {
+            return;
+        };
+        let waits = self.jobs.get(&key).is_some_and(|job| job.gang.is_none());
+        if waits && self.blocked(now_ms, key).is_none() {
+            self.try_job(now_ms, key, Scope::All, random, out);
+        }
+    }
+
     fn serve_by_age<R>(&mut self, now_ms: u64, random: &mut R, out: &mut Vec<Output>)
     where
         R: Rng,
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -153,7 +153,8 @@
             .jobs
             .get(&holding.job)
             .and_then(|job| job.gang.as_ref())
-            .is_some_and(|gang| gang.backfill);
+            .and_then(|gang| gang.backfill)
+            .is_some_and(|holder| self.reservation.as_ref().is_some_and(|r| r.job == holder));
         yields_to(holding, class, backfill)
     }
 }
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -91,7 +91,8 @@
     pub quota: Option<u32>,
 }
 
-/// Tasks that belong to no gang of the scheduler, which an agent was told to stop.
+/// Tasks that belong to no gang of the scheduler, which an agent was told to stop; or no tasks, but cells whose release
+/// may still be on its way.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Stray {
--- a/src/scheduler/work.rs
+++ b/src/scheduler/work.rs
@@ -90,8 +90,8 @@
     pub in_doubt: bool,
     /// Why the gang leaves its cells.
     pub leaves: Option<Leave>,
-    /// Whether the gang runs on cells that wait for a reservation.
-    pub backfill: bool,
+    /// The job for which cells of the gang are reserved; the gang gives way to it.
+    pub backfill: Option<JobKey>,
     /// Whether its cells are wanted for urgent work, which cannot wait for long deadlines.
     pub for_urgent: bool,
 }
