--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -11,6 +11,7 @@
 mod cluster;
 mod gangs;
 mod guarantees;
+mod rules;
 
 /// A scheduler, a seeded source of random numbers and a clock.
 pub(super) struct Bench {
