--- a/src/replay/world/member.rs
+++ b/src/replay/world/member.rs
@@ -198,6 +198,8 @@
         let Some(member) = self.members.get_mut(worker) else { return };
         member.silent = true;
         let group = member.group;
+        let running: BTreeSet<&JobId> = member.running.keys().map(|(gang, _)| &gang.job).collect();
+        self.promises.restart_partial(self.agenda.now_ms(), |job| running.contains(job));
         self.refresh_contacts(group);
         self.agenda.after(for_ms, Happening::Audible { worker: worker.clone() });
     }
