--- a/src/replay/promise.rs
+++ b/src/replay/promise.rs
@@ -169,13 +169,13 @@
         }
     }
 
-    /// Counts the time of partial gangs anew for which a new leader is responsible now.
-    pub(super) fn restart_partial<F>(&mut self, now_ms: u64, is_of_leader: F)
+    /// Counts the time of some partial gangs anew, because a further fault delays their end by a lease.
+    pub(super) fn restart_partial<F>(&mut self, now_ms: u64, is_concerned: F)
     where
         F: Fn(&JobId) -> bool,
     {
         for (gang, since_ms) in &mut self.partial {
-            if is_of_leader(&gang.job) {
+            if is_concerned(&gang.job) {
                 *since_ms = now_ms;
             }
         }
