--- a/src/worker/agent.rs
+++ b/src/worker/agent.rs
@@ -141,6 +141,11 @@
         self.epoch
     }
 
+    /// Returns the worker.
+    pub fn worker(&self) -> &crate::scheduler::WorkerSpec {
+        &self.config.worker
+    }
+
     /// Returns the agent's incarnation, which rises when a leader fences the worker.
     pub fn incarnation(&self) -> Incarnation {
         self.config.incarnation
