--- a/examples/local/check.rs
+++ b/examples/local/check.rs
@@ -7,6 +7,7 @@
 use teaselhall::bundle::{Digest, Purpose, Signature, SignedBundle};
 
 use super::deployment::{Deployment, Result};
+use super::fault;
 
 /// The bound of P9: an accepted bundle is in force everywhere within this time.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
@@ -15,11 +16,12 @@
 /// The bound of P7: no new work later than this after the drain began.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// Wide limits for steps that no promise bounds.
-const STEP_LIMIT: Duration = Duration::from_secs(60);
+pub(super) const STEP_LIMIT: Duration = Duration::from_secs(60);
+/// The data centre of the guarantee that is reclaimed, and the borrowers there that leave too little room for it.
+const OWNERS_DATA_CENTRE: &str = "surrey-2";
+const MIN_BORROWERS: usize = 2;
 /// Threads that send requests.
 const SENDERS: usize = 4;
-/// How long the table stays down with `--platform-faults`.
-const OUTAGE: Duration = Duration::from_secs(10);
 
 /// Runs all checks and returns whether every promise held.
 pub fn all(deployment: &mut Deployment, faults: bool) -> bool {
@@ -36,7 +38,7 @@
     if faults {
         report.check(
             "table down for 10 s: running work goes on, refusals are true",
-            table_down(deployment),
+            fault::table_down(deployment),
         );
     }
     report.check("P1 borrowed cells are reclaimed for the guarantee's owner", reclaim(deployment));
@@ -45,13 +47,14 @@
         .check("P7, P8 drained endpoint gets no new work and finishes its own", drain(deployment));
     report.check(
         "leader killed: the group goes on under another, nothing runs twice",
-        kill_leader(deployment),
+        fault::kill_leader(deployment),
     );
     report.check(
         "leader paused past its lease: it starts nothing when it goes on",
-        pause_leader(deployment),
+        fault::pause_leader(deployment),
     );
-    report.check("P8 entry asked to end: no request in flight is cut", end_entry(deployment));
+    report
+        .check("P8 entry asked to end: no request in flight is cut", fault::end_entry(deployment));
     report.check("no worker was ever overcommitted", no_overcommit(deployment));
     report.held
 }
@@ -237,13 +240,13 @@
     if code == 0 { Err(format!("accepted: {text}")) } else { Ok(text.trim().to_owned()) }
 }
 
-fn submit(deployment: &Deployment, arguments: &[&str]) -> Result<String> {
+pub(super) fn submit(deployment: &Deployment, arguments: &[&str]) -> Result<String> {
     let job = deployment.command_json(&[&["job", "submit"][..], arguments].concat())?;
     let id = job["spec"]["id"].as_str();
     id.map(str::to_owned).ok_or_else(|| format!("no job id in {job}"))
 }
 
-fn running_tasks(deployment: &Deployment, job: &str) -> Result<Vec<Value>> {
+pub(super) fn running_tasks(deployment: &Deployment, job: &str) -> Result<Vec<Value>> {
     let records = deployment.platform_json("/record/tasks")?;
     let of_job = |record: &Value| {
         let task = record["report"]["task"].as_str().unwrap_or_default();
@@ -290,51 +293,17 @@
     Ok(format!("2 tasks of 8 accelerators in one rack, started after {started:.1?}, succeeded"))
 }
 
-fn table_down(deployment: &Deployment) -> Result<String> {
-    let job = submit(
-        deployment,
-        &["--organisation", "fraser", "--kind", "cure-run", "--run-ms", "15000"],
-    )?;
-    deployment
-        .wait_until("the job runs", STEP_LIMIT, |d| Ok(!running_tasks(d, &job)?.is_empty()))?;
-    deployment.set_faults(&json!({"table_down": true}))?;
-    let end = Instant::now() + OUTAGE;
-    let refused = deployment.command(&[
-        "job",
-        "submit",
-        "--organisation",
-        "fraser",
-        "--kind",
-        "cure-run",
-        "--run-ms",
-        "1",
-    ]);
-    let mut answered = 0;
-    while Instant::now() < end {
-        let request = [
-            "request",
-            "--organisation",
-            "fraser",
-            "--kind",
-            "fit-check",
-            "--body",
-            "during the outage",
-        ];
-        deployment.command_ok(&request)?;
-        answered += 1;
-    }
-    deployment.set_faults(&json!({}))?;
-    let (code, text) = refused?;
-    if code != 1 {
-        return Err(format!("a submission during the outage exited with {code}: {text}"));
-    }
-    let (code, text) = deployment.command(&["job", "wait", &job, "--timeout-ms", "60000"])?;
-    if code != 0 {
-        return Err(format!("the job that ran during the outage: {code} {text}"));
-    }
-    Ok(format!(
-        "{answered} requests answered, submission refused as not run, running job succeeded"
-    ))
+/// Counts the tasks of some jobs in a data centre that are in a state.
+fn tasks_of(deployment: &Deployment, jobs: &[String], place: &str, state: &str) -> Result<usize> {
+    let records = deployment.platform_json("/record/tasks")?;
+    let matches = |record: &&Value| {
+        let task = record["report"]["task"].as_str().unwrap_or_default();
+        let worker = record["worker"].as_str().unwrap_or_default();
+        jobs.iter().any(|job| task.starts_with(job.as_str()))
+            && worker.starts_with(place)
+            && record["report"]["state"] == state
+    };
+    Ok(records.as_array().iter().flat_map(|records| records.iter()).filter(matches).count())
 }
 
 /// Fills a data centre with borrowers, then lets the owner of its guarantee ask for its shape.
@@ -348,10 +317,9 @@
             &[&["--organisation", "pump-makers"][..], &borrower].concat(),
         )?);
     }
-    deployment.wait_until("borrowers run", STEP_LIMIT, |d| {
-        let records = d.platform_json("/record/tasks")?;
-        let running = records.as_array().cloned().unwrap_or_default();
-        Ok(running.iter().filter(|record| record["report"]["state"] == "running").count() >= 6)
+    let lent = |d: &Deployment, state: &str| tasks_of(d, &borrowers, OWNERS_DATA_CENTRE, state);
+    deployment.wait_until("borrowers hold the owner's cells", STEP_LIMIT, |d| {
+        Ok(lent(d, "running")? >= MIN_BORROWERS)
     })?;
     let owner = submit(
         deployment,
@@ -368,16 +336,23 @@
             "rack",
             "--run-ms",
             "2000",
+            "--never-repeat",
         ],
     )?;
     let started = deployment.wait_until("the owner's gang runs", STEP_LIMIT, |d| {
         Ok(running_tasks(d, &owner)?.len() == 2)
     })?;
+    let reclaimed = lent(deployment, "stopped")?;
     for job in &borrowers {
         deployment.command(&["job", "cancel", job])?;
     }
+    if reclaimed == 0 {
+        return Err("nothing had to be reclaimed, so the promise was not exercised".to_owned());
+    }
     deployment.command_ok(&["job", "wait", &owner, "--timeout-ms", "60000"])?;
-    Ok(format!("the owner's gang of 16 accelerators started after {started:.1?}"))
+    Ok(format!(
+        "{reclaimed} borrowers stopped, the owner's 16 accelerators in use after {started:.1?}"
+    ))
 }
 
 fn take_out(deployment: &Deployment) -> Result<String> {
@@ -466,112 +441,3 @@
         None => Ok(format!("{} starts", starts.len())),
     }
 }
-
-/// The group whose leader is killed and paused.
-const GROUP: &str = "surrey-1.0";
-/// A pause that is longer than the leader's lease of 3 s.
-const PAUSE: Duration = Duration::from_secs(6);
-
-fn leader_of(deployment: &Deployment, group: &str) -> Result<Option<(String, u64)>> {
-    for name in deployment.names("agent-").iter().filter(|name| name.contains("-w")) {
-        let leader = deployment.dump(name)?["worker"]["leader"].clone();
-        if leader["config"]["group"] == group {
-            return Ok(Some((name.clone(), leader["epoch"].as_u64().unwrap_or_default())));
-        }
-    }
-    Ok(None)
-}
-
-fn wait_for_leader(deployment: &Deployment, after_epoch: u64) -> Result<(String, Duration)> {
-    let leads = |found: &Option<(String, u64)>| {
-        found.as_ref().is_some_and(|(_, epoch)| *epoch > after_epoch)
-    };
-    let waited = deployment
-        .wait_until("another leader", STEP_LIMIT, |d| Ok(leads(&leader_of(d, GROUP)?)))?;
-    let leader = leader_of(deployment, GROUP)?.ok_or("the leader is gone again")?;
-    Ok((leader.0, waited))
-}
-
-/// Submits a job that only the group guarantees, and waits for its success.
-fn run_in_group(deployment: &Deployment, repeat: &[&str]) -> Result<String> {
-    let job = [
-        "--organisation",
-        "marine-seals",
-        "--kind",
-        "cure-run",
-        "--tasks",
-        "2",
-        "--accelerators",
-        "8",
-    ];
-    let job = submit(
-        deployment,
-        &[&job[..], &["--adjacency", "rack", "--run-ms", "1000"], repeat].concat(),
-    )?;
-    let (code, text) = deployment.command(&["job", "wait", &job, "--timeout-ms", "60000"])?;
-    if code == 0 { Ok(job) } else { Err(format!("job wait {job} exited with {code}: {text}")) }
-}
-
-/// Fails if two tasks of the same index of a job ever ran to success.
-fn succeeded_once(deployment: &Deployment, job: &str) -> Result<()> {
-    let records = deployment.platform_json("/record/tasks")?;
-    let records = records.as_array().cloned().unwrap_or_default();
-    let succeeded = records.iter().filter(|record| {
-        let task = record["report"]["task"].as_str().unwrap_or_default();
-        task.starts_with(job) && record["report"]["state"] == "succeeded"
-    });
-    match succeeded.count() {
-        2 => Ok(()),
-        count => Err(format!("{count} tasks of 2 succeeded")),
-    }
-}
-
-fn kill_leader(deployment: &mut Deployment) -> Result<String> {
-    let (leader, epoch) = leader_of(deployment, GROUP)?.ok_or("the group has no leader")?;
-    deployment.kill(&leader)?;
-    let (successor, waited) = wait_for_leader(deployment, epoch)?;
-    let job = run_in_group(deployment, &["--never-repeat"])?;
-    succeeded_once(deployment, &job)?;
-    deployment.start_process(&leader)?;
-    Ok(format!("{successor} took over after {waited:.1?}, and a job that may run once succeeded"))
-}
-
-fn pause_leader(deployment: &mut Deployment) -> Result<String> {
-    let (leader, epoch) = leader_of(deployment, GROUP)?.ok_or("the group has no leader")?;
-    deployment.pause(&leader, true)?;
-    std::thread::sleep(PAUSE);
-    deployment.pause(&leader, false)?;
-    let (successor, _) = wait_for_leader(deployment, epoch)?;
-    let job = run_in_group(deployment, &["--never-repeat"])?;
-    succeeded_once(deployment, &job)?;
-    Ok(format!("{successor} leads, and a job that may run once succeeded"))
-}
-
-fn end_entry(deployment: &mut Deployment) -> Result<String> {
-    let (name, requests) = ("entry-3", 16);
-    let address = deployment.address(name).ok_or("no address")?;
-    let answers = std::thread::scope(|scope| -> Result<Vec<Result<u16>>> {
-        let threads: Vec<_> =
-            (0..requests).map(|n| scope.spawn(move || slow_request(address, n))).collect();
-        std::thread::sleep(Duration::from_millis(700));
-        deployment.terminate(name, STEP_LIMIT)?;
-        Ok(threads.into_iter().map(|t| t.join().unwrap_or(Err("panicked".to_owned()))).collect())
-    })?;
-    deployment.start_process(name)?;
-    match answers.iter().find(|answer| **answer != Ok(200)) {
-        Some(answer) => Err(format!("{answer:?}")),
-        None => Ok(format!("{requests} requests in flight were answered")),
-    }
-}
-
-/// Sends a request whose body the endpoint takes over a second to answer.
-fn slow_request(entry: std::net::SocketAddr, number: usize) -> Result<u16> {
-    let url = format!(
-        "http://{entry}/v1/requests?organisation=fraser&kind=press-review&deadline_ms=20000"
-    );
-    super::deployment::block_on(async move {
-        let answer =
-            reqwest::Client::new().post(url).body(format!("work_ms=1500;{number}")).send().await;
-        answer.map(|answer| answer.status().as_u16()).map_err(|error| error.to_string())
-    })
-}
--- a/examples/local/main.rs
+++ b/examples/local/main.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod deployment;
+mod fault;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -47,7 +47,7 @@
 /// Writes of the table that one entry may make each second. 27 entries then stay under three hundred.
 const WRITES_PER_SECOND: u64 = 11;
 /// The interval at which deliveries are repeated and leases of leaders are read.
-const GROUPS_INTERVAL: Duration = Duration::from_millis(500);
+const GROUPS_INTERVAL: Duration = Duration::from_secs(1);
 /// The messages that wait for the groups actor.
 const MAILBOX_MESSAGES: usize = 4_096;
 /// Configuration events that wait.
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -21,7 +21,7 @@
 /// The interval at which deadlines are checked while there are requests.
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
 /// The interval while there are none. Ticks of 5 ms made an idle entry use more than its 1.1 % of a core.
-const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(25);
+const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// The most outcomes that wait to be recorded while the table is down.
 const MAX_RECORDS: usize = 256;
 /// The most messages, and the most events, that wait for the actor.
--- a/src/replay/world/mod.rs
+++ b/src/replay/world/mod.rs
@@ -236,7 +236,8 @@
             if self.ended && known {
                 self.log(format!("open    {job}"));
             } else {
-                let detail = format!("{job} was accepted and has no end");
+                let detail =
+                    format!("{job} was accepted and has no end: {:?}", leader.scheduler.job(&job));
                 self.promises.note(self.now_ms(), Promise::NoJobLost, detail);
             }
         }
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,34 @@
+//! Guards against promises that hold for the parts but not for the processes: a whole deployment on loopback is killed,
+//! paused, drained and cut off from its table. The same checks as `./local --platform-faults`.
+
+#[path = "../examples/local/check.rs"]
+mod check;
+#[path = "../examples/local/deployment.rs"]
+mod deployment;
+#[path = "../examples/local/fault.rs"]
+mod fault;
+
+use std::path::Path;
+use std::time::Duration;
+
+use deployment::Deployment;
+
+const START_LIMIT: Duration = Duration::from_secs(60);
+
+#[test]
+fn every_promise_holds_for_real_processes_under_faults() {
+    let bundle = serde_json::from_str(include_str!("../examples/fraser/bundle.json"));
+    let programs = Path::new(env!("CARGO_BIN_EXE_teaselhall-entry")).parent();
+    let directory = std::env::temp_dir().join(format!("teaselhall-test-{}", std::process::id()));
+    let bundle = bundle.expect("the example bundle is JSON");
+    let programs = programs.expect("programs have a folder");
+    let mut deployment =
+        Deployment::prepare(&directory, programs, bundle).expect("settings are written");
+    deployment.start(START_LIMIT).expect("all processes start");
+
+    let held = check::all(&mut deployment, true);
+
+    assert!(held, "a promise was broken; logs are in {}", directory.display());
+    drop(deployment);
+    std::fs::remove_dir_all(&directory).expect("the folder can be removed");
+}
