--- a/src/entry/configuration/routes.rs
+++ b/src/entry/configuration/routes.rs
@@ -3,8 +3,6 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use bytes::Buf;
-use futures::Stream;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use warp::http::StatusCode;
@@ -19,7 +17,7 @@
     ApiError, BundleChanged, BundleOrder, BundleStatus, ErrorCode, OrganisationStatus, ServiceOrder,
 };
 use crate::bundle::{Action, SignedBundle, VerifiedBundle, body_key};
-use crate::entry::request_routes::collect;
+use crate::entry::body::limited_body;
 use crate::permit::{ServiceDone, ServiceStatus};
 use crate::prelude::*;
 use crate::store::{ObjectStore, Table};
@@ -59,15 +57,15 @@
 {
     let propose = warp::path!("v1" / "bundles" / "propose")
         .and(with(shared))
-        .and(body(BUNDLE_LIMIT_BYTES))
+        .and(limited_body(BUNDLE_LIMIT_BYTES))
         .then(propose);
     let approve = warp::path!("v1" / "bundles" / "approve")
         .and(with(shared))
-        .and(body(ORDER_LIMIT_BYTES))
+        .and(limited_body(ORDER_LIMIT_BYTES))
         .then(approve);
     let roll_out = warp::path!("v1" / "bundles" / "rollout")
         .and(with(shared))
-        .and(body(ORDER_LIMIT_BYTES))
+        .and(limited_body(ORDER_LIMIT_BYTES))
         .then(roll_out);
     let current =
         warp::path!("v1" / "bundles" / "current").and(warp::get()).and(with(shared)).then(current);
@@ -87,11 +85,11 @@
 {
     let out = warp::path!("v1" / "datacentres" / DataCentreId / "out")
         .and(with(shared))
-        .and(body(ORDER_LIMIT_BYTES))
+        .and(limited_body(ORDER_LIMIT_BYTES))
         .then(async |id, shared, body| reply(order(shared, id, ServiceState::Out, body).await));
     let back = warp::path!("v1" / "datacentres" / DataCentreId / "in")
         .and(with(shared))
-        .and(body(ORDER_LIMIT_BYTES))
+        .and(limited_body(ORDER_LIMIT_BYTES))
         .then(async |id, shared, body| reply(order(shared, id, ServiceState::In, body).await));
     let list =
         warp::path!("v1" / "datacentres").and(warp::get()).and(with(shared)).then(data_centres);
@@ -125,22 +123,6 @@
     warp::any().map(move || shared.clone())
 }
 
-/// Takes the body of a `POST` up to a limit.
-fn body(limit_bytes: u64) -> impl Filter<Extract = (Result<Vec<u8>>,), Error = Rejection> + Clone {
-    warp::post()
-        .and(warp::header::optional("content-length"))
-        .and(warp::body::stream())
-        .then(move |length, stream| read_all(length, stream, limit_bytes))
-}
-
-async fn read_all<S, B>(length: Option<u64>, stream: S, limit_bytes: u64) -> Result<Vec<u8>>
-where
-    S: Stream<Item = std::result::Result<B, warp::Error>> + Send,
-    B: Buf,
-{
-    collect(length, stream, limit_bytes).await
-}
-
 fn parse<V>(body: Result<Vec<u8>>) -> Result<V>
 where
     V: DeserializeOwned,
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use warp::http::StatusCode;
@@ -10,6 +9,7 @@
 use warp::{Filter, Rejection, Reply};
 use xtra::Address;
 
+use super::body::limited_body;
 use super::groups::{Cancel, Choose, Deliver, Groups};
 use crate::api::{ApiError, ErrorCode};
 use crate::bundle::Bundle;
@@ -19,7 +19,7 @@
 use crate::store::{Table, Writer};
 
 /// The greatest body of a job.
-const JOB_BODY_LIMIT_BYTES: usize = 64 << 10;
+const JOB_BODY_LIMIT_BYTES: u64 = 64 << 10;
 /// The longest idempotency key.
 const MAX_KEY_BYTES: usize = 256;
 
@@ -84,7 +84,7 @@
     let all = || warp::path!("v1" / "jobs").and(with(jobs));
     let one = || warp::path!("v1" / "jobs" / JobId).and(with(jobs));
     let key = warp::header::optional("idempotency-key");
-    let submit = all().and(warp::post()).and(key).and(warp::body::bytes()).then(submit);
+    let submit = all().and(key).and(limited_body(JOB_BODY_LIMIT_BYTES)).then(submit);
     let list = all().and(warp::get()).then(list);
     let show = one().and(warp::get()).then(show);
     let cancel = one().and(warp::delete()).then(cancel);
@@ -109,11 +109,15 @@
     }
 }
 
-async fn submit<T>(jobs: Jobs<T>, key: Option<String>, body: Bytes) -> Response
+async fn submit<T>(jobs: Jobs<T>, key: Option<String>, body: Result<Vec<u8>, ApiError>) -> Response
 where
     T: Table + Clone,
 {
-    reply(StatusCode::ACCEPTED, accept(&jobs, key.as_deref(), &body).await)
+    let accepted = match body {
+        Ok(body) => accept(&jobs, key.as_deref(), &body).await,
+        Err(error) => Err(error),
+    };
+    reply(StatusCode::ACCEPTED, accepted)
 }
 
 async fn accept<T>(jobs: &Jobs<T>, key: Option<&str>, body: &[u8]) -> Result<JobRow, ApiError>
@@ -150,10 +154,6 @@
 }
 
 fn parse(body: &[u8]) -> Result<SubmitJob, ApiError> {
-    if body.len() > JOB_BODY_LIMIT_BYTES {
-        let message = format!("the job is over {JOB_BODY_LIMIT_BYTES} bytes");
-        return Err(ApiError::new(ErrorCode::TooLarge, &message));
-    }
     let malformed =
         |error: serde_json::Error| ApiError::new(ErrorCode::BadInput, &error.to_string());
     serde_json::from_slice(body).map_err(malformed)
--- a/src/entry/request_routes.rs
+++ b/src/entry/request_routes.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes};
-use futures::{Stream, StreamExt};
+use futures::Stream;
 use serde::Deserialize;
 use tokio::sync::{OnceCell, mpsc};
 use warp::http::StatusCode;
@@ -14,6 +14,7 @@
 use warp::{Filter, Rejection, Reply};
 use xtra::Address;
 
+use super::body::collect;
 use super::requests::{CallerGone, Event, OpenInbox, Part, Requests, Submit, part_channel};
 use crate::api::{ApiError, ErrorCode};
 use crate::prelude::*;
@@ -194,39 +195,6 @@
     serde_json::from_value(fields.into()).map_err(|error| bad_input(&format!("query: {error}")))
 }
 
-/// Collects a body up to the limit, so that a larger one is never held in memory.
-/// Reads a body, and refuses it as soon as it is over the limit.
-pub(super) async fn collect<S, B>(
-    length: Option<u64>,
-    body: S,
-    limit_bytes: u64,
-) -> Result<Vec<u8>, ApiError>
-where
-    S: Stream<Item = Result<B, warp::Error>> + Send,
-    B: Buf,
-{
-    let too_large = || {
-        let message = format!("the body is over the limit of {limit_bytes} bytes");
-        ApiError::new(ErrorCode::TooLarge, &message)
-    };
-    if length.is_some_and(|length| length > limit_bytes) {
-        return Err(too_large());
-    }
-    let mut collected = Vec::new();
-    futures::pin_mut!(body);
-    while let Some(part) = body.next().await {
-        let mut part = part.map_err(|error| bad_input(&format!("body broke off: {error}")))?;
-        if (collected.len() + part.remaining()) as u64 > limit_bytes {
-            return Err(too_large());
-        }
-        while part.has_remaining() {
-            collected.extend_from_slice(part.chunk());
-            part.advance(part.chunk().len());
-        }
-    }
-    Ok(collected)
-}
-
 async fn submit<T>(route: &RequestRoute<T>, spec: RequestSpec) -> Response
 where
     T: Table + Clone,
