--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -1,6 +1,8 @@
 //! The time of one placement: one call of the scheduler for a submission or for the end of a task, with a full group and
 //! 500 waiting jobs. The target is 50 microseconds at 128 workers, and linear growth.
 
+mod support;
+
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -10,9 +12,9 @@
 };
 use teaselhall::guarantee::admit;
 use teaselhall::prelude::*;
-use teaselhall::scheduler::{
-    Input, JobView, Output, Policy, ReserveResult, Scheduler, TaskEnd, WorkerSpec, WriteResult,
-};
+use teaselhall::scheduler::{Input, JobView, Output, Policy, Scheduler, TaskEnd, WorkerSpec};
+
+use support::obey;
 
 const RACK_WORKERS: u32 = 4;
 const QUEUED_JOBS: u32 = 500;
@@ -108,22 +110,8 @@
         self.scheduler.handle(NOW_MS, input, &mut self.random)
     }
 
-    /// Carries out what the scheduler wants as obedient agents do.
     fn obey(&mut self, outputs: Vec<Output>) {
-        let mut pending = outputs;
-        while let Some(output) = pending.pop() {
-            let answer = match output {
-                Output::Reserve { gang, share, .. } => {
-                    Input::Reserved { gang, worker: share.worker, result: ReserveResult::Held }
-                }
-                Output::WriteIntent { gang } => {
-                    Input::IntentWritten { gang, result: WriteResult::Durable }
-                }
-                Output::Start { gang, worker, .. } => Input::Started { gang, worker },
-                _ => continue,
-            };
-            pending.extend(self.handle(&answer));
-        }
+        obey(outputs, |answer| self.handle(answer));
     }
 }
 
--- a/examples/slopes/main.rs
+++ b/examples/slopes/main.rs
@@ -6,6 +6,8 @@
 
 mod measure;
 mod plot;
+#[path = "../../benches/support/mod.rs"]
+mod support;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/examples/slopes/measure.rs
+++ b/examples/slopes/measure.rs
@@ -15,14 +15,13 @@
 use teaselhall::guarantee::admit;
 use teaselhall::prelude::*;
 use teaselhall::request::ConnectionId;
-use teaselhall::scheduler::{
-    Input, Output, Policy, ReserveResult, Scheduler, WorkerSpec, WriteResult,
-};
+use teaselhall::scheduler::{Input, Output, Policy, Scheduler, WorkerSpec};
 use teaselhall::wire::{
     Direction, EntryMessage, FrameEncoder, FrameKey, GroupSummary, MAX_FRAME_BYTES,
 };
 
 use super::Point;
+use super::support::obey;
 
 /// Tasks on each worker at the size to design for: 540,000 on 22,000 workers.
 const TASKS_PER_WORKER: u32 = 24;
@@ -167,22 +166,8 @@
         self.scheduler.handle(self.now_ms, input, &mut self.random)
     }
 
-    /// Carries out what the scheduler wants as agents do that never fail.
     fn obey(&mut self, outputs: Vec<Output>) {
-        let mut pending = outputs;
-        while let Some(output) = pending.pop() {
-            let answer = match output {
-                Output::Reserve { gang, share, .. } => {
-                    Input::Reserved { gang, worker: share.worker, result: ReserveResult::Held }
-                }
-                Output::WriteIntent { gang } => {
-                    Input::IntentWritten { gang, result: WriteResult::Durable }
-                }
-                Output::Start { gang, worker, .. } => Input::Started { gang, worker },
-                _ => continue,
-            };
-            pending.extend(self.handle(&answer));
-        }
+        obey(outputs, |answer| self.handle(answer));
     }
 
     fn tick(&mut self) {
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -120,10 +120,10 @@
             fitting.iter().copied().filter(|entry| !self.is_out(entry)).collect();
         let candidates = if in_service.is_empty() { fitting } else { in_service };
         // A group may have no leader for a few seconds, but its guarantees stay there.
-        let holds: Preference = GroupEntry::guarantees;
+        let holds: Preference = |entry, job, _| entry.guarantees(job);
         let has_room: Preference = GroupEntry::has_room;
         let both: Preference =
-            |entry, job, now_ms| entry.guarantees(job, now_ms) && entry.has_room(job, now_ms);
+            |entry, job, now_ms| entry.guarantees(job) && entry.has_room(job, now_ms);
         let is_led: Preference = |entry, _, now_ms| entry.is_led(now_ms);
         let preferences = if self.may_borrow(job) {
             [both, has_room, holds, is_led]
@@ -281,7 +281,7 @@
     }
 
     /// Returns whether the job fits a block that is guaranteed to its organisation in this group.
-    fn guarantees(&self, job: &JobSpec, _now_ms: u64) -> bool {
+    fn guarantees(&self, job: &JobSpec) -> bool {
         let blocks = self.guarantees.get(&job.organisation).map_or(&[][..], Vec::as_slice);
         blocks.iter().any(|block| {
             job.accelerators() <= block.accelerators && block.adjacency <= job.adjacency
