--- a/examples/local/deployment.rs
+++ b/examples/local/deployment.rs
@@ -274,7 +274,7 @@
         let platform =
             json!({"http_address": self.platform, "workers": workers, "endpoints": endpoints});
         self.http.insert("platform".to_owned(), self.platform);
-        self.write("platform", "teaselhall-platform", &platform)
+        self.write("platform", "teaselhall-stand-in", &platform)
     }
 
     fn write_entries(
--- a/src/agent/worker_api.rs
+++ b/src/agent/worker_api.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::platform::{LeaseRenewal, StartTask, TaskList, TaskReport, TaskState};
+use crate::stand_in::{LeaseRenewal, StartTask, TaskList, TaskReport, TaskState};
 use crate::prelude::*;
 use crate::worker::{self, ListedTask, PROBE_TASK, TaskName, WorkerAnswer, WorkerCall};
 
--- a/src/bin/teaselhall-platform/main.rs
+++ b/src/bin/teaselhall-stand-in/main.rs
@@ -1,5 +1,5 @@
 //! Stand-in of the platform, for development and tests only.
 
 fn main() -> std::process::ExitCode {
-    teaselhall::process::run("teaselhall-platform", teaselhall::platform::run)
+    teaselhall::process::run("teaselhall-stand-in", teaselhall::stand_in::run)
 }
--- /dev/null
+++ b/src/coordinator/actor.rs
@@ -0,0 +1,498 @@
+//! The actor of a coordinator: joins the election, the planner while it leads, and the connections.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde_json::{Value, json};
+use tokio::sync::{mpsc, oneshot};
+use xtra::prelude::*;
+
+use super::lead::Leading;
+use super::message::{AcceptorMessage, HostMessage, JobUpdate, LeaderMessage, PeerMessage};
+use super::peers::{PeerSender, PeerSenders, keep_connected};
+use super::relay::RelayingStore;
+use super::service::Service;
+use super::settings::RENEW_HORIZON_MS;
+use super::takeover::{Takeover, TakeoverError, take_over};
+use super::CoordinatorSettings;
+use crate::planner::{Input, Now};
+use crate::prelude::*;
+use crate::process::{InboxActor, new_incarnation};
+use crate::rules::Directives;
+use crate::store::{RowChange, RowError, RowStore};
+use crate::succession::{Gossip, Leadership, Part, Step, Succession};
+use crate::wire::LinkSender;
+
+/// Gossip is sent with every second tick.
+const TICKS_PER_GOSSIP: u64 = 2;
+/// A coordinator without an answer of the store, and without another that has one, is not ready after this time.
+const READY_STORE_AGE_MS: u64 = 4_000;
+
+/// Where events for the actor go.
+pub type EventSender = mpsc::Sender<Event>;
+
+/// What happens around a coordinator.
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// Another coordinator may be at this address.
+    PeerAddress(SocketAddr),
+    /// A connection to another coordinator is open.
+    PeerConnected { address: SocketAddr, sender: PeerSender },
+    /// Another coordinator sent a message.
+    Peer { sender: PeerSender, message: PeerMessage },
+    /// A connection to another coordinator is lost.
+    PeerLost(SocketAddr),
+    /// Nothing was reached at this address for a long time.
+    PeerGivenUp(SocketAddr),
+    /// A host is connected.
+    HostConnected { connection: u64, worker: WorkerId, sender: LinkSender<AcceptorMessage> },
+    /// A host sent a message.
+    Host { connection: u64, message: HostMessage },
+    /// The connection to a host is lost.
+    HostLost { connection: u64 },
+    /// The store has directives.
+    Directives(Directives),
+    /// The store names the leader.
+    Leadership(Leadership),
+    /// The store answered at this time.
+    StoreAnswered(u64),
+    /// An attempt to take over has ended.
+    TakenOver(Box<Result<Takeover, TakeoverError>>),
+    /// The leader's transaction is durable, or can never be.
+    Committed { epoch: Epoch, result: Result<u64, RowError> },
+    /// Stored jobs changed.
+    Jobs { epoch: Epoch, changes: Vec<RowChange> },
+    /// The process is ending.
+    End(oneshot::Sender<()>),
+}
+
+/// A coordinator.
+#[derive(xtra::Actor)]
+pub struct Coordinator<S: 'static> {
+    settings: Arc<CoordinatorSettings>,
+    pub(super) service: Service<S>,
+    pub(super) peers: PeerSenders,
+    pub(super) events: EventSender,
+    pub(super) succession: Succession,
+    directives: Directives,
+    incarnation: Incarnation,
+    /// The coordinators behind the addresses that are being kept connected.
+    dialed: BTreeMap<SocketAddr, Option<ProcessId>>,
+    pub(super) leading: Option<Leading>,
+    /// The workers of the host connections.
+    host_workers: HashMap<u64, WorkerId>,
+    ticks: u64,
+    ending: Option<oneshot::Sender<()>>,
+}
+
+impl<S> Coordinator<S>
+where
+    S: RowStore,
+{
+    /// Creates a coordinator that follows.
+    pub fn new(
+        settings: Arc<CoordinatorSettings>,
+        service: Service<S>,
+        peers: PeerSenders,
+        events: EventSender,
+    ) -> Self {
+        let now_ms = service.clock.now_ms();
+        let succession =
+            Succession::new(settings.process.clone(), settings.succession(), now_ms);
+        let mut coordinator = Self {
+            settings,
+            service,
+            peers,
+            events,
+            succession,
+            directives: Directives::default(),
+            incarnation: new_incarnation(),
+            dialed: BTreeMap::new(),
+            leading: None,
+            host_workers: HashMap::new(),
+            ticks: 0,
+            ending: None,
+        };
+        for seed in coordinator.settings.seeds.clone() {
+            coordinator.dial(seed);
+        }
+        coordinator
+    }
+
+    pub(super) fn now(&self) -> Now {
+        Now { steady_ms: self.service.clock.now_ms(), wall_ms: self.service.clock.wall_ms() }
+    }
+
+    pub(super) fn store(&self) -> &RelayingStore<S> {
+        &self.service.store
+    }
+
+    fn dial(&mut self, address: SocketAddr) {
+        if address == self.settings.inner_address || self.dialed.contains_key(&address) {
+            return;
+        }
+        self.dialed.insert(address, None);
+        tokio::spawn(keep_connected(address, self.settings.links(), self.events.clone()));
+    }
+
+    fn on_tick(&mut self) {
+        self.ticks += 1;
+        self.succession.store_answered(self.service.store.answered_ms());
+        let now = self.now();
+        match self.succession.decide(now.steady_ms) {
+            Step::Stay => {}
+            Step::TakeOver => self.begin_takeover(),
+            Step::StepDown(reason) => self.step_down(reason),
+        }
+        if self.ticks.is_multiple_of(TICKS_PER_GOSSIP) {
+            self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
+            self.update_readiness(now.steady_ms);
+        }
+        self.plan(&Input::Tick);
+    }
+
+    fn update_readiness(&self, now_ms: u64) {
+        let can_store = self.succession.store_age_ms(now_ms) < READY_STORE_AGE_MS
+            || self.peers.best_store_age_ms() < READY_STORE_AGE_MS;
+        let is_ready = self.directives.rules.is_some() && can_store && self.ending.is_none();
+        if is_ready != self.service.readiness.get() {
+            log::info!(
+                is_ready, directives = self.directives.as_of,
+                store_age_ms = self.succession.store_age_ms(now_ms);
+                "readiness changed"
+            );
+            self.service.readiness.set(is_ready);
+        }
+    }
+
+    fn gossip(&self) -> Gossip {
+        let now_ms = self.service.clock.now_ms();
+        let (leader_heard_age_ms, leader_store_age_ms) = self.succession.leader_ages_ms(now_ms);
+        Gossip {
+            process: self.settings.process.clone(),
+            address: self.settings.inner_address,
+            leadership: self.succession.leadership().cloned(),
+            leader_heard_age_ms,
+            leader_store_age_ms,
+            store_age_ms: self.succession.store_age_ms(now_ms),
+            directives_as_of: self.directives.as_of,
+            is_ending: self.ending.is_some(),
+        }
+    }
+
+    fn begin_takeover(&self) {
+        let store = self.store().direct().clone();
+        let known = self.succession.leadership().cloned();
+        let (process, address) = (self.settings.process.clone(), self.settings.inner_address);
+        let (incarnation, events) = (self.incarnation, self.events.clone());
+        log::info!(
+            known_epoch = known.as_ref().map_or(0, |known| known.epoch.0);
+            "trying to take over"
+        );
+        tokio::spawn(async move {
+            let result =
+                take_over(&store, (&process, address, incarnation), known.as_ref()).await;
+            let _ = events.send(Event::TakenOver(Box::new(result))).await;
+        });
+    }
+
+    fn taken_over(&mut self, result: Result<Takeover, TakeoverError>) {
+        let now = self.now();
+        let takeover = match result {
+            Ok(takeover) => takeover,
+            Err(TakeoverError::Lost(current)) => {
+                log::info!(
+                    epoch = current.as_ref().map_or(0, |current| current.epoch.0);
+                    "another coordinator leads"
+                );
+                self.succession.lost(now.steady_ms, current.as_ref());
+                return;
+            }
+            Err(TakeoverError::Store(error)) => {
+                log::warn!("the takeover failed: {error}");
+                self.succession.lost(now.steady_ms, None);
+                return;
+            }
+        };
+        let is_outdated = self
+            .succession
+            .leadership()
+            .is_some_and(|known| known.epoch > takeover.leadership.epoch);
+        if is_outdated || self.ending.is_some() {
+            self.succession.lost(now.steady_ms, None);
+            return;
+        }
+        self.service.metrics.count("leadership", "taken");
+        log::info!(
+            epoch = takeover.leadership.epoch.0, jobs = takeover.jobs.len(),
+            jobs_version = takeover.jobs_version;
+            "leading"
+        );
+        self.succession.won(now.steady_ms, takeover.leadership.clone());
+        self.succession.store_answered(now.steady_ms);
+        self.lead(now, takeover);
+        self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
+    }
+
+    pub(super) fn step_down(&mut self, reason: &str) {
+        let now_ms = self.service.clock.now_ms();
+        if let Some(leading) = self.leading.take() {
+            leading.redirect_hosts(self.succession.leadership().cloned());
+            log::warn!(reason; "no longer leading");
+            self.service.metrics.count("leadership", "given_up");
+        }
+        self.host_workers.clear();
+        if self.succession.part() == Part::Leader {
+            self.succession.step_down(now_ms);
+        }
+    }
+
+    /// Stops leading if a newer leadership became known.
+    fn leadership_learned(&mut self) {
+        if self.leading.is_some() && self.succession.part() != Part::Leader {
+            self.step_down("another coordinator leads");
+        }
+    }
+
+    fn on_peer(&mut self, sender: PeerSender, message: PeerMessage) {
+        match message {
+            PeerMessage::Gossip(gossip) => self.on_gossip(sender, &gossip),
+            PeerMessage::Directives(directives) => self.apply_directives(directives, "a coordinator"),
+            PeerMessage::Progress { epoch, is_snapshot, jobs } => {
+                self.service.shared.with_view(|view| view.update(epoch, is_snapshot, &jobs));
+            }
+            PeerMessage::Relay { call, request } => {
+                let store = self.store().clone();
+                tokio::spawn(async move {
+                    let answer = store.call_directly(&request).await;
+                    sender.send(PeerMessage::Relayed { call, answer });
+                });
+            }
+            PeerMessage::Relayed { call, answer } => self.store().relayed(call, answer),
+        }
+    }
+
+    fn on_gossip(&mut self, sender: PeerSender, gossip: &Gossip) {
+        let now_ms = self.service.clock.now_ms();
+        self.dial(gossip.address);
+        if let Some(process) = self.dialed.get_mut(&gossip.address) {
+            *process = Some(gossip.process.clone());
+        }
+        let is_new = self.peers.note(&gossip.process, sender.clone(), gossip.store_age_ms);
+        if is_new && let Some(leading) = &self.leading {
+            sender.send(leading.snapshot());
+        }
+        if self.succession.heard(now_ms, gossip) {
+            self.leadership_learned();
+        }
+        if gossip.directives_as_of < self.directives.as_of {
+            sender.send(PeerMessage::Directives(self.directives.clone()));
+        }
+        if gossip.is_ending {
+            self.on_tick_of_election();
+        }
+    }
+
+    /// Decides at once after news about the leader.
+    fn on_tick_of_election(&mut self) {
+        if self.succession.decide(self.service.clock.now_ms()) == Step::TakeOver {
+            self.begin_takeover();
+        }
+    }
+
+    fn on_peer_lost(&mut self, address: SocketAddr) {
+        let Some(Some(process)) = self.dialed.get(&address).cloned() else {
+            return;
+        };
+        self.peers.remove(&process);
+        self.succession.peer_gone(self.service.clock.now_ms(), &process);
+    }
+
+    fn apply_directives(&mut self, directives: Directives, source: &str) {
+        if directives.as_of <= self.directives.as_of {
+            return;
+        }
+        let version = directives.rules.as_ref().map_or(0, |rules| rules.version);
+        let current = self.directives.rules.as_ref().map_or(0, |rules| rules.version);
+        if version < current {
+            log::error!(version, current, source; "directives with older rules are ignored");
+            return;
+        }
+        log::info!(
+            as_of = directives.as_of, version, source,
+            out_of_service = directives.out_of_service.len();
+            "directives in force"
+        );
+        self.service.metrics.set("directives", "version", i64::try_from(version).unwrap_or(i64::MAX));
+        self.directives = directives.clone();
+        self.service.shared.set_directives(directives.clone());
+        self.peers.send_to_all(&PeerMessage::Directives(directives.clone()));
+        self.plan(&Input::Directives(directives));
+    }
+
+    fn on_host_connected(
+        &mut self,
+        connection: u64,
+        worker: WorkerId,
+        sender: LinkSender<AcceptorMessage>,
+    ) {
+        let coordinators = self.coordinators();
+        let Some(leading) = &mut self.leading else {
+            let redirect = LeaderMessage::Redirect(self.succession.leadership().cloned());
+            if let Err(error) = sender.try_send(AcceptorMessage::Host(redirect)) {
+                log::debug!("a redirect was dropped: {error}");
+            }
+            return;
+        };
+        let epoch = leading.epoch();
+        leading.connect_host(connection, &worker, sender);
+        leading.send(&worker, LeaderMessage::Welcome { epoch, coordinators });
+        log::info!(worker = worker.as_str(), connection, epoch = epoch.0; "host connected");
+        self.host_workers.insert(connection, worker);
+    }
+
+    fn coordinators(&self) -> Vec<SocketAddr> {
+        let mut coordinators = vec![self.settings.inner_address];
+        let live = self.dialed.iter().filter(|(_, process)| process.is_some());
+        coordinators.extend(live.map(|(address, _)| *address));
+        coordinators
+    }
+
+    fn on_host(&mut self, connection: u64, message: HostMessage) {
+        let Some(worker) = self.host_workers.get(&connection).cloned() else {
+            return;
+        };
+        let input = match message {
+            HostMessage::Hello { .. } => return,
+            HostMessage::Worker(report) => Input::Worker(report),
+            HostMessage::Left(life) => Input::WorkerLeft(life),
+            HostMessage::Runs { asked_ms, report } => {
+                let store_age_ms = self.succession.store_age_ms(self.service.clock.now_ms());
+                if let Some(leading) = &self.leading
+                    && store_age_ms < RENEW_HORIZON_MS
+                {
+                    leading.send(&worker, LeaderMessage::Renewed { asked_ms });
+                }
+                Input::Runs(report)
+            }
+            HostMessage::Started { life, task, run } => Input::Started { life, task, run },
+            HostMessage::Refused { life, task, run, refusal } => {
+                Input::Refused { life, task, run, refusal }
+            }
+        };
+        self.plan(&input);
+    }
+
+    fn on_host_lost(&mut self, connection: u64) {
+        let Some(worker) = self.host_workers.remove(&connection) else {
+            return;
+        };
+        let is_current = self
+            .leading
+            .as_mut()
+            .is_some_and(|leading| leading.disconnect_host(connection, &worker));
+        if is_current {
+            log::info!(worker = worker.as_str(), connection; "host lost");
+            self.plan(&Input::Disconnected(worker));
+        }
+    }
+
+    fn end(&mut self, done: oneshot::Sender<()>) {
+        self.ending = Some(done);
+        self.succession.end();
+        self.service.readiness.set(false);
+        log::info!(leads = self.leading.is_some(); "ending");
+        if self.leading.is_some() {
+            self.step_down("the process is ending");
+        }
+        self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
+        if let Some(done) = self.ending.take() {
+            // Nobody waits any more if the process is ending already.
+            let _ = done.send(());
+            self.ending = Some(oneshot::channel().0);
+        }
+    }
+
+    /// Tells clients' views, here and on other coordinators, how far jobs are.
+    pub(super) fn publish(&self, epoch: Epoch, jobs: Vec<JobUpdate>) {
+        if jobs.is_empty() {
+            return;
+        }
+        self.service.shared.with_view(|view| view.update(epoch, false, &jobs));
+        self.peers.send_to_all(&PeerMessage::Progress { epoch, is_snapshot: false, jobs });
+    }
+
+    pub(super) fn directives(&self) -> &Directives {
+        &self.directives
+    }
+
+    pub(super) fn planner_settings(&self) -> crate::planner::PlannerSettings {
+        self.settings.planner()
+    }
+}
+
+impl<S> InboxActor for Coordinator<S>
+where
+    S: RowStore,
+{
+    type Event = Event;
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Tick => self.on_tick(),
+            Event::PeerAddress(address) => self.dial(address),
+            Event::PeerConnected { address, sender } => {
+                log::info!(address = address.to_string(); "coordinator connected");
+                sender.send(PeerMessage::Gossip(self.gossip()));
+            }
+            Event::Peer { sender, message } => self.on_peer(sender, message),
+            Event::PeerLost(address) => self.on_peer_lost(address),
+            Event::PeerGivenUp(address) => {
+                log::info!(address = address.to_string(); "coordinator is given up");
+                self.dialed.remove(&address);
+            }
+            Event::HostConnected { connection, worker, sender } => {
+                self.on_host_connected(connection, worker, sender);
+            }
+            Event::Host { connection, message } => self.on_host(connection, message),
+            Event::HostLost { connection } => self.on_host_lost(connection),
+            Event::Directives(directives) => self.apply_directives(directives, "the store"),
+            Event::Leadership(leadership) => {
+                if self.succession.learn(self.service.clock.now_ms(), &leadership) {
+                    self.leadership_learned();
+                }
+            }
+            Event::StoreAnswered(at_ms) => self.succession.store_answered(at_ms),
+            Event::TakenOver(result) => self.taken_over(*result),
+            Event::Committed { epoch, result } => self.committed(epoch, result),
+            Event::Jobs { epoch, changes } => self.jobs_changed(epoch, &changes),
+            Event::End(done) => self.end(done),
+        }
+    }
+}
+
+/// Asks for the state of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Dump;
+
+impl<S> Handler<Dump> for Coordinator<S>
+where
+    S: RowStore,
+{
+    type Return = Value;
+
+    async fn handle(&mut self, _message: Dump, _context: &mut Context<Self>) -> Value {
+        json!({
+            "process": self.settings.process,
+            "succession": self.succession,
+            "directives": { "as_of": self.directives.as_of, "out_of_service": self.directives.out_of_service },
+            "rules_version": self.directives.rules.as_ref().map(|rules| rules.version),
+            "coordinators": self.dialed,
+            "jobs_known": self.service.shared.with_view(|view| view.len()),
+            "planner": self.leading.as_ref().map(Leading::dump),
+        })
+    }
+}
--- /dev/null
+++ b/src/coordinator/feed.rs
@@ -0,0 +1,281 @@
+//! Follows tables of the store.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::actor::{Event, EventSender};
+use super::{JOB_TABLE, LEAD_TABLE, LEADER_KEY, MEMBER_PREFIX};
+use crate::prelude::*;
+use crate::process::SteadyClock;
+use crate::rules::{Directives, Rules};
+use crate::store::{Listing, RowChange, RowError, RowKey, RowStore, Transaction};
+use crate::succession::Leadership;
+use crate::workflow;
+
+/// How long a call waits for changes; the platform allows 30 s. A change is answered at once.
+const CHANGE_WAIT: Duration = Duration::from_secs(25);
+/// How long a call waits for a change of the leadership. Each answer also proves that the store can be reached.
+const LEADERSHIP_WAIT: Duration = Duration::from_millis(1_000);
+/// The pause after a call that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+
+/// A decision of operators, as a row of the store states it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DirectiveChange {
+    /// New rules.
+    Rules(Arc<Rules>),
+    /// Nothing more is started in a data centre.
+    OutOfService(DataCentreId),
+}
+
+/// Where operators write, and how their rows are read.
+#[derive(Clone, Copy, Debug)]
+pub struct DirectiveSource {
+    /// The table.
+    pub table: &'static str,
+    /// Decodes a row; `None` for rows that are no directives.
+    pub decode: fn(&str, &[u8]) -> Result<Option<DirectiveChange>, String>,
+    /// Names the data centre that the key of a row takes out of service.
+    pub data_centre_of: fn(&str) -> Option<DataCentreId>,
+}
+
+/// Follows the directives until the process ends.
+pub async fn follow_directives<S>(
+    store: S,
+    source: DirectiveSource,
+    clock: SteadyClock,
+    events: EventSender,
+) where
+    S: RowStore,
+{
+    let mut known = Directives::default();
+    loop {
+        let mut version = match store.list(source.table).await {
+            Ok(listing) => {
+                apply_listing(&mut known, &source, &listing);
+                if publish(&events, &known, clock).await.is_err() {
+                    return;
+                }
+                listing.version
+            }
+            Err(error) => {
+                log::warn!("the directives could not be read: {error}");
+                tokio::time::sleep(FAILURE_PAUSE).await;
+                continue;
+            }
+        };
+        loop {
+            match store.watch(source.table, version, CHANGE_WAIT).await {
+                Ok(changes) => {
+                    version = changes.version;
+                    let mut is_changed = false;
+                    for change in &changes.changes {
+                        is_changed |= apply_change(&mut known, &source, change);
+                    }
+                    if is_changed && publish(&events, &known, clock).await.is_err() {
+                        return;
+                    }
+                }
+                Err(error) => {
+                    log::warn!("the feed of directives broke: {error}");
+                    tokio::time::sleep(FAILURE_PAUSE).await;
+                    break;
+                }
+            }
+        }
+    }
+}
+
+async fn publish(
+    events: &EventSender,
+    known: &Directives,
+    clock: SteadyClock,
+) -> Result<(), ()> {
+    let _ = events.send(Event::StoreAnswered(clock.now_ms())).await;
+    events.send(Event::Directives(known.clone())).await.map_err(|_| ())
+}
+
+/// Replaces what is known by a listing. A listing may be older than what is known only if the store went back in time.
+fn apply_listing(known: &mut Directives, source: &DirectiveSource, listing: &Listing) {
+    let mut out_of_service = BTreeSet::new();
+    for row in &listing.rows {
+        if let Some(data_centre) = (source.data_centre_of)(&row.key.key) {
+            out_of_service.insert(data_centre);
+        } else {
+            let change = RowChange {
+                key: row.key.clone(),
+                content: Some(row.content.clone()),
+                version: row.version,
+            };
+            apply_change(known, source, &change);
+        }
+    }
+    known.out_of_service = out_of_service;
+    known.as_of = known.as_of.max(listing.version);
+}
+
+fn apply_change(known: &mut Directives, source: &DirectiveSource, change: &RowChange) -> bool {
+    known.as_of = known.as_of.max(change.version);
+    if let Some(data_centre) = (source.data_centre_of)(&change.key.key) {
+        return match change.content {
+            Some(_) => known.out_of_service.insert(data_centre),
+            None => known.out_of_service.remove(&data_centre),
+        };
+    }
+    let Some(content) = &change.content else {
+        return false;
+    };
+    match (source.decode)(&change.key.key, content) {
+        Ok(Some(DirectiveChange::Rules(rules))) => {
+            let is_newer =
+                known.rules.as_ref().is_none_or(|current| current.version < rules.version);
+            if is_newer {
+                known.rules = Some(rules);
+            }
+            is_newer
+        }
+        Ok(Some(DirectiveChange::OutOfService(data_centre))) => {
+            known.out_of_service.insert(data_centre)
+        }
+        Ok(None) => false,
+        Err(reason) => {
+            log::error!(key = change.key.key.as_str(), version = change.version; "row is ignored: {reason}");
+            false
+        }
+    }
+}
+
+/// Follows the leadership until the process ends.
+pub async fn follow_leadership<S>(store: S, clock: SteadyClock, events: EventSender)
+where
+    S: RowStore,
+{
+    let key = RowKey::new(LEAD_TABLE, LEADER_KEY);
+    let mut version = 0;
+    loop {
+        let sent_ms = clock.now_ms();
+        let answer = match version {
+            0 => store.list(LEAD_TABLE).await.map(|listing| {
+                let row = listing.rows.into_iter().find(|row| row.key == key);
+                (row.map(|row| row.content), listing.version)
+            }),
+            _ => store.watch(LEAD_TABLE, version, LEADERSHIP_WAIT).await.map(|changes| {
+                let change = changes.changes.into_iter().rfind(|change| change.key == key);
+                (change.and_then(|change| change.content), changes.version)
+            }),
+        };
+        match answer {
+            Ok((content, at)) => {
+                let answered_ms = if version == 0 { sent_ms } else { clock.now_ms() };
+                version = at.max(1);
+                let leadership = content.and_then(|content| decode_leadership(&content));
+                if let Some(leadership) = leadership {
+                    let _ = events.send(Event::Leadership(leadership)).await;
+                }
+                if events.send(Event::StoreAnswered(answered_ms)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                log::warn!("the leadership could not be read: {error}");
+                if error == RowError::HistoryGone {
+                    version = 0;
+                }
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+pub(super) fn decode_leadership(content: &[u8]) -> Option<Leadership> {
+    match workflow::decode(content) {
+        Ok(leadership) => Some(leadership),
+        Err(error) => {
+            log::error!("the leadership row cannot be read: {error}");
+            None
+        }
+    }
+}
+
+/// Follows the stored jobs for the leader of an epoch, from a version on.
+pub async fn follow_jobs<S>(
+    store: S,
+    epoch: Epoch,
+    mut version: u64,
+    clock: SteadyClock,
+    events: EventSender,
+) where
+    S: RowStore,
+{
+    loop {
+        let changes = match store.watch(JOB_TABLE, version, CHANGE_WAIT).await {
+            Ok(changes) => {
+                version = changes.version;
+                changes.changes
+            }
+            Err(RowError::HistoryGone) => match store.list(JOB_TABLE).await {
+                Ok(listing) => {
+                    version = listing.version;
+                    listing.rows.into_iter().map(row_as_change).collect()
+                }
+                Err(error) => {
+                    log::warn!("the stored jobs could not be read: {error}");
+                    tokio::time::sleep(FAILURE_PAUSE).await;
+                    continue;
+                }
+            },
+            Err(error) => {
+                log::warn!("the feed of jobs broke: {error}");
+                tokio::time::sleep(FAILURE_PAUSE).await;
+                continue;
+            }
+        };
+        let _ = events.send(Event::StoreAnswered(clock.now_ms())).await;
+        if events.send(Event::Jobs { epoch, changes }).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn row_as_change(row: crate::store::StoredRow) -> RowChange {
+    RowChange { key: row.key, content: Some(row.content), version: row.version }
+}
+
+/// Writes the address of this coordinator and reports those of the others.
+pub async fn register<S>(store: S, process: ProcessId, address: SocketAddr, events: EventSender)
+where
+    S: RowStore,
+{
+    let key = RowKey::new(LEAD_TABLE, &format!("{MEMBER_PREFIX}{process}"));
+    let transaction = Transaction {
+        puts: vec![(key, workflow::encode(&address))],
+        ..Transaction::default()
+    };
+    loop {
+        let listing = match store.transact(&transaction).await {
+            Ok(_) => store.list(LEAD_TABLE).await,
+            Err(error) => Err(error),
+        };
+        match listing {
+            Ok(listing) => {
+                for row in listing.rows.iter().filter(|row| row.key.key.starts_with(MEMBER_PREFIX)) {
+                    match workflow::decode::<SocketAddr>(&row.content) {
+                        Ok(address) => {
+                            let _ = events.send(Event::PeerAddress(address)).await;
+                        }
+                        Err(error) => log::error!(
+                            key = row.key.key.as_str(); "address cannot be read: {error}"
+                        ),
+                    }
+                }
+                return;
+            }
+            Err(error) => {
+                log::warn!("this coordinator could not be registered: {error}");
+                tokio::time::sleep(FAILURE_PAUSE * 4).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordinator/lead.rs
@@ -0,0 +1,355 @@
+//! What only the leader does: it runs the planner and makes its decisions durable.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+
+use super::actor::{Coordinator, Event, EventSender};
+use super::feed::follow_jobs;
+use super::message::{AcceptorMessage, JobUpdate, LeaderMessage, PeerMessage};
+use super::takeover::{Head, Takeover, head_key};
+use super::{CANCEL_SUFFIX, JOB_TABLE, PROGRESS_TABLE};
+use crate::planner::{Batch, Input, Now, Output, Planner, RecordChange};
+use crate::prelude::*;
+use crate::store::{RowChange, RowError, RowKey, RowStore, Transaction};
+use crate::succession::Leadership;
+use crate::wire::LinkSender;
+use crate::workflow::{self, JobRecord};
+
+/// The pause before a transaction is repeated that had no answer or no effect.
+const COMMIT_PAUSE: Duration = Duration::from_millis(60);
+
+/// The state of a leader.
+#[derive(Debug)]
+pub struct Leading {
+    head: Head,
+    head_version: u64,
+    planner: Planner,
+    /// The effects of the transaction under way.
+    in_flight: Option<Vec<Output>>,
+    commit: Option<JoinHandle<()>>,
+    jobs_feed: JoinHandle<()>,
+    hosts: HashMap<WorkerId, (u64, LinkSender<AcceptorMessage>)>,
+}
+
+impl Drop for Leading {
+    fn drop(&mut self) {
+        self.jobs_feed.abort();
+        if let Some(commit) = &self.commit {
+            commit.abort();
+        }
+    }
+}
+
+impl Leading {
+    /// Returns the epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.head.leadership.epoch
+    }
+
+    /// Notes the connection of a worker's host.
+    pub fn connect_host(
+        &mut self,
+        connection: u64,
+        worker: &WorkerId,
+        sender: LinkSender<AcceptorMessage>,
+    ) {
+        self.hosts.insert(worker.clone(), (connection, sender));
+    }
+
+    /// Forgets a connection. Returns false if the worker has a newer one.
+    pub fn disconnect_host(&mut self, connection: u64, worker: &WorkerId) -> bool {
+        let is_current = self.hosts.get(worker).is_some_and(|(current, _)| *current == connection);
+        if is_current {
+            self.hosts.remove(worker);
+        }
+        is_current
+    }
+
+    /// Sends to the host of a worker. What is lost here is sent again when the host next lists its runs.
+    pub fn send(&self, worker: &WorkerId, message: LeaderMessage) {
+        let Some((_, sender)) = self.hosts.get(worker) else {
+            return;
+        };
+        if let Err(error) = sender.try_send(AcceptorMessage::Host(message)) {
+            log::warn!(worker = worker.as_str(); "a message to a host was dropped: {error}");
+        }
+    }
+
+    /// Tells all hosts to look for another leader.
+    pub fn redirect_hosts(&self, leadership: Option<Leadership>) {
+        let other = leadership.filter(|known| known.epoch > self.epoch());
+        for worker in self.hosts.keys() {
+            self.send(worker, LeaderMessage::Redirect(other.clone()));
+        }
+    }
+
+    /// Returns how far all jobs are.
+    pub fn snapshot(&self) -> PeerMessage {
+        PeerMessage::Progress { epoch: self.epoch(), is_snapshot: true, jobs: self.updates() }
+    }
+
+    fn updates(&self) -> Vec<JobUpdate> {
+        self.planner
+            .progress()
+            .map(|(job, queue, progress)| JobUpdate {
+                job: job.clone(),
+                queue: queue.to_owned(),
+                progress: Some(progress),
+            })
+            .collect()
+    }
+
+    /// Returns the planner's state for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let (jobs, placed, workers) = self.planner.counts();
+        serde_json::json!({
+            "epoch": self.epoch(), "sequence": self.head.sequence, "jobs": jobs,
+            "placed_tasks": placed, "connected_workers": workers, "state": self.planner,
+        })
+    }
+}
+
+impl<S> Coordinator<S>
+where
+    S: RowStore,
+{
+    /// Begins to lead with what the store has.
+    pub(super) fn lead(&mut self, now: Now, takeover: Takeover) {
+        let epoch = takeover.leadership.epoch;
+        let mut planner = Planner::new(self.planner_settings(), self.directives().clone());
+        let mut cancelled = Vec::new();
+        for job in takeover.jobs {
+            if job.is_cancelled {
+                cancelled.push(job.id.clone());
+            }
+            planner.restore(now, &job.id, job.record, job.occurrences);
+        }
+        let feed = follow_jobs(
+            self.store().direct().clone(),
+            epoch,
+            takeover.jobs_version,
+            self.service.clock,
+            self.events.clone(),
+        );
+        let leading = Leading {
+            head: takeover.head,
+            head_version: takeover.head_version,
+            planner,
+            in_flight: None,
+            commit: None,
+            jobs_feed: tokio::spawn(feed),
+            hosts: HashMap::new(),
+        };
+        let updates = leading.updates();
+        self.service.shared.with_view(|view| view.update(epoch, true, &updates));
+        self.peers.send_to_all(&leading.snapshot());
+        self.leading = Some(leading);
+        for job in cancelled {
+            self.plan(&Input::Cancelled { job });
+        }
+        self.plan(&Input::Tick);
+    }
+
+    /// Hands an event to the planner, if this coordinator leads.
+    pub(super) fn plan(&mut self, input: &Input) {
+        let now = self.now();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let outputs = leading.planner.handle(now, input);
+        self.act(outputs);
+        self.flush();
+    }
+
+    fn act(&mut self, outputs: Vec<Output>) {
+        let Some(leading) = &self.leading else {
+            return;
+        };
+        let mut updates = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Start(order) => {
+                    let worker = order.life.worker.clone();
+                    leading.send(&worker, LeaderMessage::Start(order));
+                }
+                Output::Stop { life, task, run } => {
+                    let worker = life.worker.clone();
+                    leading.send(&worker, LeaderMessage::Stop { life, task, run });
+                }
+                Output::AcknowledgeEnds { life, up_to } => {
+                    let worker = life.worker.clone();
+                    leading.send(&worker, LeaderMessage::AcknowledgeEnds { life, up_to });
+                }
+                Output::Progress { job, queue, progress } => {
+                    updates.push(JobUpdate { job, queue, progress });
+                }
+                Output::Decision { job, run, what, because } => {
+                    self.service.metrics.count("planner", decision_name(what));
+                    let (task, run) =
+                        run.map_or((String::new(), 0), |(task, run)| (task.to_string(), run));
+                    log::info!(
+                        job = job.as_str(), task = task.as_str(), run, epoch = leading.epoch().0,
+                        because = because.as_str();
+                        "{what}"
+                    );
+                }
+            }
+        }
+        let epoch = leading.epoch();
+        self.publish(epoch, updates);
+    }
+
+    /// Makes changes durable, one transaction at a time.
+    fn flush(&mut self) {
+        let now = self.now();
+        loop {
+            let Some(leading) = &mut self.leading else {
+                return;
+            };
+            if leading.in_flight.is_some() {
+                return;
+            }
+            let Some(batch) = leading.planner.take_batch() else {
+                return;
+            };
+            if batch.changes.is_empty() {
+                let outputs = leading.planner.release(now, batch.effects);
+                self.act(outputs);
+                continue;
+            }
+            self.begin_commit(batch);
+        }
+    }
+
+    fn begin_commit(&mut self, batch: Batch) {
+        let store = self.store().direct().clone();
+        let events = self.events.clone();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.head.sequence += 1;
+        let mut transaction = Transaction {
+            conditions: vec![(head_key(), leading.head_version)],
+            puts: vec![(head_key(), workflow::encode(&leading.head))],
+            removals: Vec::new(),
+        };
+        for change in &batch.changes {
+            add_change(&mut transaction, change);
+        }
+        leading.in_flight = Some(batch.effects);
+        let (head, epoch) = (leading.head.clone(), leading.epoch());
+        leading.commit = Some(tokio::spawn(commit(store, transaction, head, epoch, events)));
+    }
+
+    pub(super) fn committed(&mut self, epoch: Epoch, result: Result<u64, RowError>) {
+        let now = self.now();
+        let Some(leading) = self.leading.as_mut().filter(|leading| leading.epoch() == epoch) else {
+            return;
+        };
+        match result {
+            Ok(version) => {
+                leading.head_version = version;
+                let effects = leading.in_flight.take().unwrap_or_default();
+                let outputs = leading.planner.release(now, effects);
+                self.succession.store_answered(now.steady_ms);
+                self.act(outputs);
+                self.flush();
+            }
+            Err(error) => {
+                log::warn!(epoch = epoch.0; "the leader's transaction can never be applied: {error}");
+                self.step_down("another coordinator wrote to the store");
+            }
+        }
+    }
+
+    /// Takes in stored jobs and cancellations.
+    pub(super) fn jobs_changed(&mut self, epoch: Epoch, changes: &[RowChange]) {
+        if self.leading.as_ref().is_none_or(|leading| leading.epoch() != epoch) {
+            return;
+        }
+        for change in changes {
+            let Some(content) = &change.content else {
+                continue;
+            };
+            let key = change.key.key.as_str();
+            if let Some(job) = key.strip_suffix(CANCEL_SUFFIX) {
+                self.plan(&Input::Cancelled { job: JobId::from(job) });
+                continue;
+            }
+            match workflow::decode::<JobRecord>(content) {
+                Ok(record) => self.plan(&Input::Submitted { job: JobId::from(key), record }),
+                Err(error) => log::error!(job = key; "stored job cannot be read: {error}"),
+            }
+        }
+    }
+}
+
+fn decision_name(what: crate::planner::Decision) -> &'static str {
+    use crate::planner::Decision;
+    match what {
+        Decision::Queued => "queued",
+        Decision::Placed => "placed",
+        Decision::Stopped => "stopped",
+        Decision::Ended => "ended",
+        Decision::StartRefused => "start_refused",
+        Decision::Over => "over",
+    }
+}
+
+fn add_change(transaction: &mut Transaction, change: &RecordChange) {
+    match change {
+        RecordChange::Occurrence { job, occurrence, record } => {
+            let key = RowKey::new(PROGRESS_TABLE, &format!("{job}.{occurrence}"));
+            transaction.puts.push((key, workflow::encode(record.as_ref())));
+        }
+        RecordChange::Forget { job, occurrences } => {
+            transaction.removals.push(RowKey::new(JOB_TABLE, job.as_str()));
+            transaction
+                .removals
+                .push(RowKey::new(JOB_TABLE, &format!("{job}{CANCEL_SUFFIX}")));
+            // Rows beyond this number are left behind rather than exceed the size of a transaction.
+            const MOST_REMOVED: u32 = 80;
+            for occurrence in 0..(*occurrences).min(MOST_REMOVED) {
+                let key = RowKey::new(PROGRESS_TABLE, &format!("{job}.{occurrence}"));
+                transaction.removals.push(key);
+            }
+        }
+    }
+}
+
+/// Repeats a transaction until it is known to be applied or never to be applied.
+///
+/// Each transaction replaces the head that the one before wrote. So a repeated one is applied at most once, and a late
+/// one cannot follow a newer one.
+async fn commit<S>(
+    store: S,
+    transaction: Transaction,
+    head: Head,
+    epoch: Epoch,
+    events: EventSender,
+) where
+    S: RowStore,
+{
+    let result = loop {
+        match store.transact(&transaction).await {
+            Err(RowError::Conflict { current }) => {
+                let own = current
+                    .iter()
+                    .find(|row| workflow::decode::<Head>(&row.content).is_ok_and(|it| it == head));
+                break match own {
+                    Some(row) => Ok(row.version),
+                    None => Err(RowError::Conflict { current }),
+                };
+            }
+            Err(error @ (RowError::Unavailable { .. } | RowError::Unknown { .. })) => {
+                log::warn!(epoch = epoch.0, sequence = head.sequence; "a transaction is repeated: {error}");
+                tokio::time::sleep(COMMIT_PAUSE).await;
+            }
+            result => break result,
+        }
+    };
+    // The actor only ends with the process.
+    let _ = events.send(Event::Committed { epoch, result }).await;
+}
--- /dev/null
+++ b/src/coordinator/listener.rs
@@ -0,0 +1,79 @@
+//! Accepts connections of hosts and of other coordinators.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use snafu::ResultExt;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::actor::{Event, EventSender};
+use super::message::{AcceptorMessage, DialerMessage, HostMessage};
+use super::peers::PeerSender;
+use crate::process::{self, BindSnafu};
+use crate::wire::{Link, LinkSettings};
+
+/// Binds the address and serves it until the process ends.
+///
+/// # Errors
+///
+/// [`process::Error::Bind`].
+pub async fn spawn(
+    address: SocketAddr,
+    links: LinkSettings,
+    events: EventSender,
+) -> process::Result<()> {
+    let listener = TcpListener::bind(address).await.context(BindSnafu { address })?;
+    tokio::spawn(accept(listener, links, events));
+    Ok(())
+}
+
+async fn accept(listener: TcpListener, links: LinkSettings, events: EventSender) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                tokio::spawn(serve(stream, address, links.clone(), events.clone()));
+            }
+            Err(error) => {
+                log::warn!("a connection could not be accepted: {error}");
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, address: SocketAddr, links: LinkSettings, events: EventSender) {
+    static CONNECTIONS: AtomicU64 = AtomicU64::new(0);
+    let connection = CONNECTIONS.fetch_add(1, Ordering::Relaxed);
+    let mut link: Link<AcceptorMessage, DialerMessage> = match Link::accept(stream, &links).await {
+        Ok(link) => link,
+        Err(error) => {
+            log::warn!(address = address.to_string(); "handshake failed: {error}");
+            return;
+        }
+    };
+    let mut is_host = false;
+    loop {
+        let event = match link.receiver.receive().await {
+            Ok(Some(DialerMessage::Peer(message))) => {
+                Event::Peer { sender: PeerSender::Accepted(link.sender.clone()), message }
+            }
+            Ok(Some(DialerMessage::Host(HostMessage::Hello { worker }))) => {
+                is_host = true;
+                Event::HostConnected { connection, worker, sender: link.sender.clone() }
+            }
+            Ok(Some(DialerMessage::Host(message))) => Event::Host { connection, message },
+            Ok(None) => break,
+            Err(error) => {
+                log::info!(address = address.to_string(); "lost a connection: {error}");
+                break;
+            }
+        };
+        if events.send(event).await.is_err() {
+            return;
+        }
+    }
+    if is_host {
+        // The actor only ends with the process.
+        let _ = events.send(Event::HostLost { connection }).await;
+    }
+}
--- /dev/null
+++ b/src/coordinator/message.rs
@@ -0,0 +1,169 @@
+//! Messages between coordinators, and between coordinators and hosts, over [`crate::wire::Link`].
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::planner::{JobProgress, RunsReport, StartOrder, StartRefusal, WorkerReport};
+use crate::prelude::*;
+use crate::rules::Directives;
+use crate::store::{RowError, RowKey, StoredRow, Transaction};
+use crate::succession::{Gossip, Leadership};
+use crate::workflow::{Life, TaskId};
+
+/// From the side that opened a connection.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum DialerMessage {
+    /// Of a host to the leader.
+    Host(HostMessage),
+    /// Of a coordinator to another.
+    Peer(PeerMessage),
+}
+
+/// From the side that accepted a connection.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum AcceptorMessage {
+    /// Of a coordinator to a host.
+    Host(LeaderMessage),
+    /// Of a coordinator to another.
+    Peer(PeerMessage),
+}
+
+/// What a host tells the leader.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum HostMessage {
+    /// The first message.
+    Hello {
+        /// The worker beside the host.
+        worker: WorkerId,
+    },
+    /// What the worker says of itself.
+    Worker(WorkerReport),
+    /// The worker has ended for good.
+    Left(Life),
+    /// What runs on the worker.
+    Runs {
+        /// The host's clock when it asked for a longer lease.
+        asked_ms: u64,
+        /// The runs.
+        report: RunsReport,
+    },
+    /// The worker has started a run.
+    Started {
+        /// The worker.
+        life: Life,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+    },
+    /// The worker has not started a run and never will.
+    Refused {
+        /// The worker.
+        life: Life,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+        /// Why.
+        refusal: StartRefusal,
+    },
+}
+
+/// What the leader tells a host.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum LeaderMessage {
+    /// The coordinator leads.
+    Welcome {
+        /// The epoch, the fencing token of its orders.
+        epoch: Epoch,
+        /// Where all coordinators accept connections.
+        coordinators: Vec<SocketAddr>,
+    },
+    /// Another coordinator leads.
+    Redirect(Option<Leadership>),
+    /// The host may keep its worker's lease for the usual time from this time on its own clock.
+    Renewed {
+        /// The host's clock when it asked.
+        asked_ms: u64,
+    },
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run, or make sure that it never starts.
+    Stop {
+        /// The worker.
+        life: Life,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+    },
+    /// Ends up to this number are durable.
+    AcknowledgeEnds {
+        /// The worker.
+        life: Life,
+        /// The number of the last end.
+        up_to: u64,
+    },
+}
+
+/// What coordinators tell each other.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// State of the sender, at intervals.
+    Gossip(Gossip),
+    /// Newer directives.
+    Directives(Directives),
+    /// How far jobs are, from the leader.
+    Progress {
+        /// The leader's epoch.
+        epoch: Epoch,
+        /// Replaces all that was said before.
+        is_snapshot: bool,
+        /// The jobs.
+        jobs: Vec<JobUpdate>,
+    },
+    /// Asks the receiver to call the store, which does not answer the sender.
+    Relay {
+        /// The number of the call.
+        call: u64,
+        /// What to do.
+        request: StoreRequest,
+    },
+    /// The answer to such a call.
+    Relayed {
+        /// The number of the call.
+        call: u64,
+        /// The answer.
+        answer: Result<StoreAnswer, RowError>,
+    },
+}
+
+/// How far a job is.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobUpdate {
+    /// The job.
+    pub job: JobId,
+    /// Its queue.
+    pub queue: String,
+    /// How far it is; `None` once it is forgotten.
+    pub progress: Option<JobProgress>,
+}
+
+/// A call of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreRequest {
+    /// Read a row.
+    Read(RowKey),
+    /// Apply a transaction.
+    Transact(Transaction),
+}
+
+/// An answer of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreAnswer {
+    /// The row, if there is one.
+    Row(Option<StoredRow>),
+    /// The version of the transaction.
+    Version(u64),
+}
--- /dev/null
+++ b/src/coordinator/mod.rs
@@ -0,0 +1,138 @@
+//! The process that serves clients, and one of which leads: it plans all jobs of the deployment.
+//!
+//! Clients' requests are made durable by any coordinator; the leader follows the stored jobs. See
+//! docs/platform-deployment.md.
+
+mod actor;
+mod feed;
+mod lead;
+mod listener;
+pub mod message;
+mod peers;
+mod relay;
+mod service;
+mod settings;
+mod takeover;
+#[cfg(test)]
+mod tests;
+mod view;
+
+pub use actor::{Coordinator, Dump};
+pub use feed::{DirectiveChange, DirectiveSource};
+pub use service::{Cancellation, Service, Submission};
+pub use settings::{CoordinatorSettings, WORKER_LEASE_MS};
+pub use view::JobView;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+use xtra::prelude::*;
+
+use crate::process::{self, Metrics, Readiness, SteadyClock, run_with_inbox};
+use crate::store::RowStore;
+use actor::Event;
+use peers::PeerSenders;
+use relay::RelayingStore;
+use service::SharedState;
+
+/// The table with one row for each job and one for each cancellation.
+const JOB_TABLE: &str = "job";
+/// The table with the state of each occurrence of a job.
+const PROGRESS_TABLE: &str = "progress";
+/// The table with the leadership and the coordinators.
+const LEAD_TABLE: &str = "lead";
+/// The key of the leadership row.
+const LEADER_KEY: &str = "leader";
+/// The table whose head row changes with each transaction of the leader; the same as that of the states it writes.
+const HEAD_TABLE: &str = PROGRESS_TABLE;
+/// The key of that row.
+const HEAD_KEY: &str = "head";
+/// What the keys of coordinators begin with.
+const MEMBER_PREFIX: &str = "member/";
+/// What the key of a cancellation adds to that of its job.
+const CANCEL_SUFFIX: &str = ".cancel";
+/// The most events that wait for the actor.
+const EVENT_QUEUE: usize = 4_096;
+/// The interval of the actor's own work.
+const TICK: Duration = Duration::from_millis(150);
+
+/// A running coordinator.
+pub struct Running<S: RowStore> {
+    /// Answers clients.
+    pub service: Service<S>,
+    /// The actor, for dumps.
+    pub actor: Address<Coordinator<S>>,
+    events: mpsc::Sender<Event>,
+}
+
+/// Starts a coordinator.
+///
+/// # Errors
+///
+/// [`process::Error::Bind`] if its address cannot be bound.
+pub async fn start<S>(
+    settings: CoordinatorSettings,
+    store: S,
+    directives: DirectiveSource,
+    metrics: Metrics,
+) -> process::Result<Running<S>>
+where
+    S: RowStore,
+{
+    let clock = SteadyClock;
+    let (events, inbox) = mpsc::channel(EVENT_QUEUE);
+    let peers = PeerSenders::default();
+    let service = Service {
+        store: RelayingStore::new(store, peers.clone(), clock),
+        shared: Arc::<SharedState>::default(),
+        clock,
+        metrics,
+        readiness: Readiness::default(),
+    };
+    let settings = Arc::new(settings);
+    listener::spawn(settings.inner_address, settings.links(), events.clone()).await?;
+    tokio::spawn(feed::follow_directives(
+        service.store.direct().clone(),
+        directives,
+        clock,
+        events.clone(),
+    ));
+    tokio::spawn(feed::follow_leadership(service.store.direct().clone(), clock, events.clone()));
+    tokio::spawn(feed::register(
+        service.store.direct().clone(),
+        settings.process.clone(),
+        settings.inner_address,
+        events.clone(),
+    ));
+    tokio::spawn(tick(events.clone()));
+    let coordinator = Coordinator::new(settings, service.clone(), peers, events.clone());
+    let (actor, mailbox) = Mailbox::unbounded();
+    tokio::spawn(run_with_inbox(mailbox, coordinator, inbox));
+    Ok(Running { service, actor, events })
+}
+
+impl<S> Running<S>
+where
+    S: RowStore,
+{
+    /// Stops taking requests and hands the leadership over; returns once no order is under way.
+    pub async fn hand_over(&self) {
+        let (done, is_done) = oneshot::channel();
+        if self.events.send(Event::End(done)).await.is_ok() {
+            // The actor drops the sender only if it has ended, and then there is nothing to hand over.
+            let _ = is_done.await;
+        }
+    }
+}
+
+async fn tick(events: mpsc::Sender<Event>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if events.send(Event::Tick).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/coordinator/service.rs
@@ -0,0 +1,239 @@
+//! What clients ask a coordinator: submit a job, cancel it, ask how far it is.
+
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Duration;
+
+use super::relay::RelayingStore;
+use super::view::JobView;
+use super::{CANCEL_SUFFIX, JOB_TABLE};
+use crate::planner::JobProgress;
+use crate::prelude::*;
+use crate::process::{Metrics, Readiness, SteadyClock};
+use crate::rules::{Directives, Rules};
+use crate::store::{RowError, RowKey, RowStore, Transaction};
+use crate::workflow::{self, JobRecord, JobResult};
+
+/// The longest time for which a write is repeated while its result is unknown. Clients wait for 3 s, and ask another
+/// coordinator after a clear answer.
+const WRITE_LIMIT_MS: u64 = 1_500;
+/// The pause before a write is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(40);
+
+/// What became of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submission {
+    /// The job is durable.
+    Accepted,
+    /// Another job has this id.
+    DifferentJob,
+    /// The job is not stored by this request.
+    NotAccepted,
+    /// The job may be stored, now or later.
+    Unknown,
+}
+
+/// What became of a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancellation {
+    /// It is durable.
+    Accepted,
+    /// There is no such job, or it is over.
+    NoSuchJob,
+    /// It may not be durable.
+    Unknown,
+}
+
+/// The state that requests and the actor share.
+#[derive(Debug, Default)]
+pub struct SharedState {
+    directives: RwLock<Directives>,
+    view: Mutex<JobView>,
+}
+
+impl SharedState {
+    /// Returns the rules in force.
+    pub fn rules(&self) -> Option<Arc<Rules>> {
+        self.directives.read().unwrap_or_else(PoisonError::into_inner).rules.clone()
+    }
+
+    /// Puts newer directives in force.
+    pub fn set_directives(&self, directives: Directives) {
+        *self.directives.write().unwrap_or_else(PoisonError::into_inner) = directives;
+    }
+
+    /// Works on the view of jobs.
+    pub fn with_view<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut JobView) -> T,
+    {
+        work(&mut self.view.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// Answers clients. Clones share their state.
+#[derive(Clone, Debug)]
+pub struct Service<S> {
+    pub(super) store: RelayingStore<S>,
+    pub(super) shared: Arc<SharedState>,
+    pub(super) clock: SteadyClock,
+    pub(super) metrics: Metrics,
+    pub(super) readiness: Readiness,
+}
+
+impl<S> Service<S>
+where
+    S: RowStore,
+{
+    /// Returns the rules in force, or `None` before the first are known.
+    pub fn rules(&self) -> Option<Arc<Rules>> {
+        self.shared.rules()
+    }
+
+    /// Returns whether the coordinator takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.readiness.get()
+    }
+
+    /// Returns the metrics of the process.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Returns the time of day in milliseconds since 1970.
+    pub fn wall_ms(&self) -> u64 {
+        self.clock.wall_ms()
+    }
+
+    /// Makes a job durable. A repeated submission of the same job is accepted again.
+    pub async fn submit(&self, job: &JobId, record: &JobRecord, patience_ms: u64) -> Submission {
+        let key = RowKey::new(JOB_TABLE, job.as_str());
+        let content = workflow::encode(record);
+        let transaction = Transaction {
+            conditions: vec![(key.clone(), 0)],
+            puts: vec![(key, content)],
+            removals: Vec::new(),
+        };
+        let started_ms = self.clock.now_ms();
+        let limit_ms = WRITE_LIMIT_MS.min(patience_ms / 2);
+        let mut maybe_stored = false;
+        let (outcome, reason) = loop {
+            let reason = match self.store.transact(&transaction).await {
+                Ok(_) => break (Submission::Accepted, String::new()),
+                Err(RowError::Conflict { current }) => {
+                    break (compare(&current, record), "the job is stored already".to_owned());
+                }
+                Err(RowError::Unknown { reason }) => {
+                    maybe_stored = true;
+                    reason
+                }
+                Err(error @ RowError::Refused { .. }) => {
+                    break (Submission::NotAccepted, error.to_string());
+                }
+                Err(error) => error.to_string(),
+            };
+            if self.clock.now_ms().saturating_sub(started_ms) >= limit_ms || !maybe_stored {
+                let outcome =
+                    if maybe_stored { Submission::Unknown } else { Submission::NotAccepted };
+                break (outcome, reason);
+            }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        };
+        if outcome == Submission::Accepted {
+            self.shared.with_view(|view| view.accepted(job, &record.queue));
+        }
+        let took_ms = self.clock.now_ms().saturating_sub(started_ms);
+        self.metrics.observe("submit_seconds", took_ms);
+        self.metrics.count("submission", outcome_name(outcome));
+        log::info!(
+            job = job.as_str(), queue = record.queue.as_str(),
+            organisation = record.organisation.as_str(), took_ms, outcome = outcome_name(outcome),
+            reason = reason.as_str();
+            "submission"
+        );
+        outcome
+    }
+
+    /// Returns how far a job is, or `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// [`RowError`] if the job is not known here and the store does not answer.
+    pub async fn progress(&self, job: &JobId) -> Result<Option<JobProgress>, RowError> {
+        if let Some(progress) = self.shared.with_view(|view| view.progress(job)) {
+            return Ok(Some(progress));
+        }
+        let row = self.store.read(&RowKey::new(JOB_TABLE, job.as_str())).await?;
+        let Some(row) = row else {
+            return Ok(None);
+        };
+        match workflow::decode::<JobRecord>(&row.content) {
+            Ok(record) => self.shared.with_view(|view| view.accepted(job, &record.queue)),
+            Err(error) => log::error!(job = job.as_str(); "stored job cannot be read: {error}"),
+        }
+        Ok(Some(JobProgress::Pending))
+    }
+
+    /// Makes the cancellation of a job durable.
+    pub async fn cancel(&self, job: &JobId, patience_ms: u64) -> Cancellation {
+        let started_ms = self.clock.now_ms();
+        let outcome = self.try_cancel(job, started_ms + WRITE_LIMIT_MS.min(patience_ms / 2)).await;
+        let name = match outcome {
+            Cancellation::Accepted => "accepted",
+            Cancellation::NoSuchJob => "no_such_job",
+            Cancellation::Unknown => "unknown",
+        };
+        let took_ms = self.clock.now_ms().saturating_sub(started_ms);
+        self.metrics.count("cancellation", name);
+        log::info!(job = job.as_str(), took_ms, outcome = name; "cancellation");
+        outcome
+    }
+
+    async fn try_cancel(&self, job: &JobId, until_ms: u64) -> Cancellation {
+        let key = RowKey::new(JOB_TABLE, &format!("{job}{CANCEL_SUFFIX}"));
+        let transaction =
+            Transaction { puts: vec![(key, vec![1])], ..Transaction::default() };
+        loop {
+            match self.progress(job).await {
+                Ok(None) => return Cancellation::NoSuchJob,
+                Ok(Some(JobProgress::Over(JobResult::Cancelled))) => return Cancellation::Accepted,
+                Ok(Some(JobProgress::Over(_))) => return Cancellation::NoSuchJob,
+                Ok(Some(JobProgress::Pending | JobProgress::Running)) => {
+                    if self.store.transact(&transaction).await.is_ok() {
+                        return Cancellation::Accepted;
+                    }
+                }
+                Err(_) => {}
+            }
+            if self.clock.now_ms() >= until_ms {
+                return Cancellation::Unknown;
+            }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    /// Counts the jobs of a queue of which no task has started.
+    pub fn waiting(&self, queue: &str) -> usize {
+        self.shared.with_view(|view| view.waiting(queue))
+    }
+}
+
+/// Compares a stored job with one that was submitted under the same id.
+fn compare(current: &[crate::store::StoredRow], record: &JobRecord) -> Submission {
+    let stored = current.first().map(|row| workflow::decode::<JobRecord>(&row.content));
+    match stored {
+        Some(Ok(stored)) if stored.spec == record.spec && stored.queue == record.queue => {
+            Submission::Accepted
+        }
+        Some(_) => Submission::DifferentJob,
+        None => Submission::Unknown,
+    }
+}
+
+fn outcome_name(outcome: Submission) -> &'static str {
+    match outcome {
+        Submission::Accepted => "accepted",
+        Submission::DifferentJob => "different_job",
+        Submission::NotAccepted => "not_accepted",
+        Submission::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/src/coordinator/settings.rs
@@ -0,0 +1,57 @@
+//! The settings of a coordinator.
+
+use std::net::SocketAddr;
+
+use crate::planner::PlannerSettings;
+use crate::prelude::*;
+use crate::succession::SuccessionSettings;
+use crate::wire::{FrameKey, LinkSettings};
+
+/// How long a worker's lease lasts after the leader renewed it. It outlasts the restart of an agent (about 4 s) and most
+/// partitions, and stays below the platform's limit of 10 s.
+pub const WORKER_LEASE_MS: u64 = 9_000;
+/// What the lease may last longer on a clock that is 2 % slow, and what messages take.
+const LEASE_MARGIN_MS: u64 = 500;
+/// How long a leader renews leases without knowing from the store that it still leads.
+pub const RENEW_HORIZON_MS: u64 = 4_000;
+/// The silence after which a connection between processes counts as lost.
+const LINK_IDLE_MS: u64 = 1_500;
+
+/// The settings of a coordinator.
+#[derive(Clone, Debug)]
+pub struct CoordinatorSettings {
+    /// Its name.
+    pub process: ProcessId,
+    /// Where it accepts connections of other processes of the system.
+    pub inner_address: SocketAddr,
+    /// Addresses of coordinators that may exist.
+    pub seeds: Vec<SocketAddr>,
+    /// The key of the connections between processes.
+    pub frame_key: [u8; 32],
+}
+
+impl CoordinatorSettings {
+    /// Returns the limits of connections.
+    pub fn links(&self) -> LinkSettings {
+        LinkSettings { idle_ms: LINK_IDLE_MS, ..LinkSettings::new(FrameKey::new(self.frame_key)) }
+    }
+
+    /// Returns the times of the planner.
+    pub fn planner(&self) -> PlannerSettings {
+        let lease_over_ms = WORKER_LEASE_MS + LEASE_MARGIN_MS;
+        PlannerSettings {
+            lease_over_ms,
+            takeover_lease_over_ms: lease_over_ms + RENEW_HORIZON_MS,
+        }
+    }
+
+    /// Returns the times of the election. Clients' rules have windows of 2 to 4 s, so a takeover takes about one.
+    pub fn succession(&self) -> SuccessionSettings {
+        SuccessionSettings {
+            silence_ms: 900,
+            stagger_ms: 250,
+            store_silence_ms: 1_700,
+            retry_ms: 500,
+        }
+    }
+}
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -21,7 +21,12 @@
         .then(move |length, stream| read_in_time(length, stream, limit_bytes))
 }
 
-async fn read_in_time<S, B>(
+/// Reads a body of at most `limit_bytes`, in limited time.
+///
+/// # Errors
+///
+/// [`ApiError`] if the body is too large, late or breaks off.
+pub async fn read_in_time<S, B>(
     length: Option<u64>,
     stream: S,
     limit_bytes: u64,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,6 @@
 //! The entry process: the HTTP interface for callers and operators, and the connections of agents.
 
-mod body;
+pub mod body;
 pub mod configuration;
 pub mod groups;
 pub mod jobs;
--- /dev/null
+++ b/src/host/actor.rs
@@ -0,0 +1,499 @@
+//! The actor of a host.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use xtra::prelude::*;
+
+use super::lease::LeaseClock;
+use super::link::LeaderAddresses;
+use super::{Held, Renewal, WorkerError, WorkerHeartbeat, WorkerPort, orders};
+use crate::coordinator::message::{DialerMessage, HostMessage, LeaderMessage};
+use crate::planner::{RunsReport, StartOrder, StartRefusal};
+use crate::prelude::*;
+use crate::process::{InboxActor, Metrics, SteadyClock};
+use crate::wire::LinkSender;
+use crate::workflow::{Life, TaskId};
+
+/// How long the worker waits for an end before it lists its runs anyway; also the interval of lease renewals.
+const HOLD_WAIT_MS: u64 = 1_000;
+/// The pause before a call of the worker that failed is repeated.
+const FAILURE_PAUSE_MS: u64 = 200;
+/// How long ends that the leader has not acknowledged delay the next list.
+const UNACKNOWLEDGED_PAUSE_MS: u64 = 250;
+/// The number of refused connections in a row after which the worker's lifetime counts as over.
+const GONE_AFTER: u32 = 2;
+/// A leader that has renewed nothing for this time is left for another.
+const RENEWAL_SILENCE_MS: u64 = 5_000;
+
+/// Where events for the actor go.
+pub type EventSender = mpsc::Sender<Event>;
+
+type RunKey = (TaskId, u32);
+
+/// What happens around a host.
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// The worker reports.
+    Heartbeat(Box<WorkerHeartbeat>),
+    /// The lifetime with this name has ended.
+    Left(String),
+    /// The leader has welcomed this host.
+    Connected { epoch: Epoch, sender: LinkSender<DialerMessage> },
+    /// The leader sent a message.
+    Leader(LeaderMessage),
+    /// The connection to the leader is lost.
+    Disconnected,
+    /// The worker answered a renewal.
+    HoldEnded { hold: u64, result: Result<Held, WorkerError> },
+    /// A start has a certain result.
+    StartEnded { life: Life, key: RunKey, result: Result<(), StartRefusal> },
+    /// A stop is confirmed.
+    StopEnded { life: Life, key: RunKey },
+}
+
+/// A renewal under way.
+#[derive(Debug)]
+struct Hold {
+    number: u64,
+    epoch: Epoch,
+    /// Runs whose start was under way at some time since the renewal began.
+    starting: BTreeSet<RunKey>,
+    /// Runs whose stop was confirmed before.
+    stopped: BTreeSet<RunKey>,
+}
+
+#[derive(Debug)]
+struct Leader {
+    epoch: Epoch,
+    sender: LinkSender<DialerMessage>,
+    since_ms: u64,
+}
+
+/// A host.
+#[derive(xtra::Actor)]
+pub struct Host<P: 'static> {
+    worker: WorkerId,
+    port: P,
+    addresses: LeaderAddresses,
+    clock: SteadyClock,
+    metrics: Metrics,
+    events: EventSender,
+    beside: Option<WorkerHeartbeat>,
+    leader: Option<Leader>,
+    highest_epoch: Epoch,
+    lease: LeaseClock,
+    hold: Option<Hold>,
+    holds: u64,
+    hold_after_ms: u64,
+    acknowledged: u64,
+    last_ended: u64,
+    starts: BTreeMap<RunKey, JoinHandle<()>>,
+    stops: BTreeMap<RunKey, JoinHandle<()>>,
+    stopped: BTreeSet<RunKey>,
+    refused_connections: u32,
+}
+
+impl<P> Host<P>
+where
+    P: WorkerPort,
+{
+    /// Creates a host that knows neither its worker nor a leader.
+    pub fn new(
+        worker: WorkerId,
+        port: P,
+        addresses: LeaderAddresses,
+        clock: SteadyClock,
+        metrics: Metrics,
+        events: EventSender,
+    ) -> Self {
+        Self {
+            worker,
+            port,
+            addresses,
+            clock,
+            metrics,
+            events,
+            beside: None,
+            leader: None,
+            highest_epoch: Epoch(0),
+            lease: LeaseClock::default(),
+            hold: None,
+            holds: 0,
+            hold_after_ms: 0,
+            acknowledged: 0,
+            last_ended: 0,
+            starts: BTreeMap::new(),
+            stops: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+            refused_connections: 0,
+        }
+    }
+
+    fn tell(&self, message: HostMessage) {
+        let Some(leader) = &self.leader else {
+            return;
+        };
+        if let Err(error) = leader.sender.try_send(DialerMessage::Host(message)) {
+            log::warn!(epoch = leader.epoch.0; "a message to the leader was dropped: {error}");
+        }
+    }
+
+    fn on_heartbeat(&mut self, mut heartbeat: WorkerHeartbeat) {
+        let life = heartbeat.report.life.clone();
+        let known = self.beside.as_ref();
+        let known_born = known.map_or(0, |known| known.report.life.born_ms);
+        if life.born_ms < known_born {
+            log::info!(born_ms = life.born_ms, known_born; "a heartbeat of an earlier lifetime is ignored");
+            return;
+        }
+        let is_new = life.born_ms > known_born;
+        if let Some(known) = known.filter(|_| !is_new) {
+            if heartbeat.sequence <= known.sequence {
+                return;
+            }
+            heartbeat.report.draining |= known.report.draining;
+        }
+        let is_changed = known.is_none_or(|known| known.report != heartbeat.report);
+        if is_new {
+            self.begin_life(&heartbeat);
+        }
+        if is_changed {
+            log::info!(
+                instance = heartbeat.target.instance.as_str(), born_ms = life.born_ms,
+                draining = heartbeat.report.draining, sequence = heartbeat.sequence;
+                "worker changed"
+            );
+            self.tell(HostMessage::Worker(heartbeat.report.clone()));
+        }
+        self.beside = Some(heartbeat);
+        self.renew();
+    }
+
+    /// Forgets all that belongs to an earlier lifetime. Its starts without an answer may reach the new one, so they are
+    /// stopped there.
+    fn begin_life(&mut self, heartbeat: &WorkerHeartbeat) {
+        let doubtful: Vec<RunKey> = self.starts.keys().cloned().collect();
+        self.abort_orders();
+        self.hold = None;
+        (self.acknowledged, self.last_ended, self.refused_connections) = (0, 0, 0);
+        self.lease.reset_reference();
+        for (task, run) in doubtful {
+            let (port, target) = (self.port.clone(), heartbeat.target.clone());
+            let fence = self.highest_epoch;
+            tokio::spawn(async move { orders::stop(&port, &target, &task, run, fence).await });
+        }
+    }
+
+    fn abort_orders(&mut self) {
+        for order in self.starts.values().chain(self.stops.values()) {
+            order.abort();
+        }
+        self.starts.clear();
+        self.stops.clear();
+        self.stopped.clear();
+    }
+
+    fn on_left(&mut self, instance: &str) {
+        if self.beside.as_ref().is_some_and(|known| known.target.instance == instance) {
+            self.life_over("it has signed off");
+        }
+    }
+
+    fn life_over(&mut self, reason: &str) {
+        let Some(known) = self.beside.take() else {
+            return;
+        };
+        log::info!(instance = known.target.instance.as_str(), reason; "the worker's lifetime is over");
+        self.abort_orders();
+        self.hold = None;
+        self.tell(HostMessage::Left(known.report.life));
+    }
+
+    fn on_connected(&mut self, epoch: Epoch, sender: LinkSender<DialerMessage>) {
+        if epoch < self.highest_epoch {
+            log::warn!(epoch = epoch.0, known = self.highest_epoch.0; "an outdated leader is left");
+            return;
+        }
+        log::info!(epoch = epoch.0; "following a leader");
+        self.metrics.count("host", "leader_found");
+        if epoch > self.highest_epoch {
+            // Orders of an earlier leader are void once the worker has seen the new fencing token.
+            self.abort_orders();
+        }
+        self.highest_epoch = epoch;
+        self.leader = Some(Leader { epoch, sender, since_ms: self.clock.now_ms() });
+        if let Some(beside) = &self.beside {
+            self.tell(HostMessage::Worker(beside.report.clone()));
+        }
+        self.hold = None;
+        self.hold_after_ms = 0;
+        self.begin_hold(0);
+    }
+
+    /// Asks the worker to extend its lease and to list its runs, unless that is under way.
+    fn renew(&mut self) {
+        if self.hold.is_none() && self.clock.now_ms() >= self.hold_after_ms {
+            let is_first = self.lease.renewed_ms().is_none();
+            self.begin_hold(if is_first { 0 } else { HOLD_WAIT_MS });
+        }
+    }
+
+    fn begin_hold(&mut self, wait_ms: u64) {
+        let (Some(beside), Some(leader)) = (&self.beside, &self.leader) else {
+            return;
+        };
+        self.holds += 1;
+        let renewal = Renewal {
+            fence: leader.epoch,
+            deadline_ms: self.lease.deadline_ms(self.clock.now_ms()),
+            acknowledged: self.acknowledged,
+            wait_ms,
+        };
+        self.hold = Some(Hold {
+            number: self.holds,
+            epoch: leader.epoch,
+            starting: self.starts.keys().cloned().collect(),
+            stopped: self.stopped.clone(),
+        });
+        let (port, target) = (self.port.clone(), beside.target.clone());
+        let (events, hold) = (self.events.clone(), self.holds);
+        tokio::spawn(async move {
+            let result = port.hold(&target, &renewal).await;
+            let _ = events.send(Event::HoldEnded { hold, result }).await;
+        });
+    }
+
+    fn on_hold_ended(&mut self, number: u64, result: Result<Held, WorkerError>) {
+        let Some(hold) = self.hold.take_if(|hold| hold.number == number) else {
+            return;
+        };
+        let now_ms = self.clock.now_ms();
+        match result {
+            Ok(held) => self.on_held(now_ms, hold, held),
+            Err(error) => {
+                log::warn!("the worker's lease could not be renewed: {error}");
+                self.hold_after_ms = now_ms + FAILURE_PAUSE_MS;
+                match error {
+                    WorkerError::Gone => {
+                        self.refused_connections += 1;
+                        if self.refused_connections >= GONE_AFTER {
+                            self.life_over("nothing listens at its address");
+                        }
+                    }
+                    WorkerError::OtherLife | WorkerError::Fenced | WorkerError::Unknown(_) => {}
+                }
+                self.renew_later(FAILURE_PAUSE_MS);
+            }
+        }
+    }
+
+    fn on_held(&mut self, now_ms: u64, hold: Hold, held: Held) {
+        self.refused_connections = 0;
+        let Some(life) = self.beside.as_ref().map(|beside| beside.report.life.clone()) else {
+            return;
+        };
+        if held.born_ms != life.born_ms {
+            log::info!(born_ms = held.born_ms, known = life.born_ms; "a list of another lifetime is ignored");
+            self.hold_after_ms = now_ms + FAILURE_PAUSE_MS;
+            self.renew_later(FAILURE_PAUSE_MS);
+            return;
+        }
+        self.lease.answered(held.clock_ms, now_ms);
+        self.stopped.retain(|key| !hold.stopped.contains(key));
+        let last_ended = held.ended.last().map_or(0, |end| end.number);
+        let has_unacknowledged = last_ended > self.acknowledged;
+        let is_first = self.lease.renewed_ms().is_none();
+        self.last_ended = self.last_ended.max(last_ended);
+        if self.leader.as_ref().is_some_and(|leader| leader.epoch == hold.epoch) {
+            let report = RunsReport {
+                life,
+                running: held.running,
+                ended: held.ended,
+                starting: hold.starting.into_iter().collect(),
+                stopped: hold.stopped.into_iter().collect(),
+            };
+            self.tell(HostMessage::Runs { asked_ms: now_ms, report });
+        }
+        if has_unacknowledged || is_first {
+            self.hold_after_ms = now_ms + UNACKNOWLEDGED_PAUSE_MS;
+            self.renew_later(UNACKNOWLEDGED_PAUSE_MS);
+        } else {
+            self.renew();
+        }
+    }
+
+    fn renew_later(&self, pause_ms: u64) {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(std::time::Duration::from_millis(pause_ms)).await;
+            let _ = events.send(Event::Tick).await;
+        });
+    }
+
+    fn on_leader(&mut self, message: LeaderMessage) {
+        match message {
+            LeaderMessage::Welcome { .. } | LeaderMessage::Redirect(_) => {}
+            LeaderMessage::Renewed { asked_ms } => {
+                let is_first = self.lease.renewed_ms().is_none();
+                self.lease.renewed(asked_ms);
+                if is_first {
+                    self.hold_after_ms = 0;
+                    self.renew();
+                }
+            }
+            LeaderMessage::Start(order) => self.on_start(order),
+            LeaderMessage::Stop { life, task, run } => self.on_stop(&life, task, run),
+            LeaderMessage::AcknowledgeEnds { life, up_to } => {
+                if self.is_current(&life) {
+                    self.acknowledged = self.acknowledged.max(up_to);
+                    self.hold_after_ms = 0;
+                    self.renew();
+                }
+            }
+        }
+    }
+
+    fn is_current(&self, life: &Life) -> bool {
+        self.beside.as_ref().is_some_and(|beside| beside.report.life == *life)
+    }
+
+    fn on_start(&mut self, order: StartOrder) {
+        let key = (order.task.clone(), order.run);
+        if self.starts.contains_key(&key) || self.stops.contains_key(&key) {
+            return;
+        }
+        let (Some(beside), Some(leader)) = (&self.beside, &self.leader) else {
+            return;
+        };
+        let deadline_ms = self.lease.deadline_ms(self.clock.now_ms());
+        let (true, Some(deadline_ms)) = (self.is_current(&order.life), deadline_ms) else {
+            let refusal = StartRefusal::Lapsed;
+            let StartOrder { life, task, run, .. } = order;
+            self.tell(HostMessage::Refused { life, task, run, refusal });
+            return;
+        };
+        if let Some(hold) = &mut self.hold {
+            hold.starting.insert(key.clone());
+        }
+        let (port, target, fence) = (self.port.clone(), beside.target.clone(), leader.epoch);
+        let (events, life) = (self.events.clone(), order.life.clone());
+        let ended_key = key.clone();
+        let start = tokio::spawn(async move {
+            let result = orders::start(&port, &target, &order, fence, deadline_ms).await;
+            let _ = events.send(Event::StartEnded { life, key: ended_key, result }).await;
+        });
+        self.starts.insert(key, start);
+    }
+
+    fn on_start_ended(&mut self, life: Life, key: RunKey, result: Result<(), StartRefusal>) {
+        if self.starts.remove(&key).is_none() || !self.is_current(&life) {
+            return;
+        }
+        let (task, run) = key;
+        log::info!(
+            job = task.job.as_str(), task = task.to_string(), run,
+            epoch = self.highest_epoch.0, outcome:debug = result;
+            "start"
+        );
+        self.metrics.count("host", if result.is_ok() { "started" } else { "start_refused" });
+        self.tell(match result {
+            Ok(()) => HostMessage::Started { life, task, run },
+            Err(refusal) => HostMessage::Refused { life, task, run, refusal },
+        });
+    }
+
+    fn on_stop(&mut self, life: &Life, task: TaskId, run: u32) {
+        let key = (task.clone(), run);
+        if !self.is_current(life) || self.stops.contains_key(&key) {
+            return;
+        }
+        let (Some(beside), Some(leader)) = (&self.beside, &self.leader) else {
+            return;
+        };
+        if let Some(start) = self.starts.remove(&key) {
+            start.abort();
+        }
+        log::info!(job = task.job.as_str(), task = task.to_string(), run, epoch = leader.epoch.0; "stop");
+        let (port, target, fence) = (self.port.clone(), beside.target.clone(), leader.epoch);
+        let (events, life, ended_key) = (self.events.clone(), life.clone(), key.clone());
+        let stop = tokio::spawn(async move {
+            orders::stop(&port, &target, &task, run, fence).await;
+            let _ = events.send(Event::StopEnded { life, key: ended_key }).await;
+        });
+        self.stops.insert(key, stop);
+    }
+
+    fn on_stop_ended(&mut self, life: &Life, key: RunKey) {
+        if self.stops.remove(&key).is_some() && self.is_current(life) {
+            self.stopped.insert(key);
+        }
+    }
+
+    fn on_tick(&mut self) {
+        let now_ms = self.clock.now_ms();
+        if let Some(leader) = &self.leader {
+            let renewed_ms = self.lease.renewed_ms().unwrap_or_default().max(leader.since_ms);
+            if self.beside.is_some() && now_ms.saturating_sub(renewed_ms) >= RENEWAL_SILENCE_MS {
+                log::warn!(epoch = leader.epoch.0; "the leader renews nothing, looking for another");
+                self.metrics.count("host", "leader_left");
+                self.leader = None;
+                self.addresses.leave();
+            }
+        }
+        self.renew();
+    }
+}
+
+impl<P> InboxActor for Host<P>
+where
+    P: WorkerPort,
+{
+    type Event = Event;
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Tick => self.on_tick(),
+            Event::Heartbeat(heartbeat) => self.on_heartbeat(*heartbeat),
+            Event::Left(instance) => self.on_left(&instance),
+            Event::Connected { epoch, sender } => self.on_connected(epoch, sender),
+            Event::Leader(message) => self.on_leader(message),
+            Event::Disconnected => {
+                log::info!(epoch = self.highest_epoch.0; "the connection to the leader is lost");
+                self.leader = None;
+            }
+            Event::HoldEnded { hold, result } => self.on_hold_ended(hold, result),
+            Event::StartEnded { life, key, result } => self.on_start_ended(life, key, result),
+            Event::StopEnded { life, key } => self.on_stop_ended(&life, key),
+        }
+    }
+}
+
+/// Asks for the state of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Dump;
+
+impl<P> Handler<Dump> for Host<P>
+where
+    P: WorkerPort,
+{
+    type Return = Value;
+
+    async fn handle(&mut self, _message: Dump, _context: &mut Context<Self>) -> Value {
+        json!({
+            "worker": self.worker,
+            "beside": self.beside.as_ref().map(|beside| &beside.report),
+            "epoch": self.highest_epoch,
+            "is_connected": self.leader.is_some(),
+            "lease": self.lease,
+            "acknowledged_ends": self.acknowledged,
+            "last_end": self.last_ended,
+            "starts_under_way": self.starts.len(),
+            "stops_under_way": self.stops.len(),
+        })
+    }
+}
--- /dev/null
+++ b/src/planner/end.rs
@@ -0,0 +1,290 @@
+//! Ends of runs and of jobs.
+
+use super::message::{Decision, EndKind, Now, Output};
+use super::state::Job;
+use super::{JobProgress, Planner};
+use crate::prelude::*;
+use crate::workflow::{JobResult, Life, TaskId, TaskPhase};
+
+/// The number of different jobs in a row that fail on a worker before it rests.
+const FAILED_JOBS_BEFORE_REST: usize = 2;
+/// The first rest of a worker on which everything fails; it doubles with each failed probe.
+const FIRST_REST_MS: u64 = 3_000;
+/// The longest rest.
+const LONGEST_REST_MS: u64 = 15_000;
+
+impl Planner {
+    pub(super) fn keep_checkpoint(
+        &mut self,
+        now: Now,
+        task: &TaskId,
+        run: u32,
+        checkpoint: Option<&str>,
+    ) {
+        let Some(checkpoint) = checkpoint.filter(|value| !value.is_empty()) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if job.task(task).is_none_or(|state| {
+            state.record.run != run || state.record.checkpoint.as_deref() == Some(checkpoint)
+        }) {
+            return;
+        }
+        // The checkpoint of any member is that of its gang.
+        for member in job.members(task) {
+            let Some(state) = job.task_mut(&member) else {
+                continue;
+            };
+            state.record.checkpoint = Some(checkpoint.to_owned());
+            if let Some(placement) = state.placement.as_mut() {
+                placement.checkpoint_ms = Some(now.steady_ms);
+            }
+        }
+    }
+
+    /// Takes in the end of a run. An end of any other run than the latest is known already and has no effect.
+    pub(super) fn run_ended(
+        &mut self,
+        now: Now,
+        life: &Life,
+        (task, run): (&TaskId, u32),
+        kind: EndKind,
+        checkpoint: Option<&str>,
+        out: &mut Vec<Output>,
+    ) {
+        if self.placement_of(task).is_none_or(|placed| placed != (life.clone(), run)) {
+            return;
+        }
+        self.keep_checkpoint(now, task, run, checkpoint);
+        out.push(Output::Decision {
+            job: task.job.clone(),
+            run: Some((task.clone(), run)),
+            what: Decision::Ended,
+            because: format!("{kind:?} on worker {} born {}", life.worker, life.born_ms),
+        });
+        if let Some(worker) = self.workers.get_mut(&life.worker) {
+            worker.placed.remove(task);
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(state) = job.task_mut(task) else {
+            return;
+        };
+        state.placement = None;
+        self.changed.insert((task.job.clone(), task.occurrence));
+        if state.record.phase == TaskPhase::Done {
+            self.tidy_occurrence(task);
+            return;
+        }
+        state.record.phase = TaskPhase::Waiting;
+        if job.result.is_some() {
+            self.tidy_occurrence(task);
+            return;
+        }
+        let long_running = job.step(task.step.into()).long_running;
+        match kind {
+            EndKind::Done if !long_running => self.task_done(now, task, life, out),
+            EndKind::Failed => self.task_failed(now, (task, run), life, out),
+            EndKind::Done
+            | EndKind::Stopped
+            | EndKind::Lapsed
+            | EndKind::Broken
+            | EndKind::Alone => {
+                self.stop_gang(now, task, "another member of its gang ended", out);
+            }
+        }
+    }
+
+    fn task_done(&mut self, now: Now, task: &TaskId, life: &Life, out: &mut Vec<Output>) {
+        if let Some(worker) = self.workers.get_mut(&life.worker) {
+            worker.failed_jobs.clear();
+            worker.rest_ms = 0;
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        for member in job.members(task) {
+            if let Some(state) = job.task_mut(&member) {
+                state.record.phase = TaskPhase::Done;
+            }
+        }
+        let Some(occurrence) = job.occurrences.get_mut(&task.occurrence) else {
+            return;
+        };
+        if occurrence.tasks.iter().any(|one| !one.is_done()) {
+            return;
+        }
+        occurrence.done = true;
+        self.tidy_occurrence(task);
+        let job = &self.jobs[&task.job];
+        let expected = job.record.spec.occurrences() as usize;
+        let all_done = job.occurrences.len() == expected
+            && job.occurrences.values().all(|occurrence| occurrence.done);
+        if all_done {
+            self.finish_job(now, &task.job, JobResult::Done, "all tasks are done", out);
+        }
+    }
+
+    fn task_failed(
+        &mut self,
+        now: Now,
+        (task, run): (&TaskId, u32),
+        life: &Life,
+        out: &mut Vec<Output>,
+    ) {
+        self.blame_worker(now, task, life);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let is_long_running = job.step(task.step.into()).long_running;
+        let mut failures = 0;
+        for member in job.members(task) {
+            let Some(state) = job.task_mut(&member) else {
+                continue;
+            };
+            // Several members of a gang may report the failure of one run.
+            if state.failed_run != run {
+                state.failed_run = run;
+                state.record.failures += 1;
+            }
+            state.avoid = Some(life.worker.clone());
+            failures = failures.max(state.record.failures);
+        }
+        if failures >= job.record.attempts && !is_long_running {
+            let because = format!("task {task} failed {failures} times");
+            self.finish_job(now, &task.job, JobResult::Failed, &because, out);
+        } else {
+            self.stop_gang(now, task, "a member of its gang failed", out);
+        }
+    }
+
+    /// Lets a worker rest on which different jobs fail in a row.
+    fn blame_worker(&mut self, now: Now, task: &TaskId, life: &Life) {
+        let Some(worker) = self.workers.get_mut(&life.worker) else {
+            return;
+        };
+        worker.failed_jobs.insert(task.job.clone());
+        if worker.failed_jobs.len() >= FAILED_JOBS_BEFORE_REST {
+            worker.rest_ms = (worker.rest_ms * 2).clamp(FIRST_REST_MS, LONGEST_REST_MS);
+            worker.resting_until_ms = now.steady_ms + worker.rest_ms;
+        }
+    }
+
+    fn stop_gang(&mut self, now: Now, task: &TaskId, because: &str, out: &mut Vec<Output>) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        for member in job.members(task) {
+            self.stop_run(now, &member, because, out);
+        }
+    }
+
+    /// Orders the stop of a task's run, if it has one that is not stopping already.
+    pub(super) fn stop_run(
+        &mut self,
+        now: Now,
+        task: &TaskId,
+        because: &str,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) else {
+            return;
+        };
+        let Some(placement) = state.placement.as_mut() else {
+            return;
+        };
+        if placement.stopping_ms.is_some() {
+            return;
+        }
+        placement.stopping_ms = Some(now.steady_ms);
+        out.push(Output::Decision {
+            job: task.job.clone(),
+            run: Some((task.clone(), placement.run)),
+            what: Decision::Stopped,
+            because: because.to_owned(),
+        });
+        // The order of an intended run was not sent; it is dropped once the intent is durable.
+        if placement.phase != super::StartPhase::Intended {
+            out.push(Output::Stop {
+                life: placement.life.clone(),
+                task: task.clone(),
+                run: placement.run,
+            });
+        }
+    }
+
+    pub(super) fn finish_job(
+        &mut self,
+        now: Now,
+        id: &JobId,
+        result: JobResult,
+        because: &str,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.result = Some(result);
+        job.ended_wall_ms = now.wall_ms;
+        let queue = job.record.queue.clone();
+        let running = if result == JobResult::Done { Vec::new() } else { placed_tasks(id, job) };
+        self.changed.insert((id.clone(), 0));
+        self.effects.push(Output::Progress {
+            job: id.clone(),
+            queue,
+            progress: Some(JobProgress::Over(result)),
+        });
+        out.push(Output::Decision {
+            job: id.clone(),
+            run: None,
+            what: Decision::Over,
+            because: format!("{result:?}: {because}"),
+        });
+        for task in running {
+            self.stop_run(now, &task, "its job is over", out);
+        }
+        let occurrences: Vec<u32> = self.jobs[id].occurrences.keys().copied().collect();
+        for occurrence in occurrences {
+            self.tidy_occurrence(&TaskId { job: id.clone(), occurrence, step: 0, index: 0 });
+        }
+    }
+
+    /// Drops the tasks of an occurrence of which nothing more can run.
+    fn tidy_occurrence(&mut self, task: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let is_over = job.result.is_some();
+        let Some(occurrence) = job.occurrences.get_mut(&task.occurrence) else {
+            return;
+        };
+        let is_free = occurrence.tasks.iter().all(|one| one.placement.is_none());
+        if is_free && (is_over || occurrence.done) && !occurrence.tasks.is_empty() {
+            occurrence.tasks.clear();
+            self.changed.insert((task.job.clone(), task.occurrence));
+        }
+    }
+}
+
+/// Returns the tasks of a job that have a placement.
+pub(super) fn placed_tasks(id: &JobId, job: &Job) -> Vec<TaskId> {
+    let mut placed = Vec::new();
+    for (number, occurrence) in &job.occurrences {
+        for step in 0..job.record.spec.steps.len() {
+            for (index, position) in job.range(step).enumerate() {
+                if occurrence.tasks.get(position).is_some_and(|task| task.placement.is_some()) {
+                    placed.push(TaskId {
+                        job: id.clone(),
+                        occurrence: *number,
+                        step: step as u16,
+                        index: index as u32,
+                    });
+                }
+            }
+        }
+    }
+    placed
+}
--- /dev/null
+++ b/src/planner/mod.rs
@@ -0,0 +1,313 @@
+//! Plans the jobs of all services: which task runs on which worker, which run is stopped, and when a job is over.
+//!
+//! One planner at a time acts for a deployment; [`crate::succession`] decides whose. An intent is durable before its
+//! order is sent, and an end is durable before it is acknowledged. See docs/platform-deployment.md.
+
+mod end;
+mod evict;
+mod message;
+mod place;
+mod pool;
+mod report;
+mod state;
+#[cfg(test)]
+mod tests;
+
+pub use message::{
+    Batch, Decision, EndEntry, EndKind, Input, JobProgress, Now, Output, RecordChange, RunEntry,
+    RunsReport, StartOrder, StartRefusal, WorkerReport,
+};
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::rules::Directives;
+use crate::workflow::{JobRecord, JobResult, OccurrenceRecord, TaskId, TaskPhase};
+use state::{Job, Occurrence, Placement, StartPhase, Task, Worker};
+
+/// The most records in one batch, so that it stays below the platform's limit of 100 entries a transaction.
+const MAX_BATCH_CHANGES: usize = 80;
+/// How long the state of a job is kept after its end; clients may ask for 120 s.
+const KEEP_ENDED_MS: u64 = 150_000;
+
+/// The times that the planner works with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannerSettings {
+    /// After this time without contact, all runs of a worker have surely ended.
+    pub lease_over_ms: u64,
+    /// The same after a takeover, when an earlier leader may have renewed leases for a while.
+    pub takeover_lease_over_ms: u64,
+}
+
+/// The planner's state.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Planner {
+    settings: PlannerSettings,
+    directives: Directives,
+    jobs: BTreeMap<JobId, Job>,
+    workers: BTreeMap<WorkerId, Worker>,
+    /// Occurrences whose durable records are out of date.
+    changed: BTreeSet<(JobId, u32)>,
+    forgotten: BTreeMap<JobId, u32>,
+    /// Outputs that wait until the changes are durable.
+    effects: Vec<Output>,
+    next_order: u64,
+}
+
+impl Planner {
+    /// Creates a planner without jobs or workers.
+    pub fn new(settings: PlannerSettings, directives: Directives) -> Self {
+        Self {
+            settings,
+            directives,
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            forgotten: BTreeMap::new(),
+            effects: Vec::new(),
+            next_order: 0,
+        }
+    }
+
+    /// Takes over a stored job. Stored intents count as running until their workers say otherwise.
+    pub fn restore(
+        &mut self,
+        now: Now,
+        job: &JobId,
+        record: JobRecord,
+        occurrences: Vec<(u32, OccurrenceRecord)>,
+    ) {
+        let mut state = self.new_job(record);
+        for (number, stored) in occurrences {
+            if let Some((result, ended_wall_ms)) = stored.job_result {
+                (state.result, state.ended_wall_ms) = (Some(result), ended_wall_ms);
+            }
+            let mut occurrence = Occurrence { done: stored.done, ..Occurrence::default() };
+            for task in stored.tasks {
+                state.started |= task.run > 0;
+                occurrence.tasks.push(restored_task(now, task));
+            }
+            state.occurrences.insert(number, occurrence);
+        }
+        stop_remnants(&mut state);
+        self.index_placements(now, job, &state);
+        self.jobs.insert(job.clone(), state);
+    }
+
+    fn index_placements(&mut self, now: Now, job: &JobId, state: &Job) {
+        for (number, occurrence) in &state.occurrences {
+            for step in 0..state.record.spec.steps.len() {
+                for (index, position) in state.range(step).enumerate() {
+                    let Some(placement) =
+                        occurrence.tasks.get(position).and_then(|task| task.placement.as_ref())
+                    else {
+                        continue;
+                    };
+                    let task = TaskId {
+                        job: job.clone(),
+                        occurrence: *number,
+                        step: step as u16,
+                        index: index as u32,
+                    };
+                    let worker = self.workers.entry(placement.life.worker.clone()).or_default();
+                    let extra =
+                        self.settings.takeover_lease_over_ms - self.settings.lease_over_ms;
+                    worker.heard_ms = now.steady_ms + extra;
+                    worker.placed.insert(task);
+                }
+            }
+        }
+    }
+
+    fn new_job(&mut self, record: JobRecord) -> Job {
+        self.next_order += 1;
+        Job {
+            record,
+            order: self.next_order,
+            occurrences: BTreeMap::new(),
+            result: None,
+            ended_wall_ms: 0,
+            started: false,
+        }
+    }
+
+    /// Takes an event and returns what can be done at once. [`Planner::take_batch`] returns the rest.
+    pub fn handle(&mut self, now: Now, input: &Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        match input {
+            Input::Directives(directives) => self.directives = directives.clone(),
+            Input::Submitted { job, record } => self.submitted(job, record, &mut out),
+            Input::Cancelled { job } => self.cancelled(now, job, &mut out),
+            Input::Worker(report) => self.worker_reported(now, report, &mut out),
+            Input::WorkerLeft(life) => self.worker_left(now, life, &mut out),
+            Input::Disconnected(worker) => {
+                if let Some(worker) = self.workers.get_mut(worker) {
+                    worker.connected = false;
+                    worker.synced = false;
+                }
+            }
+            Input::Runs(report) => self.runs_reported(now, report, &mut out),
+            Input::Started { life, task, run } => self.run_started(life, task, *run, &mut out),
+            Input::Refused { life, task, run, refusal } => {
+                self.run_refused(now, life, (task, *run), *refusal, &mut out);
+            }
+            Input::Tick => self.forget_ended(now, &mut out),
+        }
+        self.expire_leases(now, &mut out);
+        self.place_all(now, &mut out);
+        out
+    }
+
+    fn submitted(&mut self, job: &JobId, record: &JobRecord, out: &mut Vec<Output>) {
+        if self.jobs.contains_key(job) {
+            return;
+        }
+        let state = self.new_job(record.clone());
+        out.push(Output::Progress {
+            job: job.clone(),
+            queue: record.queue.clone(),
+            progress: Some(JobProgress::Pending),
+        });
+        out.push(Output::Decision {
+            job: job.clone(),
+            run: None,
+            what: Decision::Queued,
+            because: format!("priority {}, jobs known {}", record.priority, self.jobs.len()),
+        });
+        self.jobs.insert(job.clone(), state);
+    }
+
+    fn cancelled(&mut self, now: Now, job: &JobId, out: &mut Vec<Output>) {
+        if self.jobs.get(job).is_some_and(|state| state.result.is_none()) {
+            self.finish_job(now, job, JobResult::Cancelled, "a client cancelled it", out);
+        }
+    }
+
+    /// Returns the changes to make durable, if there are any or effects wait for none.
+    pub fn take_batch(&mut self) -> Option<Batch> {
+        let mut batch = Batch::default();
+        while batch.changes.len() < MAX_BATCH_CHANGES {
+            let Some((job, occurrence)) = self.changed.pop_first() else {
+                break;
+            };
+            if let Some(state) = self.jobs.get(&job) {
+                let record = Box::new(state.record_of(occurrence));
+                batch.changes.push(RecordChange::Occurrence { job, occurrence, record });
+            }
+        }
+        if batch.changes.is_empty()
+            && let Some((job, occurrences)) = self.forgotten.pop_first()
+        {
+            batch.changes.push(RecordChange::Forget { job, occurrences });
+        }
+        if self.changed.is_empty() {
+            batch.effects = std::mem::take(&mut self.effects);
+        }
+        (!batch.changes.is_empty() || !batch.effects.is_empty()).then_some(batch)
+    }
+
+    /// Returns the orders among the effects of a batch that are still wanted, now that the batch is durable.
+    pub fn release(&mut self, now: Now, effects: Vec<Output>) -> Vec<Output> {
+        let mut out = Vec::new();
+        for effect in effects {
+            match effect {
+                Output::Start(order) => self.release_start(now, order, &mut out),
+                other => out.push(other),
+            }
+        }
+        out
+    }
+
+    fn release_start(&mut self, now: Now, order: StartOrder, out: &mut Vec<Output>) {
+        let placement = self.placement_mut(&order.task, order.run);
+        let Some(placement) = placement.filter(|placement| placement.life == order.life) else {
+            return;
+        };
+        if placement.stopping_ms.is_some() {
+            self.run_ended(now, &order.life, (&order.task, order.run), EndKind::Stopped, None, out);
+            return;
+        }
+        placement.phase = StartPhase::Ordered(now.steady_ms);
+        out.push(Output::Start(order));
+    }
+
+    fn placement_mut(&mut self, task: &TaskId, run: u32) -> Option<&mut Placement> {
+        let task = self.jobs.get_mut(&task.job)?.task_mut(task)?;
+        task.placement.as_mut().filter(|placement| placement.run == run)
+    }
+
+    /// Returns how far all known jobs are.
+    pub fn progress(&self) -> impl Iterator<Item = (&JobId, &str, JobProgress)> + use<'_> {
+        self.jobs.iter().map(|(job, state)| (job, state.record.queue.as_str(), state.progress()))
+    }
+
+    /// Returns the number of jobs, of tasks on workers, and of connected workers.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let placed = self.workers.values().map(|worker| worker.placed.len()).sum();
+        let connected = self.workers.values().filter(|worker| worker.connected).count();
+        (self.jobs.len(), placed, connected)
+    }
+
+    fn forget_ended(&mut self, now: Now, out: &mut Vec<Output>) {
+        let over: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| {
+                job.result.is_some() && now.wall_ms >= job.ended_wall_ms + KEEP_ENDED_MS
+            })
+            .filter(|(_, job)| job.occurrences.values().all(|one| one.tasks.is_empty()))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in over {
+            let Some(job) = self.jobs.remove(&id) else {
+                continue;
+            };
+            let occurrences = job.record.spec.occurrences();
+            out.push(Output::Progress { job: id.clone(), queue: job.record.queue, progress: None });
+            self.forgotten.insert(id, occurrences);
+        }
+    }
+}
+
+fn restored_task(now: Now, record: crate::workflow::TaskRecord) -> Task {
+    let placement = match &record.phase {
+        TaskPhase::Placed(life) => Some(Placement {
+            life: life.clone(),
+            run: record.run,
+            phase: StartPhase::Running,
+            since_ms: now.steady_ms,
+            stopping_ms: None,
+            percent: 0,
+            progress_ms: now.steady_ms,
+            checkpoint_ms: None,
+        }),
+        TaskPhase::Waiting | TaskPhase::Done => None,
+    };
+    Task { record, placement, ..Task::default() }
+}
+
+/// Marks what an earlier leader was stopping: runs of a job that is over, and what is left of a broken gang.
+fn stop_remnants(job: &mut Job) {
+    let is_over = job.result.is_some();
+    let steps = 0..job.record.spec.steps.len();
+    let gangs: Vec<_> =
+        steps.filter(|step| job.step(*step).gang).map(|step| job.range(step)).collect();
+    for occurrence in job.occurrences.values_mut().filter(|one| !one.tasks.is_empty()) {
+        for gang in &gangs {
+            let members = &mut occurrence.tasks[gang.clone()];
+            let is_broken = members.iter().any(|task| task.is_waiting());
+            mark_stopping(members, is_broken);
+        }
+        mark_stopping(&mut occurrence.tasks, is_over);
+    }
+}
+
+fn mark_stopping(tasks: &mut [Task], is_stopping: bool) {
+    for placement in tasks.iter_mut().filter_map(|task| task.placement.as_mut()) {
+        if is_stopping {
+            placement.stopping_ms = Some(0);
+        }
+    }
+}
--- /dev/null
+++ b/src/planner/report.rs
@@ -0,0 +1,285 @@
+//! Takes in what workers report.
+
+use std::collections::BTreeSet;
+
+use super::message::{Decision, EndKind, Now, Output, RunsReport, StartRefusal, WorkerReport};
+use super::state::{StartPhase, Worker};
+use super::{JobProgress, Planner};
+use crate::prelude::*;
+use crate::workflow::{Life, TaskId};
+
+/// The time after which an order without an answer is sent again.
+const REPEAT_ORDER_MS: u64 = 800;
+/// How long a worker that refused a start gets no other.
+const REST_AFTER_REFUSAL_MS: u64 = 500;
+
+impl Planner {
+    pub(super) fn worker_reported(
+        &mut self,
+        now: Now,
+        report: &WorkerReport,
+        out: &mut Vec<Output>,
+    ) {
+        let id = &report.life.worker;
+        let known = self.workers.entry(id.clone()).or_default();
+        let known_born = known.report.as_ref().map_or(0, |old| old.life.born_ms);
+        if known_born > report.life.born_ms {
+            return;
+        }
+        if known_born < report.life.born_ms {
+            // A new lifetime proves that nothing of an earlier one runs.
+            *known = Worker { placed: std::mem::take(&mut known.placed), ..Worker::default() };
+        }
+        known.report = Some(report.clone());
+        known.connected = true;
+        known.heard_ms = known.heard_ms.max(now.steady_ms);
+        self.end_earlier_lives(now, &report.life, out);
+    }
+
+    fn end_earlier_lives(&mut self, now: Now, life: &Life, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get(&life.worker) else {
+            return;
+        };
+        for task in worker.placed.clone() {
+            let Some((placed_on, run)) = self.placement_of(&task) else {
+                continue;
+            };
+            if placed_on.born_ms < life.born_ms {
+                self.run_ended(now, &placed_on, (&task, run), EndKind::Lapsed, None, out);
+            }
+        }
+    }
+
+    pub(super) fn worker_left(&mut self, now: Now, life: &Life, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get_mut(&life.worker) else {
+            return;
+        };
+        if worker.report.as_ref().is_some_and(|report| report.life == *life) {
+            worker.report = None;
+            worker.synced = false;
+        }
+        let next_life = Life { worker: life.worker.clone(), born_ms: life.born_ms + 1 };
+        self.end_earlier_lives(now, &next_life, out);
+    }
+
+    pub(super) fn placement_of(&self, task: &TaskId) -> Option<(Life, u32)> {
+        let placement = self.jobs.get(&task.job)?.task(task)?.placement.as_ref()?;
+        Some((placement.life.clone(), placement.run))
+    }
+
+    pub(super) fn runs_reported(&mut self, now: Now, report: &RunsReport, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get_mut(&report.life.worker) else {
+            return;
+        };
+        if worker.report.as_ref().is_none_or(|known| known.life != report.life) {
+            return;
+        }
+        worker.heard_ms = worker.heard_ms.max(now.steady_ms);
+        worker.synced = true;
+        worker.foreign.clear();
+        self.take_ends(now, report, out);
+        self.take_running(now, report, out);
+        self.check_missing(now, report, out);
+    }
+
+    fn take_ends(&mut self, now: Now, report: &RunsReport, out: &mut Vec<Output>) {
+        let taken = self.workers.get(&report.life.worker).map_or(0, |worker| worker.ends_taken);
+        let mut last = taken;
+        for end in report.ended.iter().filter(|end| end.number > taken) {
+            last = last.max(end.number);
+            let run = (&end.task, end.run);
+            self.run_ended(now, &report.life, run, end.kind, end.checkpoint.as_deref(), out);
+        }
+        if last == taken {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(&report.life.worker) {
+            worker.ends_taken = last;
+        }
+        self.effects.push(Output::AcknowledgeEnds { life: report.life.clone(), up_to: last });
+    }
+
+    fn take_running(&mut self, now: Now, report: &RunsReport, out: &mut Vec<Output>) {
+        for entry in &report.running {
+            let checkpoint = entry.checkpoint.as_deref().filter(|value| !value.is_empty());
+            self.keep_checkpoint(now, &entry.task, entry.run, checkpoint);
+            let Some(placement) = self
+                .placement_mut(&entry.task, entry.run)
+                .filter(|placement| placement.life == report.life)
+            else {
+                self.stop_foreign(report, &entry.task, entry.run, out);
+                continue;
+            };
+            if placement.percent != entry.percent {
+                (placement.percent, placement.progress_ms) = (entry.percent, now.steady_ms);
+            }
+            let is_new = placement.phase != StartPhase::Running;
+            placement.phase = StartPhase::Running;
+            let repeat_stop = placement
+                .stopping_ms
+                .is_some_and(|ordered_ms| now.steady_ms >= ordered_ms + REPEAT_ORDER_MS);
+            if repeat_stop {
+                placement.stopping_ms = Some(now.steady_ms);
+                out.push(Output::Stop {
+                    life: report.life.clone(),
+                    task: entry.task.clone(),
+                    run: entry.run,
+                });
+            }
+            if is_new {
+                self.mark_started(&entry.task.job, out);
+            }
+        }
+    }
+
+    /// Stops a run that this leader did not place; its worker gets no work until it is gone.
+    fn stop_foreign(
+        &mut self,
+        report: &RunsReport,
+        task: &TaskId,
+        run: u32,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(worker) = self.workers.get_mut(&report.life.worker) {
+            worker.foreign.insert((task.clone(), run));
+        }
+        out.push(Output::Stop { life: report.life.clone(), task: task.clone(), run });
+        out.push(Output::Decision {
+            job: task.job.clone(),
+            run: Some((task.clone(), run)),
+            what: Decision::Stopped,
+            because: format!("worker {} runs it without an order", report.life.worker),
+        });
+    }
+
+    /// Finds runs that should be listed and are not.
+    fn check_missing(&mut self, now: Now, report: &RunsReport, out: &mut Vec<Output>) {
+        let listed: BTreeSet<(&TaskId, u32)> =
+            report.running.iter().map(|entry| (&entry.task, entry.run)).collect();
+        let Some(worker) = self.workers.get(&report.life.worker) else {
+            return;
+        };
+        for task in worker.placed.clone() {
+            let Some(state) = self.jobs.get(&task.job).and_then(|job| job.task(&task)) else {
+                continue;
+            };
+            let Some(placement) = state.placement.as_ref() else {
+                continue;
+            };
+            let run = placement.run;
+            let key = (task.clone(), run);
+            if placement.life != report.life
+                || listed.contains(&(&task, run))
+                || report.starting.contains(&key)
+            {
+                continue;
+            }
+            let stop_confirmed = report.stopped.contains(&key);
+            match placement.phase {
+                StartPhase::Intended => {}
+                StartPhase::Running => {
+                    self.run_ended(now, &report.life, (&task, run), EndKind::Lapsed, None, out);
+                }
+                StartPhase::Ordered(_) if stop_confirmed => {
+                    self.run_ended(now, &report.life, (&task, run), EndKind::Stopped, None, out);
+                }
+                StartPhase::Ordered(ordered_ms) => {
+                    if now.steady_ms >= ordered_ms + REPEAT_ORDER_MS {
+                        self.repeat_order(now, &task, run, out);
+                    }
+                }
+            }
+        }
+    }
+
+    fn repeat_order(&mut self, now: Now, task: &TaskId, run: u32, out: &mut Vec<Output>) {
+        let Some(order) = self.start_order(task) else {
+            return;
+        };
+        let Some(placement) = self.placement_mut(task, run) else {
+            return;
+        };
+        if placement.stopping_ms.is_some() {
+            placement.stopping_ms = Some(now.steady_ms);
+            out.push(Output::Stop { life: order.life, task: task.clone(), run });
+        } else {
+            placement.phase = StartPhase::Ordered(now.steady_ms);
+            out.push(Output::Start(order));
+        }
+    }
+
+    pub(super) fn run_started(
+        &mut self,
+        life: &Life,
+        task: &TaskId,
+        run: u32,
+        out: &mut Vec<Output>,
+    ) {
+        let placement = self.placement_mut(task, run).filter(|placement| placement.life == *life);
+        if let Some(placement) = placement {
+            placement.phase = StartPhase::Running;
+            self.mark_started(&task.job, out);
+        }
+    }
+
+    fn mark_started(&mut self, job: &JobId, out: &mut Vec<Output>) {
+        let Some(state) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if state.started || state.result.is_some() {
+            return;
+        }
+        state.started = true;
+        out.push(Output::Progress {
+            job: job.clone(),
+            queue: state.record.queue.clone(),
+            progress: Some(JobProgress::Running),
+        });
+    }
+
+    pub(super) fn run_refused(
+        &mut self,
+        now: Now,
+        life: &Life,
+        (task, run): (&TaskId, u32),
+        refusal: StartRefusal,
+        out: &mut Vec<Output>,
+    ) {
+        out.push(Output::Decision {
+            job: task.job.clone(),
+            run: Some((task.clone(), run)),
+            what: Decision::StartRefused,
+            because: format!("worker {} answered {refusal:?}", life.worker),
+        });
+        if let Some(worker) = self.workers.get_mut(&life.worker) {
+            worker.resting_until_ms =
+                worker.resting_until_ms.max(now.steady_ms + REST_AFTER_REFUSAL_MS);
+        }
+        self.run_ended(now, life, (task, run), EndKind::Stopped, None, out);
+    }
+
+    /// Ends the runs of workers whose leases are surely over.
+    pub(super) fn expire_leases(&mut self, now: Now, out: &mut Vec<Output>) {
+        let silent: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| now.steady_ms >= worker.heard_ms + self.settings.lease_over_ms)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in silent {
+            let Some(worker) = self.workers.get_mut(&id) else {
+                continue;
+            };
+            worker.synced = false;
+            let placed = std::mem::take(&mut worker.placed);
+            for task in placed {
+                if let Some((life, run)) = self.placement_of(&task) {
+                    self.run_ended(now, &life, (&task, run), EndKind::Lapsed, None, out);
+                }
+            }
+            if self.workers.get(&id).is_some_and(|worker| !worker.connected) {
+                self.workers.remove(&id);
+            }
+        }
+    }
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,13 +2,17 @@
 
 mod clock;
 mod inbox;
+mod log_output;
 mod observe;
 mod options;
+mod steady;
 
 pub use clock::{Clock, new_incarnation};
 pub use inbox::{InboxActor, run_with_inbox};
+pub use log_output::{LineBudget, LogOutput};
 pub use observe::{Metrics, Readiness, observe_routes, serve};
 pub use options::{Options, Parsed, parse};
+pub use steady::SteadyClock;
 
 use snafu::{ResultExt, Snafu};
 
@@ -63,7 +67,7 @@
 /// The result of running a process.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Starts logging to standard error, one JSON object a line.
+/// Starts logging to standard output, one JSON object a line. Lines are left out rather than waited for.
 ///
 /// # Errors
 ///
@@ -71,7 +75,7 @@
 pub fn start_logger(verbose: bool) -> Result<flexi_logger::LoggerHandle> {
     let level = if verbose { "debug, hyper=info, reqwest=info" } else { "info" };
     let logger = flexi_logger::Logger::try_with_env_or_str(level).context(LoggerSnafu)?;
-    logger.format(flexi_logger::json_format).start().context(LoggerSnafu)
+    logger.log_to_writer(Box::<LogOutput>::default()).start().context(LoggerSnafu)
 }
 
 /// Waits until the process is asked to end.
@@ -123,6 +127,26 @@
     }
 }
 
+/// Runs a program whose settings file is known already, on a single thread.
+pub fn run_small<F, Fut>(program: &'static str, main: F) -> std::process::ExitCode
+where
+    F: FnOnce() -> Fut,
+    Fut: Future<Output = Result<()>>,
+{
+    let run = || {
+        let _logger = start_logger(false)?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.context(SystemSnafu { what: "async runtime" })?.block_on(main())
+    };
+    match run() {
+        Ok(()) => std::process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{program}: {error}");
+            std::process::ExitCode::FAILURE
+        }
+    }
+}
+
 fn run_program<S, F, Fut>(program: &'static str, main: F) -> Result<()>
 where
     S: serde::de::DeserializeOwned + settings::Check,
--- a/src/process/observe.rs
+++ b/src/process/observe.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use prometheus::{IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 use serde_json::Value;
 use snafu::ResultExt;
 use warp::http::StatusCode;
@@ -29,12 +31,17 @@
     }
 }
 
+/// The upper bounds of the buckets of durations, in seconds: answers take milliseconds, jobs up to minutes.
+const DURATION_BUCKETS_S: [f64; 12] =
+    [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0, 300.0];
+
 /// The metrics of a process. Clones share the values.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     registry: Registry,
     events: IntCounterVec,
     states: IntGaugeVec,
+    durations: HistogramVec,
 }
 
 impl Default for Metrics {
@@ -50,7 +57,14 @@
         registry
             .register(Box::new(states.clone()))
             .expect("the registry has no metric of this name");
-        Self { registry, events, states }
+        let durations = HistogramOpts::new("teaselhall_duration_seconds", "Durations by name.")
+            .buckets(DURATION_BUCKETS_S.to_vec());
+        let durations =
+            HistogramVec::new(durations, &["name"]).expect("the metric's name and label are valid");
+        registry
+            .register(Box::new(durations.clone()))
+            .expect("the registry has no metric of this name");
+        Self { registry, events, states, durations }
     }
 }
 
@@ -65,6 +79,11 @@
         self.events.with_label_values(&[slice, event]).inc_by(events);
     }
 
+    /// Records how long something took.
+    pub fn observe(&self, name: &str, took_ms: u64) {
+        self.durations.with_label_values(&[name]).observe(took_ms as f64 / 1_000.0);
+    }
+
     /// Sets a current value of a slice.
     pub fn set(&self, slice: &str, value: &str, current: i64) {
         self.states.with_label_values(&[slice, value]).set(current);
--- /dev/null
+++ b/src/process/steady.rs
@@ -0,0 +1,24 @@
+//! A clock that goes on while the machine is suspended.
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Reads `CLOCK_BOOTTIME`. The monotonic clock stands still during a suspension, so a process that used it would trust
+/// leases that are long over.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SteadyClock;
+
+impl SteadyClock {
+    /// Returns the milliseconds since the machine started.
+    pub fn now_ms(&self) -> u64 {
+        let time = clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+        seconds * 1_000 + nanos / 1_000_000
+    }
+
+    /// Returns the time of day in milliseconds since 1970.
+    pub fn wall_ms(&self) -> u64 {
+        let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        elapsed.map_or(0, |elapsed| u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,13 +2,13 @@
 
 mod agent;
 mod entry;
-mod platform;
+mod stand_in;
 #[cfg(test)]
 mod tests;
 
 pub use agent::{AgentSettings, Beside};
 pub use entry::EntrySettings;
-pub use platform::{EndpointSettings, PlatformSettings, WorkerSettings};
+pub use stand_in::{EndpointSettings, StandInSettings, WorkerSettings};
 
 use std::path::{Path, PathBuf};
 
--- a/src/settings/platform.rs
+++ b/src/settings/stand_in.rs
@@ -1,4 +1,4 @@
-//! Settings of `teaselhall-platform`, the stand-in of the platform for development and tests.
+//! Settings of `teaselhall-stand-in`, the stand-in of the platform for development and tests.
 
 use std::net::SocketAddr;
 
@@ -11,7 +11,7 @@
 /// Settings of the platform stand-in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct PlatformSettings {
+pub struct StandInSettings {
     /// The address of the table, the object store and the workers.
     pub http_address: SocketAddr,
     /// The workers.
@@ -58,7 +58,7 @@
     5_000
 }
 
-impl Check for PlatformSettings {
+impl Check for StandInSettings {
     fn check(&self) -> Result<()> {
         for (index, worker) in self.workers.iter().enumerate() {
             if self.workers[..index].iter().any(|other| other.id == worker.id) {
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -3,7 +3,7 @@
 use serde_json::{Value, json};
 use test_case::test_case;
 
-use super::{AgentSettings, Check, EntrySettings, PlatformSettings};
+use super::{AgentSettings, Check, EntrySettings, StandInSettings};
 
 const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 const OTHER_KEY: &str = "ff0102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
@@ -52,7 +52,7 @@
 fn complete_settings_are_accepted() {
     assert_eq!(load::<EntrySettings>(entry()), Ok(()));
     assert_eq!(load::<AgentSettings>(agent()), Ok(()));
-    assert_eq!(load::<PlatformSettings>(platform()), Ok(()));
+    assert_eq!(load::<StandInSettings>(platform()), Ok(()));
 }
 
 #[test_case("/colour", json!(1), "colour"; "unknown field")]
@@ -90,5 +90,5 @@
     super::read::<EntrySettings>(&file("entry.json")).expect("entry");
     super::read::<AgentSettings>(&file("worker-agent.json")).expect("worker agent");
     super::read::<AgentSettings>(&file("endpoint-agent.json")).expect("endpoint agent");
-    super::read::<PlatformSettings>(&file("platform.json")).expect("platform");
+    super::read::<StandInSettings>(&file("platform.json")).expect("platform");
 }
--- a/src/platform/mod.rs
+++ b/src/stand_in/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::prelude::*;
 use crate::process::{self, Clock};
-use crate::settings::PlatformSettings;
+use crate::settings::StandInSettings;
 use crate::store::MemoryStore;
 
 /// The state of the stand-in. Clones share it.
@@ -46,7 +46,7 @@
 
 impl Platform {
     /// Creates the stand-in.
-    pub fn new(settings: &PlatformSettings) -> Self {
+    pub fn new(settings: &StandInSettings) -> Self {
         use rand_chacha::rand_core::SeedableRng;
         let model = |worker: &crate::settings::WorkerSettings| {
             (worker.id.clone(), WorkerModel::new(worker.shape, settings.usage_lag_ms))
@@ -75,7 +75,7 @@
 /// # Errors
 ///
 /// [`process::Error::Bind`] if an address cannot be bound.
-pub async fn run(settings: PlatformSettings) -> process::Result<()> {
+pub async fn run(settings: StandInSettings) -> process::Result<()> {
     let platform = Platform::new(&settings);
     let (stop, stopped) = tokio::sync::watch::channel(false);
     for endpoint in &settings.endpoints {
--- a/src/platform/tests.rs
+++ b/src/stand_in/tests.rs
@@ -1,7 +1,7 @@
 //! Guards against a stand-in that is kinder than the platform: it must overcommit, lapse leases and lose answers.
 
 use crate::bundle::WorkerShape;
-use crate::platform::{StartTask, TaskState, WorkerFault, WorkerModel};
+use crate::stand_in::{StartTask, TaskState, WorkerFault, WorkerModel};
 
 const LAG_MS: u64 = 100;
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -6,6 +6,7 @@
 mod limit;
 mod memory;
 mod message;
+mod rows;
 #[cfg(test)]
 mod tests;
 mod writer;
@@ -16,6 +17,9 @@
 pub use message::{
     Commit, Committed, Condition, Error, OperationId, Result, Row, RowVersion, Write,
 };
+pub use rows::{
+    Changes, Listing, RowChange, RowError, RowKey, RowResult, RowStore, StoredRow, Transaction,
+};
 pub use writer::{CommitOutcome, Writer};
 
 use std::future::Future;
--- /dev/null
+++ b/src/succession/mod.rs
@@ -0,0 +1,290 @@
+//! Decides which front leads, without a coordination service of its own.
+//!
+//! One row of the store names the leader and its epoch. A front that has not heard of a live leader for a while replaces
+//! the row under the condition that it is unchanged, so of two candidates one wins. Each transaction of a leader has the
+//! same condition, so a leader that was replaced can write nothing more.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// How much later an answer of the store has to be to show that it answers one front and not another.
+const LATER_MS: u64 = 700;
+
+/// Who leads, and since which epoch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leadership {
+    /// The epoch, which is also the fencing token of its orders.
+    pub epoch: Epoch,
+    /// The leader.
+    pub leader: ProcessId,
+    /// Where it accepts connections of the system.
+    pub address: std::net::SocketAddr,
+}
+
+/// What fronts tell each other at intervals.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// The sender.
+    pub process: ProcessId,
+    /// Where the sender accepts connections of the system.
+    pub address: std::net::SocketAddr,
+    /// The newest leadership that the sender knows.
+    pub leadership: Option<Leadership>,
+    /// How long ago that leader was alive, as far as the sender knows.
+    pub leader_heard_age_ms: u64,
+    /// How long ago the store answered that leader, as far as the sender knows.
+    pub leader_store_age_ms: u64,
+    /// How long ago the sender had an answer of the store.
+    pub store_age_ms: u64,
+    /// The version of the directives that the sender has.
+    pub directives_as_of: u64,
+    /// The sender is ending and will not lead.
+    pub is_ending: bool,
+}
+
+/// The times of the election.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuccessionSettings {
+    /// A leader that was not heard for this time is replaced.
+    pub silence_ms: u64,
+    /// How much longer each later candidate waits, so that candidates do not compete.
+    pub stagger_ms: u64,
+    /// A leader whom the store did not answer for this time gives up, if it answered another front since.
+    pub store_silence_ms: u64,
+    /// The pause after an attempt that failed.
+    pub retry_ms: u64,
+}
+
+/// What a front knows of another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Peer {
+    heard_ms: u64,
+    store_age_ms: u64,
+    is_ending: bool,
+}
+
+/// The part that a front plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Part {
+    /// It follows the leader that it knows, if any.
+    Follower,
+    /// It is trying to replace the leader.
+    Candidate,
+    /// It leads.
+    Leader,
+}
+
+/// What a front should do now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Step {
+    /// Nothing.
+    Stay,
+    /// Try to replace the leader in the store.
+    TakeOver,
+    /// Stop leading.
+    StepDown(&'static str),
+}
+
+/// The election as one front sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Succession {
+    own: ProcessId,
+    settings: SuccessionSettings,
+    part: Part,
+    leadership: Option<Leadership>,
+    /// When the leader was last known to be alive.
+    leader_heard_ms: u64,
+    /// When the store last answered the leader, as far as is known.
+    leader_store_ms: u64,
+    /// When the store last answered this front.
+    store_answered_ms: Option<u64>,
+    retry_at_ms: u64,
+    peers: BTreeMap<ProcessId, Peer>,
+    is_ending: bool,
+}
+
+impl Succession {
+    /// Creates the view of a front that knows of no leader.
+    pub fn new(own: ProcessId, settings: SuccessionSettings, now_ms: u64) -> Self {
+        Self {
+            own,
+            settings,
+            part: Part::Follower,
+            leadership: None,
+            leader_heard_ms: now_ms,
+            leader_store_ms: now_ms,
+            store_answered_ms: None,
+            retry_at_ms: 0,
+            peers: BTreeMap::new(),
+            is_ending: false,
+        }
+    }
+
+    /// Returns the part that this front plays.
+    pub fn part(&self) -> Part {
+        self.part
+    }
+
+    /// Returns the newest leadership known.
+    pub fn leadership(&self) -> Option<&Leadership> {
+        self.leadership.as_ref()
+    }
+
+    /// Returns how long ago the store answered this front.
+    pub fn store_age_ms(&self, now_ms: u64) -> u64 {
+        self.store_answered_ms.map_or(u64::MAX, |at| now_ms.saturating_sub(at))
+    }
+
+    /// Returns how long ago the leader was alive, and how long ago the store answered it.
+    pub fn leader_ages_ms(&self, now_ms: u64) -> (u64, u64) {
+        match self.part {
+            Part::Leader => (0, self.store_age_ms(now_ms)),
+            Part::Follower | Part::Candidate => (
+                now_ms.saturating_sub(self.leader_heard_ms),
+                now_ms.saturating_sub(self.leader_store_ms),
+            ),
+        }
+    }
+
+    /// The store has answered a call that was sent at `sent_ms`.
+    pub fn store_answered(&mut self, sent_ms: u64) {
+        self.store_answered_ms = Some(self.store_answered_ms.map_or(sent_ms, |at| at.max(sent_ms)));
+    }
+
+    /// This front will not lead any more.
+    pub fn end(&mut self) {
+        self.is_ending = true;
+    }
+
+    /// Takes in what another front says. Returns true if a newer leadership became known.
+    pub fn heard(&mut self, now_ms: u64, gossip: &Gossip) -> bool {
+        let peer = Peer {
+            heard_ms: now_ms,
+            store_age_ms: gossip.store_age_ms,
+            is_ending: gossip.is_ending,
+        };
+        self.peers.insert(gossip.process.clone(), peer);
+        let Some(leadership) = &gossip.leadership else {
+            return false;
+        };
+        let is_newer = self.learn(now_ms, leadership);
+        let leader_is_ending = leadership.leader == gossip.process && gossip.is_ending;
+        if self.leadership.as_ref() == Some(leadership) && !leader_is_ending {
+            let heard_ms = now_ms.saturating_sub(gossip.leader_heard_age_ms);
+            self.leader_heard_ms = self.leader_heard_ms.max(heard_ms);
+            let store_ms = now_ms.saturating_sub(gossip.leader_store_age_ms);
+            self.leader_store_ms = self.leader_store_ms.max(store_ms);
+        }
+        is_newer
+    }
+
+    /// Takes in a leadership that the store or another process names. Returns true if it is newer.
+    pub fn learn(&mut self, now_ms: u64, leadership: &Leadership) -> bool {
+        if self.leadership.as_ref().is_some_and(|known| known.epoch >= leadership.epoch) {
+            return false;
+        }
+        self.leadership = Some(leadership.clone());
+        (self.leader_heard_ms, self.leader_store_ms) = (now_ms, now_ms);
+        if self.part == Part::Leader && leadership.leader != self.own {
+            self.part = Part::Follower;
+        }
+        true
+    }
+
+    /// The connection to a front was closed by its end or could not be made.
+    pub fn peer_gone(&mut self, now_ms: u64, peer: &ProcessId) {
+        self.peers.remove(peer);
+        let is_leader = self.leadership.as_ref().is_some_and(|known| known.leader == *peer);
+        if is_leader && self.part == Part::Follower {
+            // A closed connection is a sign of death, but a reset of connections alone is not: one gossip interval more.
+            let at_most = now_ms.saturating_sub(self.settings.silence_ms * 2 / 3);
+            self.leader_heard_ms = self.leader_heard_ms.min(at_most);
+        }
+    }
+
+    /// This front has replaced the leader.
+    pub fn won(&mut self, now_ms: u64, leadership: Leadership) {
+        self.part = Part::Leader;
+        self.leadership = Some(leadership);
+        self.leader_heard_ms = now_ms;
+        self.leader_store_ms = now_ms;
+    }
+
+    /// An attempt to replace the leader failed; `current` is who leads instead, if that is known.
+    pub fn lost(&mut self, now_ms: u64, current: Option<&Leadership>) {
+        self.part = Part::Follower;
+        self.retry_at_ms = now_ms + self.settings.retry_ms;
+        if let Some(current) = current {
+            self.learn(now_ms, current);
+        }
+    }
+
+    /// This front leads no longer.
+    pub fn step_down(&mut self, now_ms: u64) {
+        self.part = Part::Follower;
+        self.leader_heard_ms = now_ms;
+        self.leader_store_ms = now_ms;
+        self.retry_at_ms = now_ms + self.settings.silence_ms;
+    }
+
+    /// Decides what to do.
+    pub fn decide(&mut self, now_ms: u64) -> Step {
+        match self.part {
+            Part::Candidate => Step::Stay,
+            Part::Leader if self.is_ending => Step::StepDown("the process is ending"),
+            Part::Leader => {
+                let silent = self.store_age_ms(now_ms) >= self.settings.store_silence_ms;
+                if silent && self.store_answered_another() {
+                    return Step::StepDown("the store does not answer here, and answers another front");
+                }
+                Step::Stay
+            }
+            Part::Follower => self.decide_as_follower(now_ms),
+        }
+    }
+
+    fn decide_as_follower(&mut self, now_ms: u64) -> Step {
+        // Until the store has said who leads, this front may be one that was just restarted beside a live leader.
+        if self.is_ending || now_ms < self.retry_at_ms || self.store_answered_ms.is_none() {
+            return Step::Stay;
+        }
+        // A process that was restarted under its own name has lost its leadership.
+        let was_own = self.leadership.as_ref().is_some_and(|known| known.leader == self.own);
+        let known_gone = self.leadership.is_none() || was_own;
+        let wait_ms = self.rank(now_ms) * self.settings.stagger_ms
+            + if known_gone { 0 } else { self.settings.silence_ms };
+        let is_silent = now_ms.saturating_sub(self.leader_heard_ms) >= wait_ms;
+        let is_cut_off = now_ms.saturating_sub(self.leader_store_ms)
+            >= self.settings.store_silence_ms + wait_ms
+            && self.store_answered_ms.is_some_and(|own| own > self.leader_store_ms + LATER_MS);
+        if !is_silent && !is_cut_off {
+            return Step::Stay;
+        }
+        self.part = Part::Candidate;
+        Step::TakeOver
+    }
+
+    /// Returns whether the store has answered another front clearly later than this one.
+    fn store_answered_another(&self) -> bool {
+        let own_ms = self.store_answered_ms.unwrap_or_default();
+        self.peers.values().any(|peer| {
+            let answered_ms = peer.heard_ms.saturating_sub(peer.store_age_ms);
+            answered_ms > own_ms + LATER_MS && !peer.is_ending
+        })
+    }
+
+    /// Counts the live fronts that come before this one.
+    fn rank(&self, now_ms: u64) -> u64 {
+        let alive = |peer: &&Peer| {
+            now_ms.saturating_sub(peer.heard_ms) < self.settings.silence_ms && !peer.is_ending
+        };
+        let before = self.peers.iter().filter(|(id, _)| **id < self.own);
+        before.filter(|(_, peer)| alive(peer)).count() as u64
+    }
+}
--- /dev/null
+++ b/src/workflow/mod.rs
@@ -0,0 +1,15 @@
+//! Jobs that consist of steps of equal tasks, and the names of their tasks. See docs/platform-deployment.md.
+
+mod record;
+mod spec;
+mod task;
+#[cfg(test)]
+mod tests;
+
+pub use record::{
+    DecodeError, JobRecord, JobResult, OccurrenceRecord, TaskPhase, TaskRecord, decode, encode,
+};
+pub use spec::{
+    MAX_OCCURRENCES, MAX_STEPS, MAX_TASKS, Resources, Schedule, SpecError, StepSpec, WorkflowSpec,
+};
+pub use task::{Life, TaskId, TaskIdError};
