Refuse at once while the store is down, and test the planner

Change: while the store is in doubt a read precedes each write, and after three calls without an answer clients are refused until a feed has one; a new leader evicts nothing for 0.8 s; starts are checked again when their intent is durable.

--- a/src/agent/worker_api.rs
+++ b/src/agent/worker_api.rs
@@ -8,8 +8,8 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::stand_in::{LeaseRenewal, StartTask, TaskList, TaskReport, TaskState};
 use crate::prelude::*;
+use crate::stand_in::{LeaseRenewal, StartTask, TaskList, TaskReport, TaskState};
 use crate::worker::{self, ListedTask, PROBE_TASK, TaskName, WorkerAnswer, WorkerCall};
 
 /// The time after which a call of the worker counts as lost.
--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 use xtra::prelude::*;
 
+use super::CoordinatorSettings;
 use super::lead::Leading;
 use super::message::{AcceptorMessage, HostMessage, JobUpdate, LeaderMessage, PeerMessage};
 use super::peers::{PeerSender, PeerSenders, keep_connected};
@@ -15,7 +16,6 @@
 use super::service::Service;
 use super::settings::RENEW_HORIZON_MS;
 use super::takeover::{Takeover, TakeoverError, take_over};
-use super::CoordinatorSettings;
 use crate::planner::{Input, Now};
 use crate::prelude::*;
 use crate::process::{InboxActor, new_incarnation};
@@ -57,8 +57,6 @@
     Directives(Directives),
     /// The store names the leader.
     Leadership(Leadership),
-    /// The store answered at this time.
-    StoreAnswered(u64),
     /// An attempt to take over has ended.
     TakenOver(Box<Result<Takeover, TakeoverError>>),
     /// The leader's transaction is durable, or can never be.
@@ -100,8 +98,7 @@
         events: EventSender,
     ) -> Self {
         let now_ms = service.clock.now_ms();
-        let succession =
-            Succession::new(settings.process.clone(), settings.succession(), now_ms);
+        let succession = Succession::new(settings.process.clone(), settings.succession(), now_ms);
         let mut coordinator = Self {
             settings,
             service,
@@ -140,8 +137,10 @@
 
     fn on_tick(&mut self) {
         self.ticks += 1;
-        self.succession.store_answered(self.service.store.answered_ms());
         let now = self.now();
+        if let Some(answered_ms) = self.store().answered_ms() {
+            self.succession.store_answered(answered_ms);
+        }
         match self.succession.decide(now.steady_ms) {
             Step::Stay => {}
             Step::TakeOver => self.begin_takeover(),
@@ -193,8 +192,7 @@
             "trying to take over"
         );
         tokio::spawn(async move {
-            let result =
-                take_over(&store, (&process, address, incarnation), known.as_ref()).await;
+            let result = take_over(&store, (&process, address, incarnation), known.as_ref()).await;
             let _ = events.send(Event::TakenOver(Box::new(result))).await;
         });
     }
@@ -260,7 +258,9 @@
     fn on_peer(&mut self, sender: PeerSender, message: PeerMessage) {
         match message {
             PeerMessage::Gossip(gossip) => self.on_gossip(sender, &gossip),
-            PeerMessage::Directives(directives) => self.apply_directives(directives, "a coordinator"),
+            PeerMessage::Directives(directives) => {
+                self.apply_directives(directives, "a coordinator")
+            }
             PeerMessage::Progress { epoch, is_snapshot, jobs } => {
                 self.service.shared.with_view(|view| view.update(epoch, is_snapshot, &jobs));
             }
@@ -326,7 +326,11 @@
             out_of_service = directives.out_of_service.len();
             "directives in force"
         );
-        self.service.metrics.set("directives", "version", i64::try_from(version).unwrap_or(i64::MAX));
+        self.service.metrics.set(
+            "directives",
+            "version",
+            i64::try_from(version).unwrap_or(i64::MAX),
+        );
         self.directives = directives.clone();
         self.service.shared.set_directives(directives.clone());
         self.peers.send_to_all(&PeerMessage::Directives(directives.clone()));
@@ -465,7 +469,6 @@
                     self.leadership_learned();
                 }
             }
-            Event::StoreAnswered(at_ms) => self.succession.store_answered(at_ms),
             Event::TakenOver(result) => self.taken_over(*result),
             Event::Committed { epoch, result } => self.committed(epoch, result),
             Event::Jobs { epoch, changes } => self.jobs_changed(epoch, &changes),
--- a/src/coordinator/feed.rs
+++ b/src/coordinator/feed.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use super::actor::{Event, EventSender};
+use super::relay::RelayingStore;
 use super::{JOB_TABLE, LEAD_TABLE, LEADER_KEY, MEMBER_PREFIX};
 use crate::prelude::*;
-use crate::process::SteadyClock;
 use crate::rules::{Directives, Rules};
 use crate::store::{Listing, RowChange, RowError, RowKey, RowStore, Transaction};
 use crate::succession::Leadership;
@@ -43,19 +43,20 @@
 
 /// Follows the directives until the process ends.
 pub async fn follow_directives<S>(
-    store: S,
+    store: RelayingStore<S>,
     source: DirectiveSource,
-    clock: SteadyClock,
     events: EventSender,
 ) where
     S: RowStore,
 {
     let mut known = Directives::default();
     loop {
-        let mut version = match store.list(source.table).await {
+        let listing = store.direct().list(source.table).await;
+        store.note(&listing);
+        let mut version = match listing {
             Ok(listing) => {
                 apply_listing(&mut known, &source, &listing);
-                if publish(&events, &known, clock).await.is_err() {
+                if publish(&events, &known).await.is_err() {
                     return;
                 }
                 listing.version
@@ -67,14 +68,16 @@
             }
         };
         loop {
-            match store.watch(source.table, version, CHANGE_WAIT).await {
+            let answer = store.direct().watch(source.table, version, CHANGE_WAIT).await;
+            store.note(&answer);
+            match answer {
                 Ok(changes) => {
                     version = changes.version;
                     let mut is_changed = false;
                     for change in &changes.changes {
                         is_changed |= apply_change(&mut known, &source, change);
                     }
-                    if is_changed && publish(&events, &known, clock).await.is_err() {
+                    if is_changed && publish(&events, &known).await.is_err() {
                         return;
                     }
                 }
@@ -88,12 +91,7 @@
     }
 }
 
-async fn publish(
-    events: &EventSender,
-    known: &Directives,
-    clock: SteadyClock,
-) -> Result<(), ()> {
-    let _ = events.send(Event::StoreAnswered(clock.now_ms())).await;
+async fn publish(events: &EventSender, known: &Directives) -> Result<(), ()> {
     events.send(Event::Directives(known.clone())).await.map_err(|_| ())
 }
 
@@ -148,44 +146,47 @@
 }
 
 /// Follows the leadership until the process ends.
-pub async fn follow_leadership<S>(store: S, clock: SteadyClock, events: EventSender)
+pub async fn follow_leadership<S>(store: RelayingStore<S>, events: EventSender)
 where
     S: RowStore,
 {
     let key = RowKey::new(LEAD_TABLE, LEADER_KEY);
-    let mut version = 0;
+    let mut after = None;
     loop {
-        let sent_ms = clock.now_ms();
-        let answer = match version {
-            0 => store.list(LEAD_TABLE).await.map(|listing| {
+        // After a failure a short read tells sooner than a feed whether the store is back.
+        let answer = match after {
+            None => store.direct().list(LEAD_TABLE).await.map(|listing| {
                 let row = listing.rows.into_iter().find(|row| row.key == key);
                 (row.map(|row| row.content), listing.version)
             }),
-            _ => store.watch(LEAD_TABLE, version, LEADERSHIP_WAIT).await.map(|changes| {
-                let change = changes.changes.into_iter().rfind(|change| change.key == key);
-                (change.and_then(|change| change.content), changes.version)
-            }),
+            Some(version) => {
+                let changes = store.direct().watch(LEAD_TABLE, version, LEADERSHIP_WAIT).await;
+                changes.map(|changes| {
+                    let change = changes.changes.into_iter().rfind(|change| change.key == key);
+                    (change.and_then(|change| change.content), changes.version)
+                })
+            }
         };
+        store.note(&answer);
         match answer {
-            Ok((content, at)) => {
-                let answered_ms = if version == 0 { sent_ms } else { clock.now_ms() };
-                version = at.max(1);
+            Ok((content, version)) => {
+                after = Some(version);
                 let leadership = content.and_then(|content| decode_leadership(&content));
-                if let Some(leadership) = leadership {
-                    let _ = events.send(Event::Leadership(leadership)).await;
-                }
-                if events.send(Event::StoreAnswered(answered_ms)).await.is_err() {
+                if let Some(leadership) = leadership
+                    && events.send(Event::Leadership(leadership)).await.is_err()
+                {
                     return;
                 }
             }
             Err(error) => {
-                log::warn!("the leadership could not be read: {error}");
-                if error == RowError::HistoryGone {
-                    version = 0;
-                }
+                log::debug!("the leadership could not be read: {error}");
+                after = None;
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
         }
+        if events.is_closed() {
+            return;
+        }
     }
 }
 
@@ -201,21 +202,22 @@
 
 /// Follows the stored jobs for the leader of an epoch, from a version on.
 pub async fn follow_jobs<S>(
-    store: S,
+    store: RelayingStore<S>,
     epoch: Epoch,
     mut version: u64,
-    clock: SteadyClock,
     events: EventSender,
 ) where
     S: RowStore,
 {
     loop {
-        let changes = match store.watch(JOB_TABLE, version, CHANGE_WAIT).await {
+        let answer = store.direct().watch(JOB_TABLE, version, CHANGE_WAIT).await;
+        store.note(&answer);
+        let changes = match answer {
             Ok(changes) => {
                 version = changes.version;
                 changes.changes
             }
-            Err(RowError::HistoryGone) => match store.list(JOB_TABLE).await {
+            Err(RowError::HistoryGone) => match store.direct().list(JOB_TABLE).await {
                 Ok(listing) => {
                     version = listing.version;
                     listing.rows.into_iter().map(row_as_change).collect()
@@ -232,7 +234,6 @@
                 continue;
             }
         };
-        let _ = events.send(Event::StoreAnswered(clock.now_ms())).await;
         if events.send(Event::Jobs { epoch, changes }).await.is_err() {
             return;
         }
@@ -249,10 +250,8 @@
     S: RowStore,
 {
     let key = RowKey::new(LEAD_TABLE, &format!("{MEMBER_PREFIX}{process}"));
-    let transaction = Transaction {
-        puts: vec![(key, workflow::encode(&address))],
-        ..Transaction::default()
-    };
+    let transaction =
+        Transaction { puts: vec![(key, workflow::encode(&address))], ..Transaction::default() };
     loop {
         let listing = match store.transact(&transaction).await {
             Ok(_) => store.list(LEAD_TABLE).await,
@@ -260,7 +259,8 @@
         };
         match listing {
             Ok(listing) => {
-                for row in listing.rows.iter().filter(|row| row.key.key.starts_with(MEMBER_PREFIX)) {
+                for row in listing.rows.iter().filter(|row| row.key.key.starts_with(MEMBER_PREFIX))
+                {
                     match workflow::decode::<SocketAddr>(&row.content) {
                         Ok(address) => {
                             let _ = events.send(Event::PeerAddress(address)).await;
--- a/src/coordinator/lead.rs
+++ b/src/coordinator/lead.rs
@@ -8,6 +8,7 @@
 use super::actor::{Coordinator, Event, EventSender};
 use super::feed::follow_jobs;
 use super::message::{AcceptorMessage, JobUpdate, LeaderMessage, PeerMessage};
+use super::relay::RelayingStore;
 use super::takeover::{Head, Takeover, head_key};
 use super::{CANCEL_SUFFIX, JOB_TABLE, PROGRESS_TABLE};
 use crate::planner::{Batch, Input, Now, Output, Planner, RecordChange};
@@ -19,6 +20,8 @@
 
 /// The pause before a transaction is repeated that had no answer or no effect.
 const COMMIT_PAUSE: Duration = Duration::from_millis(60);
+/// The longest such pause.
+const LONGEST_COMMIT_PAUSE: Duration = Duration::from_millis(250);
 
 /// The state of a leader.
 #[derive(Debug)]
@@ -118,7 +121,7 @@
     /// Begins to lead with what the store has.
     pub(super) fn lead(&mut self, now: Now, takeover: Takeover) {
         let epoch = takeover.leadership.epoch;
-        let mut planner = Planner::new(self.planner_settings(), self.directives().clone());
+        let mut planner = Planner::new(now, self.planner_settings(), self.directives().clone());
         let mut cancelled = Vec::new();
         for job in takeover.jobs {
             if job.is_cancelled {
@@ -126,13 +129,8 @@
             }
             planner.restore(now, &job.id, job.record, job.occurrences);
         }
-        let feed = follow_jobs(
-            self.store().direct().clone(),
-            epoch,
-            takeover.jobs_version,
-            self.service.clock,
-            self.events.clone(),
-        );
+        let feed =
+            follow_jobs(self.store().clone(), epoch, takeover.jobs_version, self.events.clone());
         let leading = Leading {
             head: takeover.head,
             head_version: takeover.head_version,
@@ -224,7 +222,7 @@
     }
 
     fn begin_commit(&mut self, batch: Batch) {
-        let store = self.store().direct().clone();
+        let store = self.store().clone();
         let events = self.events.clone();
         let Some(leading) = &mut self.leading else {
             return;
@@ -306,9 +304,7 @@
         }
         RecordChange::Forget { job, occurrences } => {
             transaction.removals.push(RowKey::new(JOB_TABLE, job.as_str()));
-            transaction
-                .removals
-                .push(RowKey::new(JOB_TABLE, &format!("{job}{CANCEL_SUFFIX}")));
+            transaction.removals.push(RowKey::new(JOB_TABLE, &format!("{job}{CANCEL_SUFFIX}")));
             // Rows beyond this number are left behind rather than exceed the size of a transaction.
             const MOST_REMOVED: u32 = 80;
             for occurrence in 0..(*occurrences).min(MOST_REMOVED) {
@@ -324,7 +320,7 @@
 /// Each transaction replaces the head that the one before wrote. So a repeated one is applied at most once, and a late
 /// one cannot follow a newer one.
 async fn commit<S>(
-    store: S,
+    store: RelayingStore<S>,
     transaction: Transaction,
     head: Head,
     epoch: Epoch,
@@ -332,8 +328,11 @@
 ) where
     S: RowStore,
 {
+    let mut pause = COMMIT_PAUSE;
     let result = loop {
-        match store.transact(&transaction).await {
+        let answer = store.direct().transact(&transaction).await;
+        store.note(&answer);
+        match answer {
             Err(RowError::Conflict { current }) => {
                 let own = current
                     .iter()
@@ -345,7 +344,8 @@
             }
             Err(error @ (RowError::Unavailable { .. } | RowError::Unknown { .. })) => {
                 log::warn!(epoch = epoch.0, sequence = head.sequence; "a transaction is repeated: {error}");
-                tokio::time::sleep(COMMIT_PAUSE).await;
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_COMMIT_PAUSE);
             }
             result => break result,
         }
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -92,13 +92,9 @@
     };
     let settings = Arc::new(settings);
     listener::spawn(settings.inner_address, settings.links(), events.clone()).await?;
-    tokio::spawn(feed::follow_directives(
-        service.store.direct().clone(),
-        directives,
-        clock,
-        events.clone(),
-    ));
-    tokio::spawn(feed::follow_leadership(service.store.direct().clone(), clock, events.clone()));
+    let store = service.store.clone();
+    tokio::spawn(feed::follow_directives(store.clone(), directives, events.clone()));
+    tokio::spawn(feed::follow_leadership(store, events.clone()));
     tokio::spawn(feed::register(
         service.store.direct().clone(),
         settings.process.clone(),
--- a/src/coordinator/relay.rs
+++ b/src/coordinator/relay.rs
@@ -1,7 +1,7 @@
 //! Calls the store directly or, while the store does not answer here, through another coordinator.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -9,13 +9,19 @@
 
 use super::message::{PeerMessage, StoreAnswer, StoreRequest};
 use super::peers::PeerSenders;
+use super::takeover::head_key;
 use crate::process::SteadyClock;
 use crate::store::{RowError, RowKey, RowResult, RowStore, StoredRow, Transaction};
 
 /// How long a relayed call may take; the relaying coordinator's own limit is shorter.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(900);
-/// How long calls go through another coordinator first, after the store failed to answer here.
-const PREFER_RELAY_MS: u64 = 1_000;
+/// Another coordinator counts as reaching the store if it had an answer this long ago.
+const HELPER_STORE_AGE_MS: u64 = 2_500;
+/// The number of calls without an answer in a row after which the store counts as down, and clients' calls fail at once
+/// until a feed has an answer again.
+const FAILURES_UNTIL_DOWN: u32 = 3;
+/// The limit of the read that precedes a write while the store is in doubt.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 type Pending = HashMap<u64, oneshot::Sender<RowResult<StoreAnswer>>>;
 
@@ -31,9 +37,10 @@
 #[derive(Debug, Default)]
 struct RelayState {
     next_call: AtomicU64,
-    /// Until when the store counts as unreachable from here, by the steady clock.
-    failing_until_ms: AtomicU64,
+    /// The time of the last call that the store answered, by the steady clock; 0 before the first.
     answered_ms: AtomicU64,
+    /// The number of calls without an answer since.
+    failures: AtomicU32,
     pending: Mutex<Pending>,
 }
 
@@ -76,67 +83,98 @@
     }
 
     async fn call(&self, request: StoreRequest) -> RowResult<StoreAnswer> {
-        let now_ms = self.clock.now_ms();
-        let is_failing = now_ms < self.shared.failing_until_ms.load(Ordering::Relaxed);
-        if is_failing && let Some(answer) = self.relay(&request).await {
-            return answer;
+        let failures = self.shared.failures.load(Ordering::Relaxed);
+        if failures == 0 {
+            let answer = self.call_directly(&request).await;
+            return match answer {
+                Err(RowError::Unavailable { .. }) if self.has_helper() => {
+                    self.relay(&request).await
+                }
+                answer => answer,
+            };
         }
-        let answer = self.call_directly(&request).await;
-        match answer {
-            Err(RowError::Unavailable { reason }) => {
-                let relayed = if is_failing { None } else { self.relay(&request).await };
-                relayed.unwrap_or(Err(RowError::Unavailable { reason }))
-            }
-            answer => answer,
+        if self.has_helper() {
+            return self.relay(&request).await;
+        }
+        // A write without an answer leaves its client in doubt, a read does not.
+        if failures >= FAILURES_UNTIL_DOWN {
+            return Err(RowError::Unavailable { reason: "the store is down".to_owned() });
         }
+        self.probe().await?;
+        self.call_directly(&request).await
+    }
+
+    fn has_helper(&self) -> bool {
+        self.peers.best_store_age_ms() < HELPER_STORE_AGE_MS
+    }
+
+    async fn probe(&self) -> RowResult<()> {
+        let key = head_key();
+        let answer = tokio::time::timeout(PROBE_TIMEOUT, self.store.read(&key)).await;
+        let answer = answer.unwrap_or_else(|_| {
+            Err(RowError::Unavailable { reason: "no answer in time".to_owned() })
+        });
+        self.note(&answer);
+        answer.map(|_| ())
     }
 
     /// Calls the store from here, for this coordinator or another.
     pub async fn call_directly(&self, request: &StoreRequest) -> RowResult<StoreAnswer> {
-        let sent_ms = self.clock.now_ms();
         let answer = match request {
             StoreRequest::Read(key) => self.store.read(key).await.map(StoreAnswer::Row),
             StoreRequest::Transact(transaction) => {
                 self.store.transact(transaction).await.map(StoreAnswer::Version)
             }
         };
-        match &answer {
-            Err(RowError::Unavailable { reason } | RowError::Unknown { reason }) => {
-                log::warn!(reason = reason.as_str(); "the store did not answer a call of a client");
-                let until_ms = self.clock.now_ms() + PREFER_RELAY_MS;
-                self.shared.failing_until_ms.fetch_max(until_ms, Ordering::Relaxed);
-            }
-            _ => self.answered(sent_ms),
-        }
+        self.note(&answer);
         answer
     }
 
-    /// Returns the time of the last call that the store answered.
-    pub fn answered_ms(&self) -> u64 {
-        self.shared.answered_ms.load(Ordering::Relaxed)
+    /// Notes whether the store answered a call.
+    pub fn note<T>(&self, answer: &RowResult<T>) {
+        match answer {
+            Err(RowError::Unavailable { reason } | RowError::Unknown { reason }) => {
+                let before = self.shared.failures.fetch_add(1, Ordering::Relaxed);
+                if before == 0 {
+                    log::warn!(reason = reason.as_str(); "the store does not answer");
+                }
+            }
+            Ok(_)
+            | Err(RowError::Conflict { .. } | RowError::HistoryGone | RowError::Refused { .. }) => {
+                self.shared.answered_ms.fetch_max(self.clock.now_ms(), Ordering::Relaxed);
+                let before = self.shared.failures.swap(0, Ordering::Relaxed);
+                if before > 0 {
+                    log::info!(failures = before; "the store answers again");
+                }
+            }
+        }
     }
 
-    fn answered(&self, sent_ms: u64) {
-        self.shared.answered_ms.fetch_max(sent_ms, Ordering::Relaxed);
+    /// Returns the time of the last call that the store answered, if there is one.
+    pub fn answered_ms(&self) -> Option<u64> {
+        Some(self.shared.answered_ms.load(Ordering::Relaxed)).filter(|at_ms| *at_ms > 0)
     }
 
-    /// Returns the answer through another coordinator, or `None` if none is connected.
-    async fn relay(&self, request: &StoreRequest) -> Option<RowResult<StoreAnswer>> {
+    /// Calls the store through another coordinator.
+    async fn relay(&self, request: &StoreRequest) -> RowResult<StoreAnswer> {
         let call = self.shared.next_call.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         self.pending(|pending| pending.insert(call, sender));
         let message = PeerMessage::Relay { call, request: request.clone() };
-        let answer = match self.peers.send_to_best(message) {
-            true => Some(tokio::time::timeout(RELAY_TIMEOUT, receiver).await),
-            false => None,
+        let is_sent = self.peers.send_to_best(message);
+        let answer = match is_sent {
+            true => tokio::time::timeout(RELAY_TIMEOUT, receiver).await,
+            false => Ok(Ok(Err(RowError::Unavailable {
+                reason: "no other coordinator is connected".to_owned(),
+            }))),
         };
         self.pending(|pending| pending.remove(&call));
-        Some(match answer? {
+        match answer {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) | Err(_) => Err(RowError::Unknown {
                 reason: "another coordinator did not answer for the store".to_owned(),
             }),
-        })
+        }
     }
 
     /// Takes in the answer to a relayed call.
@@ -156,5 +194,7 @@
 }
 
 fn mismatch() -> RowError {
-    RowError::Unavailable { reason: "another coordinator gave an answer of the wrong kind".to_owned() }
+    RowError::Unavailable {
+        reason: "another coordinator gave an answer of the wrong kind".to_owned(),
+    }
 }
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -16,8 +16,10 @@
 /// The longest time for which a write is repeated while its result is unknown. Clients wait for 3 s, and ask another
 /// coordinator after a clear answer.
 const WRITE_LIMIT_MS: u64 = 1_500;
-/// The pause before a write is repeated.
+/// The pause before a write is repeated; it doubles each time.
 const REPEAT_PAUSE: Duration = Duration::from_millis(40);
+/// The number of writes without an answer after which a submission is given up.
+const MAX_UNKNOWN: u32 = 4;
 
 /// What became of a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -115,7 +117,8 @@
         };
         let started_ms = self.clock.now_ms();
         let limit_ms = WRITE_LIMIT_MS.min(patience_ms / 2);
-        let mut maybe_stored = false;
+        let mut unknown = 0;
+        let mut pause = REPEAT_PAUSE;
         let (outcome, reason) = loop {
             let reason = match self.store.transact(&transaction).await {
                 Ok(_) => break (Submission::Accepted, String::new()),
@@ -123,7 +126,7 @@
                     break (compare(&current, record), "the job is stored already".to_owned());
                 }
                 Err(RowError::Unknown { reason }) => {
-                    maybe_stored = true;
+                    unknown += 1;
                     reason
                 }
                 Err(error @ RowError::Refused { .. }) => {
@@ -131,12 +134,15 @@
                 }
                 Err(error) => error.to_string(),
             };
-            if self.clock.now_ms().saturating_sub(started_ms) >= limit_ms || !maybe_stored {
-                let outcome =
-                    if maybe_stored { Submission::Unknown } else { Submission::NotAccepted };
-                break (outcome, reason);
+            if unknown == 0 {
+                break (Submission::NotAccepted, reason);
             }
-            tokio::time::sleep(REPEAT_PAUSE).await;
+            let is_late = self.clock.now_ms().saturating_sub(started_ms) >= limit_ms;
+            if is_late || unknown >= MAX_UNKNOWN {
+                break (Submission::Unknown, reason);
+            }
+            tokio::time::sleep(pause).await;
+            pause *= 2;
         };
         if outcome == Submission::Accepted {
             self.shared.with_view(|view| view.accepted(job, &record.queue));
@@ -190,8 +196,7 @@
 
     async fn try_cancel(&self, job: &JobId, until_ms: u64) -> Cancellation {
         let key = RowKey::new(JOB_TABLE, &format!("{job}{CANCEL_SUFFIX}"));
-        let transaction =
-            Transaction { puts: vec![(key, vec![1])], ..Transaction::default() };
+        let transaction = Transaction { puts: vec![(key, vec![1])], ..Transaction::default() };
         loop {
             match self.progress(job).await {
                 Ok(None) => return Cancellation::NoSuchJob,
--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -14,6 +14,9 @@
 const LEASE_MARGIN_MS: u64 = 500;
 /// How long a leader renews leases without knowing from the store that it still leads.
 pub const RENEW_HORIZON_MS: u64 = 4_000;
+/// How long a leader that the store answers may not know that it was replaced: a call that waits for that news, and its
+/// time-out.
+const REPLACED_NOTICE_MS: u64 = 2_000;
 /// The silence after which a connection between processes counts as lost.
 const LINK_IDLE_MS: u64 = 1_500;
 
@@ -41,7 +44,7 @@
         let lease_over_ms = WORKER_LEASE_MS + LEASE_MARGIN_MS;
         PlannerSettings {
             lease_over_ms,
-            takeover_lease_over_ms: lease_over_ms + RENEW_HORIZON_MS,
+            takeover_lease_over_ms: lease_over_ms + RENEW_HORIZON_MS + REPLACED_NOTICE_MS,
         }
     }
 
--- a/src/coordinator/view.rs
+++ b/src/coordinator/view.rs
@@ -40,9 +40,7 @@
 
     /// A job was accepted here.
     pub fn accepted(&mut self, job: &JobId, queue: &str) {
-        self.jobs
-            .entry(job.clone())
-            .or_insert_with(|| (queue.to_owned(), JobProgress::Pending));
+        self.jobs.entry(job.clone()).or_insert_with(|| (queue.to_owned(), JobProgress::Pending));
     }
 
     /// Takes in what a leader says. An earlier leader is ignored.
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -158,8 +158,10 @@
     P: WorkerPort,
 {
     let (events, inbox) = mpsc::channel(EVENT_QUEUE);
-    let links =
-        LinkSettings { idle_ms: LINK_IDLE_MS, ..LinkSettings::new(FrameKey::new(settings.frame_key)) };
+    let links = LinkSettings {
+        idle_ms: LINK_IDLE_MS,
+        ..LinkSettings::new(FrameKey::new(settings.frame_key))
+    };
     let leaders = link::LeaderAddresses::new(settings.seeds);
     tokio::spawn(link::keep_connected(
         settings.worker.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,8 +19,8 @@
 pub mod leader;
 pub mod membership;
 pub mod permit;
-pub mod planner;
 pub mod placement;
+pub mod planner;
 
 pub mod prelude;
 pub mod process;
@@ -34,5 +34,5 @@
 pub mod store;
 pub mod succession;
 pub mod wire;
-pub mod workflow;
 pub mod worker;
+pub mod workflow;
--- a/src/planner/evict.rs
+++ b/src/planner/evict.rs
@@ -149,8 +149,7 @@
         if wanted.is_whole(&allocation) {
             return Some((cost, allocation, chosen));
         }
-        let (more_cost, more) =
-            cheapest_step(wanted, &scratch, victims, &chosen, &allowed)?;
+        let (more_cost, more) = cheapest_step(wanted, &scratch, victims, &chosen, &allowed)?;
         for victim in &more {
             release(&mut scratch, &victims[*victim]);
         }
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -32,6 +32,9 @@
 /// How long the state of a job is kept after its end; clients may ask for 120 s.
 const KEEP_ENDED_MS: u64 = 150_000;
 
+/// How long a new leader stops nothing for urgent jobs: until then it may not have heard of workers that are free.
+const SETTLE_MS: u64 = 800;
+
 /// The times that the planner works with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannerSettings {
@@ -54,12 +57,15 @@
     /// Outputs that wait until the changes are durable.
     effects: Vec<Output>,
     next_order: u64,
+    /// When the workers have had time to report to this leader.
+    settled_ms: u64,
 }
 
 impl Planner {
     /// Creates a planner without jobs or workers.
-    pub fn new(settings: PlannerSettings, directives: Directives) -> Self {
+    pub fn new(now: Now, settings: PlannerSettings, directives: Directives) -> Self {
         Self {
+            settled_ms: now.steady_ms + SETTLE_MS,
             settings,
             directives,
             jobs: BTreeMap::new(),
@@ -112,8 +118,7 @@
                         index: index as u32,
                     };
                     let worker = self.workers.entry(placement.life.worker.clone()).or_default();
-                    let extra =
-                        self.settings.takeover_lease_over_ms - self.settings.lease_over_ms;
+                    let extra = self.settings.takeover_lease_over_ms - self.settings.lease_over_ms;
                     worker.heard_ms = now.steady_ms + extra;
                     worker.placed.insert(task);
                 }
@@ -225,14 +230,26 @@
         let Some(placement) = placement.filter(|placement| placement.life == order.life) else {
             return;
         };
-        if placement.stopping_ms.is_some() {
+        let is_stopping = placement.stopping_ms.is_some();
+        // The worker may have begun to drain while the store was slow.
+        if is_stopping || !self.takes_starts(&order.life.worker) {
             self.run_ended(now, &order.life, (&order.task, order.run), EndKind::Stopped, None, out);
             return;
         }
-        placement.phase = StartPhase::Ordered(now.steady_ms);
+        if let Some(placement) = self.placement_mut(&order.task, order.run) {
+            placement.phase = StartPhase::Ordered(now.steady_ms);
+        }
         out.push(Output::Start(order));
     }
 
+    /// Returns whether operators and the worker itself allow starts there.
+    fn takes_starts(&self, worker: &WorkerId) -> bool {
+        let report = self.workers.get(worker).and_then(|worker| worker.report.as_ref());
+        report.is_some_and(|report| {
+            !report.draining && !self.directives.out_of_service.contains(&report.data_centre)
+        })
+    }
+
     fn placement_mut(&mut self, task: &TaskId, run: u32) -> Option<&mut Placement> {
         let task = self.jobs.get_mut(&task.job)?.task_mut(task)?;
         task.placement.as_mut().filter(|placement| placement.run == run)
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -1,10 +1,10 @@
 //! Chooses workers for the tasks that are ready.
 
+use super::Planner;
 use super::evict::Victim;
 use super::message::{Decision, Now, Output, StartOrder};
 use super::pool::{Allocation, Candidate, Horizon, Wanted};
 use super::state::{Job, Occurrence, Placement, StartPhase, Task};
-use super::Planner;
 use crate::prelude::*;
 use crate::workflow::{TaskId, TaskPhase};
 
@@ -78,8 +78,9 @@
                 }
                 for step in 0..steps {
                     let spec = &job.record.spec.steps[step];
-                    let is_done =
-                        |other: &u16| all_done(&occurrence.tasks[ranges[usize::from(*other)].clone()]);
+                    let is_done = |other: &u16| {
+                        all_done(&occurrence.tasks[ranges[usize::from(*other)].clone()])
+                    };
                     let tasks = &occurrence.tasks[ranges[step].clone()];
                     let mut waiting = tasks.iter().filter(|task| task.is_waiting());
                     let has_waiting = match spec.gang {
@@ -148,7 +149,7 @@
             }
             return true;
         }
-        self.evict_for(now, ready, pool, out)
+        now.steady_ms >= self.settled_ms && self.evict_for(now, ready, pool, out)
     }
 
     fn evict_for(
@@ -306,7 +307,8 @@
     let step = job.step(ready.step);
     let tasks = &job.occurrences[&ready.occurrence].tasks[job.range(ready.step)];
     let placed_on = |worker: &WorkerId| {
-        let on = |task: &&Task| task.placement.as_ref().is_some_and(|one| one.life.worker == *worker);
+        let on =
+            |task: &&Task| task.placement.as_ref().is_some_and(|one| one.life.worker == *worker);
         tasks.iter().filter(on).count() as u32
     };
     let present = match step.max_per_worker {
@@ -393,10 +395,8 @@
             })
             .filter(|(_, allocation)| self.wanted.is_whole(allocation))
             .min_by_key(|(rack, allocation)| {
-                let free: u32 = allocation
-                    .iter()
-                    .map(|(index, _)| self.pool[*index].soon.accelerators)
-                    .sum();
+                let free: u32 =
+                    allocation.iter().map(|(index, _)| self.pool[*index].soon.accelerators).sum();
                 (data_rack.is_some_and(|data| data != rack.as_str()), free)
             })
             .map(|(_, allocation)| allocation)
--- a/src/planner/pool.rs
+++ b/src/planner/pool.rs
@@ -92,9 +92,10 @@
     }
 
     fn is_near_data(&self, candidate: &Candidate) -> bool {
-        self.step.data_rack.as_deref().is_none_or(|rack| {
-            candidate.rack.as_ref().is_some_and(|own| own.as_str() == rack)
-        })
+        self.step
+            .data_rack
+            .as_deref()
+            .is_none_or(|rack| candidate.rack.as_ref().is_some_and(|own| own.as_str() == rack))
     }
 
     /// Distributes the tasks over the candidates that `allowed` names: near the data first, then where they leave the
@@ -153,8 +154,7 @@
             let is_usable = worker.connected
                 && worker.synced
                 && worker.foreign.is_empty()
-                && !report.draining
-                && !self.directives.out_of_service.contains(&report.data_centre)
+                && self.takes_starts(&report.life.worker)
                 && now.steady_ms >= worker.resting_until_ms;
             if !is_usable {
                 continue;
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -196,6 +196,9 @@
         let Some(order) = self.start_order(task) else {
             return;
         };
+        if !self.takes_starts(&order.life.worker) {
+            self.stop_run(now, task, "its worker takes no starts any more", out);
+        }
         let Some(placement) = self.placement_mut(task, run) else {
             return;
         };
--- /dev/null
+++ b/src/planner/tests/mod.rs
@@ -0,0 +1,68 @@
+//! Tests of the planner, against workers that behave as the platform's.
+
+mod campaign;
+mod gangs;
+mod rules;
+mod takeover;
+mod world;
+
+use std::sync::Arc;
+
+use super::*;
+use crate::rules::{Organisation, Rules};
+use crate::workflow::{Resources, StepSpec, WorkflowSpec};
+
+/// The times of all tests.
+const SETTINGS: PlannerSettings =
+    PlannerSettings { lease_over_ms: 9_500, takeover_lease_over_ms: 13_500 };
+/// The time of day at which tests begin.
+const BEGIN_WALL_MS: u64 = 1_700_000_000_000;
+const SERVICE: &str = "moulding";
+
+fn resources(cores_milli: u32, memory_mb: u32, accelerators: u32) -> Resources {
+    Resources { cores_milli, memory_mb, accelerators }
+}
+
+/// A worker of the two users: 32 cores, 128 GB, 8 accelerators.
+fn worker_room() -> Resources {
+    resources(32_000, 131_072, 8)
+}
+
+fn step(tasks: u32, accelerators: u32) -> StepSpec {
+    StepSpec {
+        tasks,
+        need: resources(2_000, 8_000, accelerators),
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    }
+}
+
+fn gang(tasks: u32, accelerators: u32) -> StepSpec {
+    StepSpec { gang: true, ..step(tasks, accelerators) }
+}
+
+fn job(priority: u8, steps: Vec<StepSpec>) -> JobRecord {
+    JobRecord {
+        queue: format!("queue-{priority}"),
+        organisation: OrganisationId::from("org-a"),
+        service: SERVICE.to_owned(),
+        priority,
+        attempts: 3,
+        accepted_ms: BEGIN_WALL_MS,
+        spec: WorkflowSpec { payload: "payload".to_owned(), steps, schedule: None },
+    }
+}
+
+fn guarantees(guaranteed: &[(&str, u32)]) -> Directives {
+    let organisation = |(name, accelerators): &(&str, u32)| Organisation {
+        name: OrganisationId::from(*name),
+        keys: Vec::new(),
+        guaranteed_accelerators: *accelerators,
+    };
+    let rules = Rules {
+        version: 1,
+        organisations: guaranteed.iter().map(organisation).collect(),
+        ..Rules::default()
+    };
+    Directives { as_of: 1, rules: Some(Arc::new(rules)), ..Directives::default() }
+}
--- a/src/process/log_output.rs
+++ b/src/process/log_output.rs
@@ -88,7 +88,9 @@
         line.push(b'\n');
         let left_out = budget.take_left_out();
         if left_out > 0 {
-            let note = format!("{{\"level\":\"WARN\",\"text\":\"log lines left out\",\"kv\":{{\"lines\":{left_out}}}}}\n");
+            let note = format!(
+                "{{\"level\":\"WARN\",\"text\":\"log lines left out\",\"kv\":{{\"lines\":{left_out}}}}}\n"
+            );
             line.extend_from_slice(note.as_bytes());
         }
         if line.len() > MAX_LINE_BYTES || !self.write_line(&line) {
--- a/src/succession/mod.rs
+++ b/src/succession/mod.rs
@@ -241,7 +241,9 @@
             Part::Leader => {
                 let silent = self.store_age_ms(now_ms) >= self.settings.store_silence_ms;
                 if silent && self.store_answered_another() {
-                    return Step::StepDown("the store does not answer here, and answers another front");
+                    return Step::StepDown(
+                        "the store does not answer here, and answers another front",
+                    );
                 }
                 Step::Stay
             }
