Keep urgent gangs in one rack, and give up runs that stand still

Change: an urgent step first looks for room, then for room after stops, then evicts, within one rack and near its data, and only then elsewhere. A run without progress for 1.5 s is started anew elsewhere, at most three times a task. Workers whose runs take 2.6 times as long as those of the same queue come last. The log says what a queued job needs.

--- a/src/planner/end.rs
+++ b/src/planner/end.rs
@@ -14,13 +14,7 @@
 const LONGEST_REST_MS: u64 = 15_000;
 
 impl Planner {
-    pub(super) fn keep_checkpoint(
-        &mut self,
-        now: Now,
-        task: &TaskId,
-        run: u32,
-        checkpoint: Option<&str>,
-    ) {
+    pub(super) fn keep_checkpoint(&mut self, task: &TaskId, run: u32, checkpoint: Option<&str>) {
         let Some(checkpoint) = checkpoint.filter(|value| !value.is_empty()) else {
             return;
         };
@@ -34,12 +28,8 @@
         }
         // The checkpoint of any member is that of its gang.
         for member in job.members(task) {
-            let Some(state) = job.task_mut(&member) else {
-                continue;
-            };
-            state.record.checkpoint = Some(checkpoint.to_owned());
-            if let Some(placement) = state.placement.as_mut() {
-                placement.checkpoint_ms = Some(now.steady_ms);
+            if let Some(state) = job.task_mut(&member) {
+                state.record.checkpoint = Some(checkpoint.to_owned());
             }
         }
     }
@@ -57,7 +47,7 @@
         if self.placement_of(task).is_none_or(|placed| placed != (life.clone(), run)) {
             return;
         }
-        self.keep_checkpoint(now, task, run, checkpoint);
+        self.keep_checkpoint(task, run, checkpoint);
         out.push(Output::Decision {
             job: task.job.clone(),
             run: Some((task.clone(), run)),
--- a/src/planner/evict.rs
+++ b/src/planner/evict.rs
@@ -5,6 +5,7 @@
 use super::Planner;
 use super::message::Now;
 use super::pool::{Allocation, Candidate, Horizon, Wanted};
+use super::scope::Scope;
 use super::state::Job;
 use crate::prelude::*;
 use crate::workflow::{Resources, TaskId};
@@ -105,51 +106,33 @@
 /// Chooses victims of low cost until the step fits. Returns the allocation and the indices of the victims.
 pub(super) fn choose(
     wanted: &Wanted<'_>,
+    scope: &Scope,
     pool: &[Candidate],
     victims: &[Victim],
 ) -> Option<(Allocation, Vec<usize>)> {
-    let racks: BTreeSet<&RackId> = pool.iter().filter_map(|one| one.rack.as_ref()).collect();
-    let mut best: Option<(u64, Allocation, Vec<usize>)> = None;
-    if wanted.step.same_rack {
-        for rack in racks {
-            let is_here = |one: &Candidate| one.rack.as_ref() == Some(rack);
-            best = cheaper(best, choose_among(wanted, pool, victims, is_here));
-        }
-    }
-    if best.is_none() {
-        best = choose_among(wanted, pool, victims, |_| true);
-    }
+    let sets = scope.candidate_sets(wanted, pool);
+    let choices = sets.iter().filter_map(|set| choose_among(wanted, pool, victims, set));
+    let best = choices.min_by_key(|(cost, ..)| *cost);
     best.map(|(_, allocation, chosen)| (allocation, chosen))
 }
 
-type Choice = Option<(u64, Allocation, Vec<usize>)>;
-
-fn cheaper(one: Choice, other: Choice) -> Choice {
-    match (one, other) {
-        (Some(one), Some(other)) if other.0 < one.0 => Some(other),
-        (Some(one), _) => Some(one),
-        (None, other) => other,
-    }
-}
-
-fn choose_among<F>(
+fn choose_among(
     wanted: &Wanted<'_>,
     pool: &[Candidate],
     victims: &[Victim],
-    allowed: F,
-) -> Choice
-where
-    F: Fn(&Candidate) -> bool,
-{
+    set: &[usize],
+) -> Option<(u64, Allocation, Vec<usize>)> {
+    let lives: Vec<_> = set.iter().map(|index| &pool[*index].life).collect();
+    let allowed = |one: &Candidate| lives.contains(&&one.life);
     let mut scratch = pool.to_vec();
     let mut chosen: Vec<usize> = Vec::new();
     let mut cost = 0;
     loop {
-        let allocation = wanted.allocate(&scratch, Horizon::AfterStops, &allowed);
+        let allocation = wanted.allocate(&scratch, Horizon::AfterStops, allowed);
         if wanted.is_whole(&allocation) {
             return Some((cost, allocation, chosen));
         }
-        let (more_cost, more) = cheapest_step(wanted, &scratch, victims, &chosen, &allowed)?;
+        let (more_cost, more) = cheapest_step(wanted, &scratch, victims, &chosen, allowed)?;
         for victim in &more {
             release(&mut scratch, &victims[*victim]);
         }
@@ -158,7 +141,8 @@
     }
 }
 
-fn release(pool: &mut [Candidate], victim: &Victim) {
+/// Counts what a victim uses as free soon.
+pub(super) fn release(pool: &mut [Candidate], victim: &Victim) {
     for (worker, resources) in &victim.released {
         if let Some(candidate) = pool.iter_mut().find(|one| one.life.worker == *worker) {
             candidate.soon = candidate.soon.plus(resources);
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -6,9 +6,11 @@
 mod end;
 mod evict;
 mod message;
+mod pace;
 mod place;
 mod pool;
 mod report;
+mod scope;
 mod state;
 #[cfg(test)]
 mod tests;
@@ -24,7 +26,7 @@
 
 use crate::prelude::*;
 use crate::rules::Directives;
-use crate::workflow::{JobRecord, JobResult, OccurrenceRecord, TaskId, TaskPhase};
+use crate::workflow::{JobRecord, JobResult, OccurrenceRecord, StepSpec, TaskId, TaskPhase};
 use state::{Job, Occurrence, Placement, StartPhase, Task, Worker};
 
 /// The most records in one batch, so that it stays below the platform's limit of 100 entries a transaction.
@@ -32,6 +34,8 @@
 /// How long the state of a job is kept after its end; clients may ask for 120 s.
 const KEEP_ENDED_MS: u64 = 150_000;
 
+/// The steps of a job that the log describes, to bound its lines.
+const MAX_DESCRIBED_STEPS: usize = 6;
 /// How long a new leader stops nothing for urgent jobs: until then it may not have heard of workers that are free.
 const SETTLE_MS: u64 = 800;
 
@@ -59,6 +63,8 @@
     next_order: u64,
     /// When the workers have had time to report to this leader.
     settled_ms: u64,
+    /// How long tasks of each queue usually run.
+    typical_ms: BTreeMap<String, f64>,
 }
 
 impl Planner {
@@ -66,6 +72,7 @@
     pub fn new(now: Now, settings: PlannerSettings, directives: Directives) -> Self {
         Self {
             settled_ms: now.steady_ms + SETTLE_MS,
+            typical_ms: BTreeMap::new(),
             settings,
             directives,
             jobs: BTreeMap::new(),
@@ -154,7 +161,9 @@
                 }
             }
             Input::Runs(report) => self.runs_reported(now, report, &mut out),
-            Input::Started { life, task, run } => self.run_started(life, task, *run, &mut out),
+            Input::Started { life, task, run } => {
+                self.run_started(now, life, (task, *run), &mut out)
+            }
             Input::Refused { life, task, run, refusal } => {
                 self.run_refused(now, life, (task, *run), *refusal, &mut out);
             }
@@ -179,7 +188,12 @@
             job: job.clone(),
             run: None,
             what: Decision::Queued,
-            because: format!("priority {}, jobs known {}", record.priority, self.jobs.len()),
+            because: format!(
+                "priority {}, jobs known {}, {}",
+                record.priority,
+                self.jobs.len(),
+                describe(record)
+            ),
         });
         self.jobs.insert(job.clone(), state);
     }
@@ -298,13 +312,47 @@
             stopping_ms: None,
             percent: 0,
             progress_ms: now.steady_ms,
-            checkpoint_ms: None,
+            started_ms: now.steady_ms,
+            checkpoint_at_start: record.checkpoint.clone(),
         }),
         TaskPhase::Waiting | TaskPhase::Done => None,
     };
     Task { record, placement, ..Task::default() }
 }
 
+/// Says what a job needs, for the log.
+fn describe(record: &JobRecord) -> String {
+    let step = |step: &StepSpec| {
+        let mut text = format!(
+            "{} tasks of {} millicores, {} MB, {} accelerators, about {} ms",
+            step.tasks,
+            step.need.cores_milli,
+            step.need.memory_mb,
+            step.need.accelerators,
+            step.estimate_ms
+        );
+        for (is_so, what) in [
+            (step.gang, "gang"),
+            (step.same_rack, "same rack"),
+            (step.data_rack.is_some(), "data in a rack"),
+            (step.checkpointable, "checkpointable"),
+            (step.speculative, "speculative"),
+        ] {
+            if is_so {
+                text.push_str(", ");
+                text.push_str(what);
+            }
+        }
+        text
+    };
+    let mut texts: Vec<String> =
+        record.spec.steps.iter().take(MAX_DESCRIBED_STEPS).map(step).collect();
+    if let Some(schedule) = record.spec.schedule {
+        texts.push(format!("{} times each {} ms", schedule.occurrences, schedule.interval_ms));
+    }
+    texts.join("; ")
+}
+
 /// Marks what an earlier leader was stopping: runs of a job that is over, and what is left of a broken gang.
 fn stop_remnants(job: &mut Job) {
     let is_over = job.result.is_some();
--- /dev/null
+++ b/src/planner/pace.rs
@@ -0,0 +1,167 @@
+//! Finds runs that stand still and workers that are slow, by the progress that workers report.
+
+use serde::{Deserialize, Serialize};
+
+use super::Planner;
+use super::message::{Now, Output};
+use super::state::{Placement, StartPhase};
+use crate::workflow::{Life, TaskId};
+
+/// A run without progress for this time stands still. The longest tasks take 11 s; even at a seventh of the usual speed
+/// they make a percent in 0.8 s.
+const STALL_MS: u64 = 1_500;
+/// How often a task is stopped for standing still. One that does so everywhere is left to its worker.
+const MAX_STALLS: u32 = 3;
+/// How long a worker rests on which a run stood still.
+const REST_AFTER_STALL_MS: u64 = 5_000;
+/// The least progress from which the duration of a run is projected.
+const LEAST_PERCENT: u8 = 5;
+/// The least time from which the duration of a run is projected.
+const LEAST_ELAPSED_MS: u64 = 600;
+/// The weight of a new observation in the averages.
+const WEIGHT: f64 = 0.3;
+/// A worker counts as slow if its runs take this many times as long as those of the same queue elsewhere. The speeds of
+/// healthy workers differ by up to 1.6, and the tasks of a queue by about as much.
+const SLOW_FACTOR: f64 = 2.6;
+/// An observation of a worker is forgotten after this time, so that one that was slow gets work again.
+const FORGET_MS: u64 = 8_000;
+/// A run on a slow worker is started anew elsewhere if the rest of it would take this many times as long as a whole run.
+const MOVE_FACTOR: f64 = 1.5;
+
+/// How the speed of a worker compares with others, as the logarithm of a ratio of durations.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub(super) struct Slowness {
+    log_ratio: f64,
+    seen_ms: u64,
+}
+
+impl Slowness {
+    fn observe(&mut self, now_ms: u64, log_ratio: f64) {
+        let is_fresh = self.seen_ms > 0 && now_ms < self.seen_ms + FORGET_MS;
+        self.log_ratio = match is_fresh {
+            true => self.log_ratio * (1.0 - WEIGHT) + log_ratio * WEIGHT,
+            false => log_ratio,
+        };
+        self.seen_ms = now_ms;
+    }
+
+    /// Returns whether the worker is slow.
+    pub fn is_slow(&self, now_ms: u64) -> bool {
+        self.seen_ms > 0 && now_ms < self.seen_ms + FORGET_MS && self.log_ratio > SLOW_FACTOR.ln()
+    }
+}
+
+/// Projects the duration of a run from its progress.
+fn projected_ms(now: Now, placement: &Placement) -> Option<f64> {
+    let elapsed_ms = now.steady_ms.saturating_sub(placement.started_ms);
+    if placement.percent < LEAST_PERCENT || elapsed_ms < LEAST_ELAPSED_MS {
+        return None;
+    }
+    Some(elapsed_ms as f64 * 100.0 / f64::from(placement.percent))
+}
+
+impl Planner {
+    /// Compares the runs of a worker with others of their queues, and stops what stands still or is too slow.
+    pub(super) fn check_pace(&mut self, now: Now, life: &Life, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get(&life.worker) else {
+            return;
+        };
+        for task in worker.placed.clone() {
+            self.learn_pace(now, life, &task);
+            if let Some(because) = self.too_slow(now, life, &task) {
+                self.give_up_run(now, life, &task, &because, out);
+            }
+        }
+    }
+
+    /// Learns from runs whose speed depends on their worker alone.
+    fn learn_pace(&mut self, now: Now, life: &Life, task: &TaskId) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let step = job.step(task.step.into());
+        let placement = job.task(task).and_then(|state| state.placement.as_ref());
+        let Some(placement) = placement.filter(|one| one.checkpoint_at_start.is_none()) else {
+            return;
+        };
+        if step.gang || step.data_rack.is_some() || step.long_running {
+            return;
+        }
+        let Some(projected_ms) = projected_ms(now, placement) else {
+            return;
+        };
+        let typical = self.typical_ms.entry(job.record.queue.clone()).or_insert(projected_ms);
+        let log_ratio = (projected_ms / *typical).ln();
+        *typical *= (log_ratio * WEIGHT / 10.0).exp();
+        if let Some(worker) = self.workers.get_mut(&life.worker) {
+            worker.slowness.observe(now.steady_ms, log_ratio);
+        }
+    }
+
+    /// Returns why a run should be started anew elsewhere, if it should.
+    fn too_slow(&self, now: Now, life: &Life, task: &TaskId) -> Option<String> {
+        let job = self.jobs.get(&task.job)?;
+        let step = job.step(task.step.into());
+        let state = job.task(task)?;
+        let placement = state.placement.as_ref()?;
+        let is_working = placement.phase == StartPhase::Running
+            && placement.stopping_ms.is_none()
+            && !state.is_done();
+        if !is_working
+            || step.long_running
+            || placement.percent >= 100
+            || state.stalls >= MAX_STALLS
+        {
+            return None;
+        }
+        let members = job.members(task);
+        let placements =
+            || members.iter().map(|member| job.task(member).and_then(|one| one.placement.as_ref()));
+        let all_work =
+            placements().all(|one| one.is_some_and(|one| one.phase == StartPhase::Running));
+        if !all_work {
+            return None;
+        }
+        let began_ms = placements().flatten().map(|one| one.started_ms).max()?;
+        let still_ms = now.steady_ms.saturating_sub(placement.progress_ms.max(began_ms));
+        if still_ms >= STALL_MS {
+            return Some(format!("no progress for {still_ms} ms at {} %", placement.percent));
+        }
+        let worker = self.workers.get(&life.worker)?;
+        if !worker.slowness.is_slow(now.steady_ms) || step.gang {
+            return None;
+        }
+        let may_move = job.record.priority == 0 || step.checkpointable;
+        let left_ms = projected_ms(now, placement)? * f64::from(100 - placement.percent) / 100.0;
+        let typical_ms = *self.typical_ms.get(&job.record.queue)?;
+        (may_move && left_ms > typical_ms * MOVE_FACTOR + STALL_MS as f64)
+            .then(|| format!("{left_ms:.0} ms left on a slow worker, {typical_ms:.0} ms are usual"))
+    }
+
+    fn give_up_run(
+        &mut self,
+        now: Now,
+        life: &Life,
+        task: &TaskId,
+        because: &str,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let members = job.members(task);
+        for member in &members {
+            if let Some(state) = job.task_mut(member) {
+                state.stalls += 1;
+                state.avoid = Some(life.worker.clone());
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(&life.worker) {
+            worker.resting_until_ms =
+                worker.resting_until_ms.max(now.steady_ms + REST_AFTER_STALL_MS);
+        }
+        for member in members {
+            self.stop_run(now, &member, because, out);
+        }
+    }
+}
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -1,19 +1,20 @@
 //! Chooses workers for the tasks that are ready.
 
 use super::Planner;
-use super::evict::Victim;
 use super::message::{Decision, Now, Output, StartOrder};
 use super::pool::{Allocation, Candidate, Horizon, Wanted};
+use super::scope::Scope;
 use super::state::{Job, Occurrence, Placement, StartPhase, Task};
 use crate::prelude::*;
 use crate::workflow::{TaskId, TaskPhase};
 
 /// How long tasks of ordinary priority wait for the rack that holds their data.
 const DATA_RACK_WAIT_MS: u64 = 3_000;
-/// How long a gang of ordinary priority waits for room in one rack.
-const SAME_RACK_WAIT_MS: u64 = 8_000;
-/// How long urgent tasks wait for the rack that holds their data.
-const URGENT_WAIT_MS: u64 = 300;
+/// How long tasks of ordinary priority wait for room in one rack, as a multiple of their estimated run time. Spread over
+/// racks they take three times as long, so waiting for twice their run time costs as much.
+const SAME_RACK_WAIT_FACTOR: u64 = 2;
+/// The shortest and the longest such wait, since estimates are far off.
+const SAME_RACK_WAIT_MS: std::ops::RangeInclusive<u64> = 3_000..=15_000;
 /// The priority that may take room from others.
 const URGENT: u8 = 0;
 
@@ -120,68 +121,82 @@
             .ready_ms
             .get(&ready.step)
             .map_or(0, |ready_ms| now.steady_ms.saturating_sub(*ready_ms));
-        let is_urgent = ready.priority == URGENT;
-        let may_leave_rack = is_urgent || waited_ms >= SAME_RACK_WAIT_MS;
-        let may_leave_data =
-            waited_ms >= if is_urgent { URGENT_WAIT_MS } else { DATA_RACK_WAIT_MS };
-        let home = wanted.step.same_rack.then(|| rack_of_step(self, job, ready)).flatten();
-        let search = Search { wanted: &wanted, pool, may_leave_rack, may_leave_data, home };
-        if let Some(allocation) = search.find(Horizon::Now) {
-            let is_whole = wanted.is_whole(&allocation);
-            let names = named(&allocation, pool);
-            let need = wanted.step.need;
-            for (index, tasks) in &allocation {
-                pool[*index].take(&need, *tasks);
-            }
-            self.start_tasks(now, ready, names, waited_ms, out);
-            if is_whole || !is_urgent {
-                return is_whole;
-            }
-            return self.place_step(now, ready, pool, out);
+        if ready.priority == URGENT {
+            return self.place_urgent_step(now, ready, pool, waited_ms, out);
         }
-        if !is_urgent {
+        let rack_wait_ms = (wanted.step.estimate_ms * SAME_RACK_WAIT_FACTOR)
+            .clamp(*SAME_RACK_WAIT_MS.start(), *SAME_RACK_WAIT_MS.end());
+        let scope = Scope {
+            may_leave_rack: waited_ms >= rack_wait_ms,
+            may_leave_data: waited_ms >= DATA_RACK_WAIT_MS,
+            home: rack_of_step(self, job, ready),
+        };
+        let Some(allocation) = scope.find(&wanted, pool, Horizon::Now) else {
             return false;
-        }
-        if let Some(allocation) = search.find(Horizon::AfterStops) {
-            let need = wanted.step.need;
-            for (index, tasks) in &allocation {
-                pool[*index].hold_back(&need, *tasks);
+        };
+        let is_whole = wanted.is_whole(&allocation);
+        self.start_tasks(now, ready, pool, &allocation, waited_ms, out);
+        is_whole
+    }
+
+    /// Places a step that may stop others. It is kept in one rack and near its data if stopping others makes that
+    /// possible, since it is slow elsewhere.
+    fn place_urgent_step(
+        &mut self,
+        now: Now,
+        ready: &ReadyStep,
+        pool: &mut [Candidate],
+        waited_ms: u64,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        for may_leave in [false, true] {
+            let job = &self.jobs[&ready.job];
+            let wanted = wanted(job, ready, pool);
+            let home = rack_of_step(self, job, ready);
+            let scope = Scope { may_leave_rack: may_leave, may_leave_data: may_leave, home };
+            if let Some(allocation) = scope.find(&wanted, pool, Horizon::Now) {
+                let is_whole = wanted.is_whole(&allocation);
+                self.start_tasks(now, ready, pool, &allocation, waited_ms, out);
+                return is_whole || self.place_urgent_step(now, ready, pool, waited_ms, out);
+            }
+            if let Some(allocation) = scope.find(&wanted, pool, Horizon::AfterStops) {
+                hold_back(pool, &wanted, &allocation);
+                return true;
+            }
+            let has_settled = now.steady_ms >= self.settled_ms;
+            if has_settled && self.evict_for(now, ready, &scope, pool, out) {
+                return true;
             }
-            return true;
         }
-        now.steady_ms >= self.settled_ms && self.evict_for(now, ready, pool, out)
+        false
     }
 
     fn evict_for(
         &mut self,
         now: Now,
         ready: &ReadyStep,
+        scope: &Scope,
         pool: &mut [Candidate],
         out: &mut Vec<Output>,
     ) -> bool {
         let job = &self.jobs[&ready.job];
         let wanted = wanted(job, ready, pool);
         let victims = self.victims(now, job, !ready.exceeds_guarantee);
-        let Some((allocation, chosen)) = super::evict::choose(&wanted, pool, &victims) else {
+        let Some((allocation, chosen)) = super::evict::choose(&wanted, scope, pool, &victims)
+        else {
             return false;
         };
-        let need = wanted.step.need;
+        for victim in &chosen {
+            super::evict::release(pool, &victims[*victim]);
+        }
+        hold_back(pool, &wanted, &allocation);
         let because = format!("room for urgent job {}", ready.job);
         for victim in chosen {
-            let Victim { task, released, .. } = &victims[victim];
-            for (worker, resources) in released {
-                if let Some(candidate) = pool.iter_mut().find(|one| one.life.worker == *worker) {
-                    candidate.soon = candidate.soon.plus(resources);
-                }
-            }
-            let members = self.jobs[&task.job].members(task);
-            for member in members {
+            let task = &victims[victim].task;
+            for member in self.jobs[&task.job].members(task) {
                 self.stop_run(now, &member, &because, out);
             }
         }
-        for (index, tasks) in &allocation {
-            pool[*index].hold_back(&need, *tasks);
-        }
         true
     }
 
@@ -192,16 +207,16 @@
         if !wanted.step.gang {
             return false;
         }
-        let mut order: Vec<usize> = (0..pool.len())
-            .filter(|index| wanted.fits(*index, &pool[*index], Horizon::Empty) > 0)
-            .collect();
-        order.sort_by_key(|index| std::cmp::Reverse(pool[*index].soon.accelerators));
-        let mut left = wanted.tasks;
-        for index in order {
-            if left == 0 {
-                break;
-            }
-            left = left.saturating_sub(wanted.fits(index, &pool[index], Horizon::Empty));
+        let free = |allocation: &Allocation| -> u32 {
+            allocation.iter().map(|(index, _)| pool[*index].soon.accelerators).sum()
+        };
+        let scope = Scope { may_leave_rack: false, may_leave_data: true, home: None };
+        // The rack that needs the least more room is free first.
+        let allocations = scope.whole_allocations(&wanted, pool, Horizon::Empty);
+        let Some(allocation) = allocations.into_iter().max_by_key(free) else {
+            return false;
+        };
+        for (index, _) in allocation {
             pool[index].reserved = true;
         }
         true
@@ -211,10 +226,17 @@
         &mut self,
         now: Now,
         ready: &ReadyStep,
-        places: Vec<(crate::workflow::Life, u32)>,
+        pool: &mut [Candidate],
+        allocation: &Allocation,
         waited_ms: u64,
         out: &mut Vec<Output>,
     ) {
+        let need = self.jobs[&ready.job].step(ready.step).need;
+        let mut places = Vec::new();
+        for (index, tasks) in allocation {
+            pool[*index].take(&need, *tasks);
+            places.push((pool[*index].life.clone(), *tasks));
+        }
         let Some(job) = self.jobs.get_mut(&ready.job) else {
             return;
         };
@@ -247,7 +269,8 @@
                     stopping_ms: None,
                     percent: 0,
                     progress_ms: now.steady_ms,
-                    checkpoint_ms: None,
+                    started_ms: now.steady_ms,
+                    checkpoint_at_start: state.record.checkpoint.clone(),
                 });
                 let task = TaskId {
                     job: ready.job.clone(),
@@ -298,8 +321,10 @@
     tasks.iter().all(Task::is_done)
 }
 
-fn named(allocation: &Allocation, pool: &[Candidate]) -> Vec<(crate::workflow::Life, u32)> {
-    allocation.iter().map(|(index, tasks)| (pool[*index].life.clone(), *tasks)).collect()
+fn hold_back(pool: &mut [Candidate], wanted: &Wanted<'_>, allocation: &Allocation) {
+    for (index, tasks) in allocation {
+        pool[*index].hold_back(&wanted.step.need, *tasks);
+    }
 }
 
 /// Returns what a step needs.
@@ -331,81 +356,3 @@
     let placement = tasks.iter().find_map(|task| task.placement.as_ref())?;
     planner.workers.get(&placement.life.worker)?.report.as_ref()?.rack.clone()
 }
-
-/// A search for room for one step.
-struct Search<'a> {
-    wanted: &'a Wanted<'a>,
-    pool: &'a [Candidate],
-    may_leave_rack: bool,
-    may_leave_data: bool,
-    home: Option<RackId>,
-}
-
-impl Search<'_> {
-    /// Finds room for all tasks of a gang, or for any task of another step.
-    fn find(&self, horizon: Horizon) -> Option<Allocation> {
-        let wanted = self.wanted;
-        if wanted.step.same_rack {
-            if let Some(allocation) = self.find_in_one_rack(horizon) {
-                return Some(allocation);
-            }
-            if !self.may_leave_rack && self.some_rack_is_large_enough() {
-                return None;
-            }
-        }
-        if let Some(rack) = &wanted.step.data_rack {
-            let near = |one: &Candidate| one.rack.as_ref().is_some_and(|own| own.as_str() == rack);
-            let allocation = wanted.allocate(self.pool, horizon, near);
-            if self.is_enough(&allocation) {
-                return Some(allocation);
-            }
-            let rack_has_room = !wanted.allocate(self.pool, Horizon::Empty, near).is_empty();
-            if !self.may_leave_data && rack_has_room {
-                return None;
-            }
-        }
-        let allocation = wanted.allocate(self.pool, horizon, |_| true);
-        self.is_enough(&allocation).then_some(allocation)
-    }
-
-    fn is_enough(&self, allocation: &Allocation) -> bool {
-        match self.wanted.step.gang {
-            true => self.wanted.is_whole(allocation),
-            false => !allocation.is_empty(),
-        }
-    }
-
-    fn racks(&self) -> Vec<&RackId> {
-        let mut racks: Vec<&RackId> =
-            self.pool.iter().filter_map(|one| one.rack.as_ref()).collect();
-        racks.sort();
-        racks.dedup();
-        racks
-    }
-
-    /// Finds the rack that holds the data or, among those with room for all tasks, has the least left.
-    fn find_in_one_rack(&self, horizon: Horizon) -> Option<Allocation> {
-        let data_rack = self.wanted.step.data_rack.as_deref();
-        self.racks()
-            .into_iter()
-            .filter(|rack| self.home.as_ref().is_none_or(|home| home == *rack))
-            .map(|rack| {
-                let is_here = |one: &Candidate| one.rack.as_ref() == Some(rack);
-                (rack, self.wanted.allocate(self.pool, horizon, is_here))
-            })
-            .filter(|(_, allocation)| self.wanted.is_whole(allocation))
-            .min_by_key(|(rack, allocation)| {
-                let free: u32 =
-                    allocation.iter().map(|(index, _)| self.pool[*index].soon.accelerators).sum();
-                (data_rack.is_some_and(|data| data != rack.as_str()), free)
-            })
-            .map(|(_, allocation)| allocation)
-    }
-
-    fn some_rack_is_large_enough(&self) -> bool {
-        self.racks().into_iter().any(|rack| {
-            let is_here = |one: &Candidate| one.rack.as_ref() == Some(rack);
-            self.wanted.is_whole(&self.wanted.allocate(self.pool, Horizon::Empty, is_here))
-        })
-    }
-}
--- a/src/planner/pool.rs
+++ b/src/planner/pool.rs
@@ -20,7 +20,8 @@
     pub soon: Resources,
     /// Jobs of lower priority get nothing here, so that a large gang finds room.
     pub reserved: bool,
-    pub failed_jobs: usize,
+    /// Runs failed here lately, or are slow.
+    pub is_doubtful: bool,
 }
 
 /// Where to look for room.
@@ -91,7 +92,8 @@
         candidate.room_at(horizon).times(&self.step.need).min(limit).min(self.tasks)
     }
 
-    fn is_near_data(&self, candidate: &Candidate) -> bool {
+    /// Returns whether a candidate is in the rack that holds the data, if any does.
+    pub fn is_near_data(&self, candidate: &Candidate) -> bool {
         self.step
             .data_rack
             .as_deref()
@@ -118,7 +120,7 @@
             let room = candidate.room_at(horizon);
             (
                 !self.is_near_data(candidate),
-                is_avoided || candidate.failed_jobs > 0,
+                is_avoided || candidate.is_doubtful,
                 too_small && self.step.gang,
                 room.accelerators,
                 room.cores_milli,
@@ -180,7 +182,8 @@
                 free,
                 soon: free.plus(&stopping),
                 reserved: false,
-                failed_jobs: worker.failed_jobs.len(),
+                is_doubtful: !worker.failed_jobs.is_empty()
+                    || worker.slowness.is_slow(now.steady_ms),
             });
         }
         pool
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -80,6 +80,7 @@
         self.take_ends(now, report, out);
         self.take_running(now, report, out);
         self.check_missing(now, report, out);
+        self.check_pace(now, &report.life, out);
     }
 
     fn take_ends(&mut self, now: Now, report: &RunsReport, out: &mut Vec<Output>) {
@@ -102,7 +103,7 @@
     fn take_running(&mut self, now: Now, report: &RunsReport, out: &mut Vec<Output>) {
         for entry in &report.running {
             let checkpoint = entry.checkpoint.as_deref().filter(|value| !value.is_empty());
-            self.keep_checkpoint(now, &entry.task, entry.run, checkpoint);
+            self.keep_checkpoint(&entry.task, entry.run, checkpoint);
             let Some(placement) = self
                 .placement_mut(&entry.task, entry.run)
                 .filter(|placement| placement.life == report.life)
@@ -114,6 +115,9 @@
                 (placement.percent, placement.progress_ms) = (entry.percent, now.steady_ms);
             }
             let is_new = placement.phase != StartPhase::Running;
+            if is_new {
+                (placement.started_ms, placement.progress_ms) = (now.steady_ms, now.steady_ms);
+            }
             placement.phase = StartPhase::Running;
             let repeat_stop = placement
                 .stopping_ms
@@ -213,13 +217,16 @@
 
     pub(super) fn run_started(
         &mut self,
+        now: Now,
         life: &Life,
-        task: &TaskId,
-        run: u32,
+        (task, run): (&TaskId, u32),
         out: &mut Vec<Output>,
     ) {
         let placement = self.placement_mut(task, run).filter(|placement| placement.life == *life);
         if let Some(placement) = placement {
+            if placement.phase != StartPhase::Running {
+                (placement.started_ms, placement.progress_ms) = (now.steady_ms, now.steady_ms);
+            }
             placement.phase = StartPhase::Running;
             self.mark_started(&task.job, out);
         }
--- /dev/null
+++ b/src/planner/scope.rs
@@ -0,0 +1,123 @@
+//! Where the tasks of a step may run together: in one rack, near their data, or anywhere.
+
+use super::pool::{Allocation, Candidate, Horizon, Wanted};
+use crate::prelude::*;
+
+/// The limits of a search for room.
+#[derive(Clone, Debug)]
+pub(super) struct Scope {
+    /// Tasks that belong in one rack may be spread, even if a rack is large enough.
+    pub may_leave_rack: bool,
+    /// Tasks may run far from their data, even if its rack is large enough.
+    pub may_leave_data: bool,
+    /// The rack where tasks of the step run already.
+    pub home: Option<RackId>,
+}
+
+impl Scope {
+    /// Finds room for all tasks of a gang, or for any task of another step.
+    pub fn find(
+        &self,
+        wanted: &Wanted<'_>,
+        pool: &[Candidate],
+        horizon: Horizon,
+    ) -> Option<Allocation> {
+        if wanted.step.same_rack {
+            if let Some(allocation) = self.find_rack(wanted, pool, horizon) {
+                return Some(allocation);
+            }
+            if self.stays_in_rack(wanted, pool) {
+                return None;
+            }
+        }
+        if wanted.step.data_rack.is_some() {
+            let near = |one: &Candidate| wanted.is_near_data(one);
+            let allocation = wanted.allocate(pool, horizon, near);
+            if is_enough(wanted, &allocation) {
+                return Some(allocation);
+            }
+            if self.stays_near_data(wanted, pool) {
+                return None;
+            }
+        }
+        let allocation = wanted.allocate(pool, horizon, |_| true);
+        is_enough(wanted, &allocation).then_some(allocation)
+    }
+
+    /// Returns the sets of candidates among which a step has to find room: each rack, the rack of its data, or all.
+    pub fn candidate_sets(&self, wanted: &Wanted<'_>, pool: &[Candidate]) -> Vec<Vec<usize>> {
+        let indices = |keep: &dyn Fn(&Candidate) -> bool| -> Vec<usize> {
+            (0..pool.len()).filter(|index| keep(&pool[*index])).collect()
+        };
+        if wanted.step.same_rack && self.stays_in_rack(wanted, pool) {
+            let racks = self.racks(pool).into_iter();
+            return racks.map(|rack| indices(&|one| one.rack.as_ref() == Some(rack))).collect();
+        }
+        if wanted.step.data_rack.is_some() && self.stays_near_data(wanted, pool) {
+            return vec![indices(&|one| wanted.is_near_data(one))];
+        }
+        vec![indices(&|_| true)]
+    }
+
+    /// Returns an allocation of all tasks for each set of candidates that has room.
+    pub fn whole_allocations(
+        &self,
+        wanted: &Wanted<'_>,
+        pool: &[Candidate],
+        horizon: Horizon,
+    ) -> Vec<Allocation> {
+        let sets = self.candidate_sets(wanted, pool);
+        let allocate = |set: &Vec<usize>| {
+            let lives: Vec<_> = set.iter().map(|index| &pool[*index].life).collect();
+            wanted.allocate(pool, horizon, |one| lives.contains(&&one.life))
+        };
+        sets.iter().map(allocate).filter(|allocation| wanted.is_whole(allocation)).collect()
+    }
+
+    fn stays_in_rack(&self, wanted: &Wanted<'_>, pool: &[Candidate]) -> bool {
+        !self.may_leave_rack && self.find_rack(wanted, pool, Horizon::Empty).is_some()
+    }
+
+    fn stays_near_data(&self, wanted: &Wanted<'_>, pool: &[Candidate]) -> bool {
+        let near = |one: &Candidate| wanted.is_near_data(one);
+        !self.may_leave_data && !wanted.allocate(pool, Horizon::Empty, near).is_empty()
+    }
+
+    fn racks<'a>(&self, pool: &'a [Candidate]) -> Vec<&'a RackId> {
+        let mut racks: Vec<&RackId> = pool.iter().filter_map(|one| one.rack.as_ref()).collect();
+        racks.sort();
+        racks.dedup();
+        racks.retain(|rack| self.home.as_ref().is_none_or(|home| home == *rack));
+        racks
+    }
+
+    /// Finds the rack that holds the data or, among those with room for all tasks, has the least left.
+    fn find_rack(
+        &self,
+        wanted: &Wanted<'_>,
+        pool: &[Candidate],
+        horizon: Horizon,
+    ) -> Option<Allocation> {
+        let data_rack = wanted.step.data_rack.as_deref();
+        self.racks(pool)
+            .into_iter()
+            .map(|rack| {
+                let is_here = |one: &Candidate| one.rack.as_ref() == Some(rack);
+                (rack, wanted.allocate(pool, horizon, is_here))
+            })
+            .filter(|(_, allocation)| wanted.is_whole(allocation))
+            .min_by_key(|(rack, allocation)| {
+                let free: u32 =
+                    allocation.iter().map(|(index, _)| pool[*index].soon.accelerators).sum();
+                (data_rack.is_some_and(|data| data != rack.as_str()), free)
+            })
+            .map(|(_, allocation)| allocation)
+    }
+}
+
+fn is_enough(wanted: &Wanted<'_>, allocation: &Allocation) -> bool {
+    match wanted.step.gang {
+        true => wanted.is_whole(allocation),
+        false => !allocation.is_empty(),
+    }
+}
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::message::{JobProgress, WorkerReport};
+use super::pace::Slowness;
 use crate::prelude::*;
 use crate::workflow::{
     JobRecord, JobResult, Life, OccurrenceRecord, StepSpec, TaskId, TaskPhase, TaskRecord,
@@ -34,8 +35,10 @@
     pub percent: u8,
     /// When its progress was last seen to change.
     pub progress_ms: u64,
-    /// When its checkpoint was last seen to change.
-    pub checkpoint_ms: Option<u64>,
+    /// When the worker was first known to run it.
+    pub started_ms: u64,
+    /// The checkpoint from which it went on.
+    pub checkpoint_at_start: Option<String>,
 }
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -46,6 +49,8 @@
     pub avoid: Option<WorkerId>,
     /// The last run that was counted as failed.
     pub failed_run: u32,
+    /// How often it was stopped for standing still.
+    pub stalls: u32,
 }
 
 impl Task {
@@ -164,4 +169,5 @@
     pub resting_until_ms: u64,
     /// How long it rested last.
     pub rest_ms: u64,
+    pub slowness: Slowness,
 }
--- a/src/planner/tests/gangs.rs
+++ b/src/planner/tests/gangs.rs
@@ -193,3 +193,16 @@
 
     assert_eq!(world.places("gang").len(), 1);
 }
+
+/// Guards against an urgent gang that is spread over racks, where it is slow, though stopping others frees one rack.
+#[test]
+fn an_urgent_gang_takes_room_in_one_rack() {
+    let mut world = World::new(6);
+    world.submit("batch", job(2, vec![step(42, 1)]));
+    let step = StepSpec { same_rack: true, ..gang(2, 4) };
+
+    world.submit("urgent", job(0, vec![step]));
+    world.finish_stops();
+
+    assert_eq!(racks(&world, "urgent").len(), 1);
+}
--- a/src/planner/tests/mod.rs
+++ b/src/planner/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod campaign;
 mod gangs;
+mod pace;
 mod rules;
 mod takeover;
 mod world;
--- /dev/null
+++ b/src/planner/tests/pace.rs
@@ -0,0 +1,77 @@
+//! Runs that stand still, and workers that are slow.
+
+use super::world::{World, task};
+use super::*;
+
+/// Lets all runs make progress for a while, at a speed for each worker in percent a second.
+fn work<F>(world: &mut World, duration_ms: u64, percent_per_s: F)
+where
+    F: Fn(&WorkerId) -> f64,
+{
+    world.makes_progress = false;
+    for _ in 0..duration_ms / 500 {
+        for (id, worker) in &mut world.workers {
+            for run in worker.runs.values_mut() {
+                let percent = f64::from(run.percent) + percent_per_s(id) / 2.0;
+                run.percent = percent.min(99.0) as u8;
+            }
+        }
+        world.pass(500);
+    }
+}
+
+/// Guards against a task that waits for ever on a worker whose tasks stand still.
+#[test]
+fn a_run_that_stands_still_is_started_elsewhere() {
+    let mut world = World::new(2);
+    world.submit("j", job(0, vec![step(1, 1)]));
+    let stuck = world.places("j")[0].1.clone();
+
+    work(&mut world, 2_500, |_| 0.0);
+    world.finish_stops();
+
+    assert_ne!(world.places("j")[0].1, stuck);
+}
+
+/// Guards against a task that is stopped again and again though it stands still by itself.
+#[test]
+fn a_task_that_stands_still_everywhere_is_left_in_the_end() {
+    let mut world = World::new(6);
+    world.submit("j", job(1, vec![step(1, 1)]));
+
+    for _ in 0..10 {
+        work(&mut world, 2_500, |_| 0.0);
+        world.finish_stops();
+    }
+
+    assert_eq!(world.record(&task("j", 0, 0)).run, 4);
+}
+
+/// Guards against runs that work and are taken for stuck, and against long-running tasks, whose progress never changes.
+#[test]
+fn runs_that_work_go_on() {
+    let mut world = World::new(2);
+    let long_running = StepSpec { long_running: true, ..step(1, 1) };
+    world.submit("long", job(1, vec![long_running]));
+    world.submit("slow", job(1, vec![gang(2, 1)]));
+
+    work(&mut world, 10_000, |_| 2.0);
+
+    assert!(world.stops.iter().all(|(task, _)| task.job != JobId::from("slow")));
+    world.pass(10_000);
+    assert!(world.stops.iter().all(|(task, _)| task.job != JobId::from("long")));
+}
+
+/// Guards against urgent work that is given to a slow worker while others are free.
+#[test]
+fn a_slow_worker_comes_last() {
+    let mut world = World::new(3);
+    let spread = StepSpec { max_per_worker: 1, ..step(3, 1) };
+    world.submit("probe", job(1, vec![spread]));
+    let slow = world.places("probe")[0].1.clone();
+
+    work(&mut world, 3_000, |worker| if *worker == slow { 4.0 } else { 30.0 });
+    world.submit("urgent", job(0, vec![step(2, 4)]));
+
+    assert!(world.places("urgent").iter().all(|place| place.1 != slow));
+}
--- a/src/planner/tests/world.rs
+++ b/src/planner/tests/world.rs
@@ -51,6 +51,8 @@
     /// Batches are kept back while the store is away.
     pub store_is_away: bool,
     pub directives: Directives,
+    /// Runs make one percent of progress with each report, up to 98.
+    pub makes_progress: bool,
     waiting: Option<Batch>,
 }
 
@@ -81,6 +83,7 @@
             stops: Vec::new(),
             store_is_away: false,
             directives,
+            makes_progress: true,
             waiting: None,
         };
         for number in 0..workers {
@@ -303,6 +306,10 @@
             self.now.steady_ms += part_ms;
             self.now.wall_ms += part_ms;
             left_ms -= part_ms;
+            if self.makes_progress {
+                let runs = self.workers.values_mut().flat_map(|worker| worker.runs.values_mut());
+                runs.for_each(|run| run.percent = (run.percent + 1) % 98);
+            }
             self.handle(&Input::Tick);
             self.report_all();
         }
