Answer 503 instead of 504 where nothing was stored

Cancellations were repeated for 1.5 s while the store was down.

Change: gossip says whether the store answered the last call; a relay refuses at once if the store does not answer there either; a cancellation that was certainly not stored is answered 503 at once.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -177,6 +177,7 @@
             leader_heard_age_ms,
             leader_store_age_ms,
             store_age_ms: self.succession.store_age_ms(now_ms),
+            store_is_failing: self.store().is_failing(),
             directives_as_of: self.directives.as_of,
             is_ending: self.ending.is_some(),
         }
@@ -267,7 +268,7 @@
             PeerMessage::Relay { call, request } => {
                 let store = self.store().clone();
                 tokio::spawn(async move {
-                    let answer = store.call_directly(&request).await;
+                    let answer = store.call_for_peer(&request).await;
                     sender.send(PeerMessage::Relayed { call, answer });
                 });
             }
@@ -281,7 +282,8 @@
         if let Some(process) = self.dialed.get_mut(&gossip.address) {
             *process = Some(gossip.process.clone());
         }
-        let is_new = self.peers.note(&gossip.process, sender.clone(), gossip.store_age_ms);
+        let store_age_ms = if gossip.store_is_failing { u64::MAX } else { gossip.store_age_ms };
+        let is_new = self.peers.note(&gossip.process, sender.clone(), store_age_ms);
         if is_new && let Some(leading) = &self.leading {
             sender.send(leading.snapshot());
         }
--- a/src/coordinator/relay.rs
+++ b/src/coordinator/relay.rs
@@ -15,7 +15,7 @@
 
 /// How long a relayed call may take; the relaying coordinator's own limit is shorter.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(900);
-/// Another coordinator counts as reaching the store if it had an answer this long ago.
+/// Another coordinator counts as reaching the store if it had an answer this long ago and none of its calls failed since.
 const HELPER_STORE_AGE_MS: u64 = 2_500;
 /// The number of calls without an answer in a row after which the store counts as down, and clients' calls fail at once
 /// until a feed has an answer again.
@@ -118,8 +118,21 @@
         answer.map(|_| ())
     }
 
-    /// Calls the store from here, for this coordinator or another.
-    pub async fn call_directly(&self, request: &StoreRequest) -> RowResult<StoreAnswer> {
+    /// Returns whether the store did not answer the last call.
+    pub fn is_failing(&self) -> bool {
+        self.shared.failures.load(Ordering::Relaxed) > 0
+    }
+
+    /// Calls the store for another coordinator, unless it does not answer here either.
+    pub async fn call_for_peer(&self, request: &StoreRequest) -> RowResult<StoreAnswer> {
+        if self.is_failing() {
+            let reason = "the store does not answer the other coordinator either".to_owned();
+            return Err(RowError::Unavailable { reason });
+        }
+        self.call_directly(request).await
+    }
+
+    async fn call_directly(&self, request: &StoreRequest) -> RowResult<StoreAnswer> {
         let answer = match request {
             StoreRequest::Read(key) => self.store.read(key).await.map(StoreAnswer::Row),
             StoreRequest::Transact(transaction) => {
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -41,7 +41,9 @@
     Accepted,
     /// There is no such job, or it is over.
     NoSuchJob,
-    /// It may not be durable.
+    /// It is not stored by this request.
+    NotAccepted,
+    /// It may be stored, now or later.
     Unknown,
 }
 
@@ -186,6 +188,7 @@
         let name = match outcome {
             Cancellation::Accepted => "accepted",
             Cancellation::NoSuchJob => "no_such_job",
+            Cancellation::NotAccepted => "not_accepted",
             Cancellation::Unknown => "unknown",
         };
         let took_ms = self.clock.now_ms().saturating_sub(started_ms);
@@ -197,22 +200,30 @@
     async fn try_cancel(&self, job: &JobId, until_ms: u64) -> Cancellation {
         let key = RowKey::new(JOB_TABLE, &format!("{job}{CANCEL_SUFFIX}"));
         let transaction = Transaction { puts: vec![(key, vec![1])], ..Transaction::default() };
+        let mut pause = REPEAT_PAUSE;
+        let mut maybe_stored = false;
         loop {
-            match self.progress(job).await {
+            let error = match self.progress(job).await {
                 Ok(None) => return Cancellation::NoSuchJob,
                 Ok(Some(JobProgress::Over(JobResult::Cancelled))) => return Cancellation::Accepted,
                 Ok(Some(JobProgress::Over(_))) => return Cancellation::NoSuchJob,
                 Ok(Some(JobProgress::Pending | JobProgress::Running)) => {
-                    if self.store.transact(&transaction).await.is_ok() {
-                        return Cancellation::Accepted;
+                    match self.store.transact(&transaction).await {
+                        Ok(_) => return Cancellation::Accepted,
+                        Err(error) => error,
                     }
                 }
-                Err(_) => {}
+                Err(error) => error,
+            };
+            maybe_stored |= matches!(error, RowError::Unknown { .. });
+            if !maybe_stored {
+                return Cancellation::NotAccepted;
             }
             if self.clock.now_ms() >= until_ms {
                 return Cancellation::Unknown;
             }
-            tokio::time::sleep(REPEAT_PAUSE).await;
+            tokio::time::sleep(pause).await;
+            pause *= 2;
         }
     }
 
--- a/src/succession/mod.rs
+++ b/src/succession/mod.rs
@@ -42,6 +42,8 @@
     pub leader_store_age_ms: u64,
     /// How long ago the sender had an answer of the store.
     pub store_age_ms: u64,
+    /// The store did not answer the sender's last call.
+    pub store_is_failing: bool,
     /// The version of the directives that the sender has.
     pub directives_as_of: u64,
     /// The sender is ending and will not lead.
