Test coordinators, hosts, the election, rules and jobs of steps

Cause: the new slices had tests of the planner only. The test of a leader that the store turns away failed first: a follower waited 2.6 s and counted the leader itself as a candidate before it.

Change: tests on loopback with a row store in memory that loses, delays and refuses; a follower replaces a leader that the store turns away after 1.7 s; the leader is no candidate in the order of candidates.

--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -29,6 +29,7 @@
 use tokio::sync::{mpsc, oneshot};
 use xtra::prelude::*;
 
+use crate::prelude::*;
 use crate::process::{self, Metrics, Readiness, SteadyClock, run_with_inbox};
 use crate::store::RowStore;
 use actor::Event;
@@ -63,6 +64,10 @@
     pub service: Service<S>,
     /// The actor, for dumps.
     pub actor: Address<Coordinator<S>>,
+    /// The name of the process.
+    pub name: ProcessId,
+    /// Where it accepts connections of other processes of the system.
+    pub inner_address: std::net::SocketAddr,
     events: mpsc::Sender<Event>,
 }
 
@@ -102,10 +107,11 @@
         events.clone(),
     ));
     tokio::spawn(tick(events.clone()));
+    let (name, inner_address) = (settings.process.clone(), settings.inner_address);
     let coordinator = Coordinator::new(settings, service.clone(), peers, events.clone());
     let (actor, mailbox) = Mailbox::unbounded();
     tokio::spawn(run_with_inbox(mailbox, coordinator, inbox));
-    Ok(Running { service, actor, events })
+    Ok(Running { service, actor, name, inner_address, events })
 }
 
 impl<S> Running<S>
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -1,1 +1,60 @@
-//! Tests of the slice.
+//! Tests of the rules in force.
+
+use super::*;
+
+fn queue(name: &str, path_start: &str) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        host: "jobs.example".to_owned(),
+        path_start: path_start.to_owned(),
+        service: "s".to_owned(),
+        priority: 0,
+        attempts: 1,
+        stretch: 1.0,
+        objective_ms: 0,
+        public: false,
+    }
+}
+
+fn rules() -> Rules {
+    let organisation = Organisation {
+        name: OrganisationId::from("org"),
+        keys: vec!["key".to_owned()],
+        guaranteed_accelerators: 8,
+    };
+    Rules {
+        version: 1,
+        queues: vec![
+            queue("short", "/a/"),
+            queue("long", "/a/b/"),
+            Queue { public: true, ..queue("public", "/p/") },
+        ],
+        organisations: vec![organisation],
+        ..Rules::default()
+    }
+}
+
+/// Guards against a request that reaches the queue of a shorter path.
+#[test]
+fn the_longest_path_decides() {
+    let rules = rules();
+
+    let (queue, rest) = rules.queue_for("JOBS.example", "/a/b/17").expect("a queue matches");
+
+    assert_eq!((queue.name.as_str(), rest), ("long", "17"));
+    assert!(rules.queue_for("other.example", "/a/b/17").is_none());
+}
+
+/// Guards against requests with unknown keys that are let in, and against keys that a public queue asks for.
+#[test]
+fn a_key_opens_all_queues_and_a_public_queue_needs_none() {
+    let rules = rules();
+
+    assert_eq!(rules.admit("jobs.example", "/a/1", None).err(), Some(Denial::UnknownKey));
+    assert_eq!(rules.admit("jobs.example", "/a/1", Some("x")).err(), Some(Denial::UnknownKey));
+    assert_eq!(rules.admit("jobs.example", "/x/1", Some("key")).err(), Some(Denial::NoQueue));
+    let (.., caller) = rules.admit("jobs.example", "/a/1", Some("key")).expect("the key is known");
+    assert_eq!(caller, Caller::Organisation(&OrganisationId::from("org")));
+    let (.., caller) = rules.admit("jobs.example", "/p/1", None).expect("the queue is public");
+    assert_eq!(caller, Caller::Anonymous);
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 mod http;
 mod limit;
 mod memory;
+mod memory_rows;
 mod message;
 mod rows;
 #[cfg(test)]
@@ -14,6 +15,7 @@
 pub use http::HttpStore;
 pub use limit::{CallBudget, LimitedTable, Urgency};
 pub use memory::MemoryStore;
+pub use memory_rows::{Fault, MemoryRows};
 pub use message::{
     Commit, Committed, Condition, Error, OperationId, Result, Row, RowVersion, Write,
 };
--- a/src/succession/mod.rs
+++ b/src/succession/mod.rs
@@ -261,11 +261,11 @@
         // A process that was restarted under its own name has lost its leadership.
         let was_own = self.leadership.as_ref().is_some_and(|known| known.leader == self.own);
         let known_gone = self.leadership.is_none() || was_own;
-        let wait_ms = self.rank(now_ms) * self.settings.stagger_ms
-            + if known_gone { 0 } else { self.settings.silence_ms };
-        let is_silent = now_ms.saturating_sub(self.leader_heard_ms) >= wait_ms;
+        let turn_ms = self.rank(now_ms) * self.settings.stagger_ms;
+        let silence_ms = if known_gone { 0 } else { self.settings.silence_ms };
+        let is_silent = now_ms.saturating_sub(self.leader_heard_ms) >= silence_ms + turn_ms;
         let is_cut_off = now_ms.saturating_sub(self.leader_store_ms)
-            >= self.settings.store_silence_ms + wait_ms
+            >= self.settings.store_silence_ms + turn_ms
             && self.store_answered_ms.is_some_and(|own| own > self.leader_store_ms + LATER_MS);
         if !is_silent && !is_cut_off {
             return Step::Stay;
@@ -283,12 +283,13 @@
         })
     }
 
-    /// Counts the live fronts that come before this one.
+    /// Counts the live fronts, other than the leader, that come before this one.
     fn rank(&self, now_ms: u64) -> u64 {
+        let leader = self.leadership.as_ref().map(|known| &known.leader);
         let alive = |peer: &&Peer| {
             now_ms.saturating_sub(peer.heard_ms) < self.settings.silence_ms && !peer.is_ending
         };
-        let before = self.peers.iter().filter(|(id, _)| **id < self.own);
+        let before = self.peers.iter().filter(|(id, _)| **id < self.own && Some(*id) != leader);
         before.filter(|(_, peer)| alive(peer)).count() as u64
     }
 }
--- a/src/succession/tests.rs
+++ b/src/succession/tests.rs
@@ -1,1 +1,180 @@
 //! Tests of the election.
+
+use super::*;
+
+const SETTINGS: SuccessionSettings =
+    SuccessionSettings { silence_ms: 900, stagger_ms: 250, store_silence_ms: 1_700, retry_ms: 500 };
+
+fn process(name: &str) -> ProcessId {
+    ProcessId::from(name)
+}
+
+fn leadership(epoch: u64, leader: &str) -> Leadership {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 7_000));
+    Leadership { epoch: Epoch(epoch), leader: process(leader), address }
+}
+
+fn gossip(from: &str, known: Option<Leadership>) -> Gossip {
+    Gossip {
+        process: process(from),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 7_000)),
+        leadership: known,
+        leader_heard_age_ms: 0,
+        leader_store_age_ms: 0,
+        store_age_ms: 0,
+        store_is_failing: false,
+        directives_as_of: 0,
+        is_ending: false,
+    }
+}
+
+/// A front that follows leader `a` of epoch 1, heard at 1,000 ms.
+fn follower(name: &str) -> Succession {
+    let mut succession = Succession::new(process(name), SETTINGS, 0);
+    succession.store_answered(1_000);
+    succession.heard(1_000, &gossip("a", Some(leadership(1, "a"))));
+    succession
+}
+
+fn leader(name: &str) -> Succession {
+    let mut succession = Succession::new(process(name), SETTINGS, 0);
+    succession.store_answered(1_000);
+    assert_eq!(succession.decide(1_000), Step::TakeOver);
+    succession.won(1_000, leadership(1, name));
+    succession
+}
+
+/// Guards against a restarted front that replaces a live leader before it has read who leads.
+#[test]
+fn nobody_takes_over_before_the_store_has_answered() {
+    let mut succession = Succession::new(process("b"), SETTINGS, 0);
+
+    assert_eq!(succession.decide(10_000), Step::Stay);
+    succession.store_answered(10_000);
+    assert_eq!(succession.decide(10_000), Step::TakeOver);
+}
+
+/// Guards against a front that replaces a leader whom it has just learned of.
+#[test]
+fn a_leader_that_the_store_names_has_time_to_be_heard() {
+    let mut succession = Succession::new(process("b"), SETTINGS, 0);
+    succession.store_answered(5_000);
+    succession.learn(5_000, &leadership(1, "a"));
+
+    assert_eq!(succession.decide(5_800), Step::Stay);
+    assert_eq!(succession.decide(5_900), Step::TakeOver);
+}
+
+/// Guards against a takeover that takes longer than the second that clients' rules leave.
+#[test]
+fn a_silent_leader_is_replaced_within_a_second() {
+    let mut succession = follower("b");
+
+    assert_eq!(succession.decide(1_800), Step::Stay);
+    assert_eq!(succession.decide(1_900), Step::TakeOver);
+}
+
+/// Guards against two candidates that compete at the same moment.
+#[test]
+fn a_later_candidate_waits_longer() {
+    let mut succession = follower("c");
+    succession.heard(1_800, &gossip("b", None));
+    assert_eq!(succession.decide(1_950), Step::Stay);
+
+    assert_eq!(succession.decide(2_100), Step::Stay);
+    assert_eq!(succession.decide(2_150), Step::TakeOver);
+}
+
+/// Guards against a front that is cut off from the leader and replaces it though others hear it.
+#[test]
+fn a_leader_that_another_front_hears_is_not_replaced() {
+    let mut succession = follower("b");
+    for now_ms in [1_800, 2_400, 3_000] {
+        succession.heard(now_ms, &gossip("c", Some(leadership(1, "a"))));
+    }
+
+    assert_eq!(succession.decide(3_500), Step::Stay);
+}
+
+/// Guards against a leader that lives and cannot write: its jobs would wait as long as the store turns it away.
+#[test]
+fn a_leader_that_the_store_turns_away_is_replaced() {
+    let mut succession = follower("b");
+    for now_ms in (1_300..=2_800).step_by(300) {
+        let age_ms = now_ms - 1_000;
+        let cut_off =
+            Gossip { leader_store_age_ms: age_ms, ..gossip("a", Some(leadership(1, "a"))) };
+        succession.heard(now_ms, &cut_off);
+        succession.store_answered(now_ms);
+    }
+
+    assert_eq!(succession.decide(2_650), Step::Stay);
+    assert_eq!(succession.decide(2_800), Step::TakeOver);
+}
+
+/// Guards against a change of leaders while the store answers nobody: it would help nothing.
+#[test]
+fn a_leader_is_kept_while_the_store_answers_nobody() {
+    let mut succession = follower("b");
+    let mut own = leader("a");
+    for now_ms in (1_300..=9_000).step_by(300) {
+        let age_ms = now_ms - 1_000;
+        let silent = Gossip {
+            leader_store_age_ms: age_ms,
+            store_age_ms: age_ms,
+            ..gossip("a", Some(leadership(1, "a")))
+        };
+        succession.heard(now_ms, &silent);
+        own.heard(now_ms, &Gossip { store_age_ms: age_ms, ..gossip("b", None) });
+    }
+
+    assert_eq!(succession.decide(9_000), Step::Stay);
+    assert_eq!(own.decide(9_000), Step::Stay);
+}
+
+/// Guards against a leader that holds on though the store answers only others.
+#[test]
+fn a_leader_gives_up_if_the_store_answers_another() {
+    let mut own = leader("a");
+    own.heard(2_700, &gossip("b", Some(leadership(1, "a"))));
+
+    assert!(matches!(own.decide(2_750), Step::StepDown(_)));
+}
+
+/// Guards against an earlier leader that goes on after it heard of its successor.
+#[test]
+fn a_leader_that_hears_of_a_higher_epoch_follows() {
+    let mut own = leader("a");
+
+    assert!(own.heard(1_500, &gossip("b", Some(leadership(2, "b")))));
+
+    assert_eq!(own.part(), Part::Follower);
+    assert!(!own.learn(1_600, &leadership(1, "a")));
+}
+
+/// Guards against a front that ends and takes over once more, and against others that wait for its silence.
+#[test]
+fn a_front_that_ends_hands_over() {
+    let mut ending = leader("a");
+    let mut other = follower("b");
+
+    ending.end();
+    assert!(matches!(ending.decide(1_100), Step::StepDown(_)));
+    ending.step_down(1_100);
+    assert_eq!(ending.decide(9_000), Step::Stay);
+
+    other.peer_gone(1_200, &process("a"));
+    assert_eq!(other.decide(1_600), Step::TakeOver);
+}
+
+/// Guards against a failed attempt that is repeated without a pause.
+#[test]
+fn a_failed_attempt_is_repeated_after_a_pause() {
+    let mut succession = follower("b");
+    assert_eq!(succession.decide(1_900), Step::TakeOver);
+
+    succession.lost(1_950, None);
+
+    assert_eq!(succession.decide(2_400), Step::Stay);
+    assert_eq!(succession.decide(2_450), Step::TakeOver);
+}
