--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -122,7 +122,10 @@
         let mut unknown = 0;
         let mut pause = REPEAT_PAUSE;
         let (outcome, reason) = loop {
-            let reason = match self.store.transact(&transaction).await {
+            let spent_ms = self.clock.now_ms().saturating_sub(started_ms);
+            let left = Duration::from_millis(limit_ms.saturating_sub(spent_ms));
+            let write = tokio::time::timeout(left, self.store.transact(&transaction)).await;
+            let reason = match write.unwrap_or_else(|_| Err(no_answer())) {
                 Ok(_) => break (Submission::Accepted, String::new()),
                 Err(RowError::Conflict { current }) => {
                     break (compare(&current, record), "the job is stored already".to_owned());
@@ -233,6 +236,10 @@
     }
 }
 
+fn no_answer() -> RowError {
+    RowError::Unknown { reason: "no answer in time".to_owned() }
+}
+
 /// Compares a stored job with one that was submitted under the same id.
 fn compare(current: &[crate::store::StoredRow], record: &JobRecord) -> Submission {
     let stored = current.first().map(|row| workflow::decode::<JobRecord>(&row.content));
--- a/src/planner/pace.rs
+++ b/src/planner/pace.rs
@@ -7,7 +7,7 @@
 use super::state::{Placement, StartPhase};
 use crate::workflow::{Life, TaskId};
 
-/// A run without progress for this time stands still. The longest tasks take 11 s; even at a seventh of the usual speed
+/// A run without progress for this time stands still, if it has not worked for longer before. The longest tasks take 11 s; even at a seventh of the usual speed
 /// they make a percent in 0.8 s.
 const STALL_MS: u64 = 1_500;
 /// How often a task is stopped for standing still. One that does so everywhere is left to its worker.
@@ -124,7 +124,14 @@
         }
         let began_ms = placements().flatten().map(|one| one.started_ms).max()?;
         let still_ms = now.steady_ms.saturating_sub(placement.progress_ms.max(began_ms));
-        if still_ms >= STALL_MS {
+        // A run that is started anew loses what it has done, so it waits about as long for a worker that may recover.
+        let worked_ms = now.steady_ms.saturating_sub(began_ms).saturating_sub(still_ms);
+        let patience_ms = match (step.checkpointable, job.record.priority) {
+            (true, _) => STALL_MS,
+            (false, 0) => STALL_MS.max(worked_ms / 2),
+            (false, _) => STALL_MS.max(worked_ms),
+        };
+        if still_ms >= patience_ms {
             return Some(format!("no progress for {still_ms} ms at {} %", placement.percent));
         }
         let worker = self.workers.get(&life.worker)?;
--- a/src/planner/tests/pace.rs
+++ b/src/planner/tests/pace.rs
@@ -33,6 +33,20 @@
     assert_ne!(world.places("j")[0].1, stuck);
 }
 
+/// Guards against much finished work that is thrown away because its worker stands still for a moment.
+#[test]
+fn a_run_that_has_worked_for_long_waits_longer() {
+    let mut world = World::new(2);
+    world.submit("j", job(1, vec![step(1, 1)]));
+
+    work(&mut world, 4_000, |_| 20.0);
+    work(&mut world, 3_500, |_| 0.0);
+    assert!(world.stops.is_empty());
+
+    work(&mut world, 1_500, |_| 0.0);
+    assert!(!world.stops.is_empty());
+}
+
 /// Guards against a task that is stopped again and again though it stands still by itself.
 #[test]
 fn a_task_that_stands_still_everywhere_is_left_in_the_end() {
