Hand the leadership over at once when the store refuses the leader's calls

Change: a leader whose calls are refused gives up 0.6 s after the last answer if the store has answered another since, and says so in its gossip; the others do not wait for its silence.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -141,6 +141,7 @@
         if let Some(answered_ms) = self.store().answered_ms() {
             self.succession.store_answered(answered_ms);
         }
+        self.succession.set_store_failing(self.store().is_failing());
         match self.succession.decide(now.steady_ms) {
             Step::Stay => {}
             Step::TakeOver => self.begin_takeover(),
@@ -180,6 +181,7 @@
             store_is_failing: self.store().is_failing(),
             directives_as_of: self.directives.as_of,
             is_ending: self.ending.is_some(),
+            leads: self.leading.is_some(),
         }
     }
 
@@ -246,6 +248,8 @@
         self.host_workers.clear();
         if self.succession.part() == Part::Leader {
             self.succession.step_down(now_ms);
+            // The others need not wait for this one's silence.
+            self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
         }
     }
 
@@ -293,7 +297,7 @@
         if gossip.directives_as_of < self.directives.as_of {
             sender.send(PeerMessage::Directives(self.directives.clone()));
         }
-        if gossip.is_ending {
+        if !gossip.leads {
             self.on_tick_of_election();
         }
     }
--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -54,6 +54,7 @@
             silence_ms: 900,
             stagger_ms: 250,
             store_silence_ms: 1_700,
+            store_failing_ms: 600,
             retry_ms: 500,
         }
     }
--- a/src/succession/mod.rs
+++ b/src/succession/mod.rs
@@ -48,6 +48,8 @@
     pub directives_as_of: u64,
     /// The sender is ending and will not lead.
     pub is_ending: bool,
+    /// The sender leads.
+    pub leads: bool,
 }
 
 /// The times of the election.
@@ -59,6 +61,8 @@
     pub stagger_ms: u64,
     /// A leader whom the store did not answer for this time gives up, if it answered another front since.
     pub store_silence_ms: u64,
+    /// The same for a leader whose calls the store refuses or breaks off.
+    pub store_failing_ms: u64,
     /// The pause after an attempt that failed.
     pub retry_ms: u64,
 }
@@ -106,6 +110,8 @@
     leader_store_ms: u64,
     /// When the store last answered this front.
     store_answered_ms: Option<u64>,
+    /// The store refused or broke off the last call.
+    store_is_failing: bool,
     retry_at_ms: u64,
     peers: BTreeMap<ProcessId, Peer>,
     is_ending: bool,
@@ -122,6 +128,7 @@
             leader_heard_ms: now_ms,
             leader_store_ms: now_ms,
             store_answered_ms: None,
+            store_is_failing: false,
             retry_at_ms: 0,
             peers: BTreeMap::new(),
             is_ending: false,
@@ -159,6 +166,11 @@
         self.store_answered_ms = Some(self.store_answered_ms.map_or(sent_ms, |at| at.max(sent_ms)));
     }
 
+    /// Notes whether the last call of the store failed.
+    pub fn set_store_failing(&mut self, is_failing: bool) {
+        self.store_is_failing = is_failing;
+    }
+
     /// This front will not lead any more.
     pub fn end(&mut self) {
         self.is_ending = true;
@@ -176,13 +188,18 @@
             return false;
         };
         let is_newer = self.learn(now_ms, leadership);
-        let leader_is_ending = leadership.leader == gossip.process && gossip.is_ending;
-        if self.leadership.as_ref() == Some(leadership) && !leader_is_ending {
-            let heard_ms = now_ms.saturating_sub(gossip.leader_heard_age_ms);
-            self.leader_heard_ms = self.leader_heard_ms.max(heard_ms);
-            let store_ms = now_ms.saturating_sub(gossip.leader_store_age_ms);
-            self.leader_store_ms = self.leader_store_ms.max(store_ms);
+        if self.leadership.as_ref() != Some(leadership) {
+            return is_newer;
+        }
+        if leadership.leader == gossip.process && !gossip.leads {
+            // It was asked to end, or the store turns it away.
+            self.leader_heard_ms = now_ms.saturating_sub(self.settings.silence_ms);
+            return is_newer;
         }
+        let heard_ms = now_ms.saturating_sub(gossip.leader_heard_age_ms);
+        self.leader_heard_ms = self.leader_heard_ms.max(heard_ms);
+        let store_ms = now_ms.saturating_sub(gossip.leader_store_age_ms);
+        self.leader_store_ms = self.leader_store_ms.max(store_ms);
         is_newer
     }
 
@@ -241,7 +258,11 @@
             Part::Candidate => Step::Stay,
             Part::Leader if self.is_ending => Step::StepDown("the process is ending"),
             Part::Leader => {
-                let silent = self.store_age_ms(now_ms) >= self.settings.store_silence_ms;
+                let limit_ms = match self.store_is_failing {
+                    true => self.settings.store_failing_ms,
+                    false => self.settings.store_silence_ms,
+                };
+                let silent = self.store_age_ms(now_ms) >= limit_ms;
                 if silent && self.store_answered_another() {
                     return Step::StepDown(
                         "the store does not answer here, and answers another front",
--- a/src/succession/tests.rs
+++ b/src/succession/tests.rs
@@ -2,8 +2,13 @@
 
 use super::*;
 
-const SETTINGS: SuccessionSettings =
-    SuccessionSettings { silence_ms: 900, stagger_ms: 250, store_silence_ms: 1_700, retry_ms: 500 };
+const SETTINGS: SuccessionSettings = SuccessionSettings {
+    silence_ms: 900,
+    stagger_ms: 250,
+    store_silence_ms: 1_700,
+    store_failing_ms: 600,
+    retry_ms: 500,
+};
 
 fn process(name: &str) -> ProcessId {
     ProcessId::from(name)
@@ -25,6 +30,7 @@
         store_is_failing: false,
         directives_as_of: 0,
         is_ending: false,
+        leads: from == "a",
     }
 }
 
@@ -141,6 +147,20 @@
     assert!(matches!(own.decide(2_750), Step::StepDown(_)));
 }
 
+/// Guards against jobs that wait 3 s for a new leader although the store refuses the calls of the old one at once.
+#[test]
+fn a_leader_whose_calls_are_refused_gives_up_sooner_and_says_so() {
+    let mut own = leader("a");
+    let mut other = follower("b");
+    own.set_store_failing(true);
+    own.heard(1_800, &gossip("b", Some(leadership(1, "a"))));
+
+    assert!(matches!(own.decide(1_800), Step::StepDown(_)));
+    other.store_answered(1_700);
+    other.heard(1_800, &Gossip { leads: false, ..gossip("a", Some(leadership(1, "a"))) });
+    assert_eq!(other.decide(1_800), Step::TakeOver);
+}
+
 /// Guards against an earlier leader that goes on after it heard of its successor.
 #[test]
 fn a_leader_that_hears_of_a_higher_epoch_follows() {
