Open feeds again whose connections went silent

Its feed of jobs waited on a connection that had gone silent in the outage of 31.5 to 34.0 s, for up to 25.7 s.

Change: feeds of jobs wait 1.2 s and of directives 2 s a call, and count as lost 0.7 s later whatever the connection does.

--- a/src/coordinator/feed.rs
+++ b/src/coordinator/feed.rs
@@ -10,14 +10,21 @@
 use super::{JOB_TABLE, LEAD_TABLE, LEADER_KEY, MEMBER_PREFIX};
 use crate::prelude::*;
 use crate::rules::{Directives, Rules};
-use crate::store::{Listing, RowChange, RowError, RowKey, RowStore, Transaction};
+use crate::store::{
+    Changes, Listing, RowChange, RowError, RowKey, RowResult, RowStore, Transaction,
+};
 use crate::succession::Leadership;
 use crate::workflow;
 
-/// How long a call waits for changes; the platform allows 30 s. A change is answered at once.
-const CHANGE_WAIT: Duration = Duration::from_secs(25);
+/// How long a call waits for changes of the directives. A connection may go silent without an end, and a change has to be
+/// in force within 2 s of the end of such a disruption, which counts for 3 s.
+const DIRECTIVES_WAIT: Duration = Duration::from_millis(2_000);
+/// How long a call waits for new jobs; urgent ones start within 2.7 s.
+const JOBS_WAIT: Duration = Duration::from_millis(1_200);
 /// How long a call waits for a change of the leadership. Each answer also proves that the store can be reached.
 const LEADERSHIP_WAIT: Duration = Duration::from_millis(1_000);
+/// How much later than its wait a call counts as lost.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// The pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
@@ -68,7 +75,7 @@
             }
         };
         loop {
-            let answer = store.direct().watch(source.table, version, CHANGE_WAIT).await;
+            let answer = watch(&store, source.table, version, DIRECTIVES_WAIT).await;
             store.note(&answer);
             match answer {
                 Ok(changes) => {
@@ -91,6 +98,23 @@
     }
 }
 
+/// Waits for changes, for a limited time even if the connection is silent.
+async fn watch<S>(
+    store: &RelayingStore<S>,
+    table: &str,
+    after: u64,
+    wait: Duration,
+) -> RowResult<Changes>
+where
+    S: RowStore,
+{
+    let call = store.direct().watch(table, after, wait);
+    let answer = tokio::time::timeout(wait + WATCH_SLACK, call).await;
+    answer.unwrap_or_else(|_| {
+        Err(RowError::Unavailable { reason: format!("the feed of {table:?} was silent") })
+    })
+}
+
 async fn publish(events: &EventSender, known: &Directives) -> Result<(), ()> {
     events.send(Event::Directives(known.clone())).await.map_err(|_| ())
 }
@@ -160,7 +184,7 @@
                 (row.map(|row| row.content), listing.version)
             }),
             Some(version) => {
-                let changes = store.direct().watch(LEAD_TABLE, version, LEADERSHIP_WAIT).await;
+                let changes = watch(&store, LEAD_TABLE, version, LEADERSHIP_WAIT).await;
                 changes.map(|changes| {
                     let change = changes.changes.into_iter().rfind(|change| change.key == key);
                     (change.and_then(|change| change.content), changes.version)
@@ -210,7 +234,7 @@
     S: RowStore,
 {
     loop {
-        let answer = store.direct().watch(JOB_TABLE, version, CHANGE_WAIT).await;
+        let answer = watch(&store, JOB_TABLE, version, JOBS_WAIT).await;
         store.note(&answer);
         let changes = match answer {
             Ok(changes) => {
--- a/src/coordinator/tests.rs
+++ b/src/coordinator/tests.rs
@@ -383,6 +383,29 @@
     }
 }
 
+/// Guards against jobs and rules that are missed because the connections of the feeds went silent without an end.
+#[tokio::test]
+async fn feeds_whose_connections_go_silent_are_opened_again() {
+    let store = MemoryRows::default();
+    publish(&store, &rules(1)).await;
+    let members = members(1, &store);
+    let _worker = worker(&addresses(&members), 100).await;
+    ready(&members).await;
+
+    store.silence_feeds();
+    publish(&store, &rules(2)).await;
+    let silent_since = Instant::now();
+    let job = JobId::from("job");
+    assert_eq!(members[0].service().submit(&job, &record(), 3_000).await, Submission::Accepted);
+
+    assert_eq!(until_over(&members[0], &job).await, JobResult::Done);
+    eventually("the new rules arrive", || {
+        members[0].service().rules().is_some_and(|rules| rules.version == 2)
+    })
+    .await;
+    assert!(silent_since.elapsed() < Duration::from_secs(5));
+}
+
 /// Guards against an acceptance that is not durable, and a refusal of what is stored later.
 #[tokio::test]
 async fn answers_to_submissions_are_true() {
--- a/src/store/memory_rows.rs
+++ b/src/store/memory_rows.rs
@@ -1,6 +1,7 @@
 //! A row store in memory, with the faults of the platform's.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -40,11 +41,18 @@
     state: Arc<Mutex<State>>,
     changed: watch::Sender<u64>,
     fault: Arc<Mutex<Fault>>,
+    /// Calls that wait for changes since before the last rise of this number are never answered.
+    silenced: Arc<AtomicU64>,
 }
 
 impl Default for MemoryRows {
     fn default() -> Self {
-        Self { state: Arc::default(), changed: watch::Sender::new(0), fault: Arc::default() }
+        Self {
+            state: Arc::default(),
+            changed: watch::Sender::new(0),
+            fault: Arc::default(),
+            silenced: Arc::default(),
+        }
     }
 }
 
@@ -76,6 +84,11 @@
         });
     }
 
+    /// Silences the connections of all calls that wait for changes now; new calls are answered.
+    pub fn silence_feeds(&self) {
+        self.silenced.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u64 {
         self.with(|state| state.calls)
@@ -164,6 +177,7 @@
 
     async fn watch(&self, table: &str, after: u64, wait: Duration) -> RowResult<Changes> {
         self.begin_call()?;
+        let silenced = self.silenced.load(Ordering::Relaxed);
         let mut changed = self.changed.subscribe();
         let until = tokio::time::Instant::now() + wait;
         loop {
@@ -173,6 +187,9 @@
                 return Ok(changes);
             }
             let is_over = tokio::time::timeout_at(until, changed.changed()).await.is_err();
+            if self.silenced.load(Ordering::Relaxed) != silenced {
+                return std::future::pending().await;
+            }
             if self.fault() == Fault::Down {
                 return Err(RowError::Unavailable { reason: "down".to_owned() });
             }
