--- a/src/succession/mod.rs
+++ b/src/succession/mod.rs
@@ -16,6 +16,9 @@
 /// How much later an answer of the store has to be to show that it answers one front and not another.
 const LATER_MS: u64 = 700;
 
+/// How long an imbalance has to last; a front without an answer tries again each quarter of a second.
+const IMBALANCE_MS: u64 = 400;
+
 /// Who leads, and since which epoch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Leadership {
@@ -112,6 +115,8 @@
     store_answered_ms: Option<u64>,
     /// The store refused or broke off the last call.
     store_is_failing: bool,
+    /// Since when the store has answered this follower and not the leader, or another front and not this leader.
+    imbalance_since_ms: Option<u64>,
     retry_at_ms: u64,
     peers: BTreeMap<ProcessId, Peer>,
     is_ending: bool,
@@ -129,6 +134,7 @@
             leader_store_ms: now_ms,
             store_answered_ms: None,
             store_is_failing: false,
+            imbalance_since_ms: None,
             retry_at_ms: 0,
             peers: BTreeMap::new(),
             is_ending: false,
@@ -263,7 +269,8 @@
                     false => self.settings.store_silence_ms,
                 };
                 let silent = self.store_age_ms(now_ms) >= limit_ms;
-                if silent && self.store_answered_another() {
+                let is_cut_off = silent && self.store_answered_another();
+                if self.lasts(now_ms, is_cut_off) {
                     return Step::StepDown(
                         "the store does not answer here, and answers another front",
                     );
@@ -288,13 +295,25 @@
         let is_cut_off = now_ms.saturating_sub(self.leader_store_ms)
             >= self.settings.store_silence_ms + turn_ms
             && self.store_answered_ms.is_some_and(|own| own > self.leader_store_ms + LATER_MS);
+        let is_cut_off = self.lasts(now_ms, is_cut_off);
         if !is_silent && !is_cut_off {
             return Step::Stay;
         }
         self.part = Part::Candidate;
+        self.imbalance_since_ms = None;
         Step::TakeOver
     }
 
+    /// Returns whether an imbalance has lasted. After an outage for all, fronts reach the store again one after the other.
+    fn lasts(&mut self, now_ms: u64, is_so: bool) -> bool {
+        if !is_so {
+            self.imbalance_since_ms = None;
+            return false;
+        }
+        let since_ms = *self.imbalance_since_ms.get_or_insert(now_ms);
+        now_ms.saturating_sub(since_ms) >= IMBALANCE_MS
+    }
+
     /// Returns whether the store has answered another front clearly later than this one.
     fn store_answered_another(&self) -> bool {
         let own_ms = self.store_answered_ms.unwrap_or_default();
