--- /dev/null
+++ b/benches/planner.rs
@@ -0,0 +1,92 @@
+//! The planner's work for one report of a worker while many jobs wait, at several sizes.
+
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use teaselhall::planner::{Input, Now, Planner, PlannerSettings, RunsReport, WorkerReport};
+use teaselhall::prelude::*;
+use teaselhall::rules::Directives;
+use teaselhall::workflow::{JobRecord, Life, Resources, StepSpec, WorkflowSpec};
+
+const QUEUED_JOBS: usize = 500;
+
+fn life(number: usize) -> Life {
+    Life { worker: WorkerId::from(format!("w{number:04}").as_str()), born_ms: 1 }
+}
+
+fn report(number: usize) -> WorkerReport {
+    let rack = format!("rack{}", number / 8);
+    WorkerReport {
+        life: life(number),
+        service: "s".to_owned(),
+        data_centre: DataCentreId::from("dc"),
+        rack: Some(RackId::from(rack.as_str())),
+        labels: vec!["a".to_owned(), rack],
+        room: Resources { cores_milli: 32_000, memory_mb: 131_072, accelerators: 8 },
+        draining: false,
+    }
+}
+
+fn runs(number: usize) -> RunsReport {
+    RunsReport {
+        life: life(number),
+        running: Vec::new(),
+        ended: Vec::new(),
+        starting: Vec::new(),
+        stopped: Vec::new(),
+    }
+}
+
+fn job(number: usize) -> JobRecord {
+    let need =
+        Resources { cores_milli: 3_000, memory_mb: 8_000, accelerators: [1, 2, 8][number % 3] };
+    let step = StepSpec {
+        tasks: 4,
+        need,
+        estimate_ms: 2_000,
+        gang: number.is_multiple_of(2),
+        ..StepSpec::default()
+    };
+    JobRecord {
+        queue: "q".to_owned(),
+        organisation: OrganisationId::from("o"),
+        service: "s".to_owned(),
+        priority: 1 + (number % 2) as u8,
+        attempts: 3,
+        accepted_ms: 1,
+        spec: WorkflowSpec { payload: String::new(), steps: vec![step], schedule: None },
+    }
+}
+
+/// A planner whose workers are all in use while jobs wait.
+fn loaded(workers: usize) -> (Planner, Now) {
+    let now = Now { steady_ms: 10_000, wall_ms: 1_700_000_000_000 };
+    let settings = PlannerSettings { lease_over_ms: 9_500, takeover_lease_over_ms: 15_500 };
+    let mut planner = Planner::new(now, settings, Directives::default());
+    for number in 0..workers {
+        planner.handle(now, &Input::Worker(report(number)));
+        planner.handle(now, &Input::Runs(runs(number)));
+    }
+    let filling = workers * 2;
+    for number in 0..filling + QUEUED_JOBS {
+        let job_id = JobId::from(format!("{number:016x}").as_str());
+        planner.handle(now, &Input::Submitted { job: job_id, record: job(number) });
+        while planner.take_batch().is_some() {}
+    }
+    (planner, now)
+}
+
+fn handle_report(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("report_with_500_queued_jobs");
+    for workers in [32, 128, 512] {
+        let (planner, now) = loaded(workers);
+        group.bench_function(BenchmarkId::from_parameter(workers), |bencher| {
+            let mut planner = planner.clone();
+            bencher.iter(|| black_box(planner.handle(now, &Input::Tick)));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, handle_report);
+criterion_main!(benches);
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -1,12 +1,14 @@
 //! Chooses workers for the tasks that are ready.
 
+use std::collections::HashSet;
+
 use super::Planner;
 use super::message::{Decision, Now, Output, StartOrder};
 use super::pool::{Allocation, Candidate, Horizon, Wanted};
 use super::scope::Scope;
 use super::state::{Job, Occurrence, Placement, StartPhase, Task};
 use crate::prelude::*;
-use crate::workflow::{TaskId, TaskPhase};
+use crate::workflow::{Resources, TaskId, TaskPhase};
 
 /// How long tasks of ordinary priority wait for the rack that holds their data.
 const DATA_RACK_WAIT_MS: u64 = 3_000;
@@ -34,6 +36,15 @@
     job: JobId,
 }
 
+/// What decides where the tasks of a simple step find room.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Shape {
+    service: String,
+    need: Resources,
+    required_label: Option<String>,
+    gang_tasks: Option<u32>,
+}
+
 impl Planner {
     /// Starts what can start, in the order of priority and age.
     pub(super) fn place_all(&mut self, now: Now, out: &mut Vec<Output>) {
@@ -44,15 +55,40 @@
         }
         let mut pool = self.pool(now);
         let mut has_reservation = false;
+        let mut without_room: HashSet<Shape> = HashSet::new();
         for step in ready {
             let priority = step.priority;
+            let shape = self.shape(&step);
+            // Room only shrinks during a pass, so an equal step finds none either.
+            if shape.as_ref().is_some_and(|shape| without_room.contains(shape)) {
+                continue;
+            }
             let placed = self.place_step(now, &step, &mut pool, out);
+            if !placed {
+                without_room.extend(shape);
+            }
             if !placed && !has_reservation && priority <= 1 {
                 has_reservation = self.reserve(&step, &mut pool);
             }
         }
     }
 
+    /// Returns what decides where a step finds room, or `None` if more than its own needs decides.
+    fn shape(&self, ready: &ReadyStep) -> Option<Shape> {
+        let job = &self.jobs[&ready.job];
+        let step = job.step(ready.step);
+        let is_simple = ready.priority != URGENT
+            && !step.same_rack
+            && step.data_rack.is_none()
+            && step.max_per_worker == 0;
+        is_simple.then(|| Shape {
+            service: job.record.service.clone(),
+            need: step.need,
+            required_label: step.required_label.clone(),
+            gang_tasks: step.gang.then_some(step.tasks),
+        })
+    }
+
     /// Creates the tasks of occurrences that are due.
     fn begin_occurrences(&mut self, now: Now) {
         for job in self.jobs.values_mut().filter(|job| job.result.is_none()) {
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -11,7 +11,7 @@
 pub const MAX_OCCURRENCES: u32 = 10_000;
 
 /// Processor, memory and accelerators of a worker, or what one task takes of them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Resources {
     /// Processor time, in thousandths of a core.
