Split the coordinator's actor and tests, and open connections in one place

Change: events, dump and the worker of the tests have files of their own; wire::dial opens connections.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -4,11 +4,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde_json::{Value, json};
-use tokio::sync::{mpsc, oneshot};
-use xtra::prelude::*;
+use tokio::sync::oneshot;
 
 use super::CoordinatorSettings;
+use super::event::{Event, EventSender};
 use super::lead::Leading;
 use super::message::{AcceptorMessage, HostMessage, JobUpdate, LeaderMessage, PeerMessage};
 use super::peers::{PeerSender, PeerSenders, keep_connected};
@@ -20,8 +19,8 @@
 use crate::prelude::*;
 use crate::process::{InboxActor, new_incarnation};
 use crate::rules::Directives;
-use crate::store::{RowChange, RowError, RowStore};
-use crate::succession::{Gossip, Leadership, Part, Step, Succession};
+use crate::store::RowStore;
+use crate::succession::{Gossip, Part, Step, Succession};
 use crate::wire::LinkSender;
 
 /// Gossip is sent with every second tick.
@@ -29,44 +28,6 @@
 /// A coordinator without an answer of the store, and without another that has one, is not ready after this time.
 const READY_STORE_AGE_MS: u64 = 4_000;
 
-/// Where events for the actor go.
-pub type EventSender = mpsc::Sender<Event>;
-
-/// What happens around a coordinator.
-#[derive(Debug)]
-pub enum Event {
-    /// Time has passed.
-    Tick,
-    /// Another coordinator may be at this address.
-    PeerAddress(SocketAddr),
-    /// A connection to another coordinator is open.
-    PeerConnected { address: SocketAddr, sender: PeerSender },
-    /// Another coordinator sent a message.
-    Peer { sender: PeerSender, message: PeerMessage },
-    /// A connection to another coordinator is lost.
-    PeerLost(SocketAddr),
-    /// Nothing was reached at this address for a long time.
-    PeerGivenUp(SocketAddr),
-    /// A host is connected.
-    HostConnected { connection: u64, worker: WorkerId, sender: LinkSender<AcceptorMessage> },
-    /// A host sent a message.
-    Host { connection: u64, message: HostMessage },
-    /// The connection to a host is lost.
-    HostLost { connection: u64 },
-    /// The store has directives.
-    Directives(Directives),
-    /// The store names the leader.
-    Leadership(Leadership),
-    /// An attempt to take over has ended.
-    TakenOver(Box<Result<Takeover, TakeoverError>>),
-    /// The leader's transaction is durable, or can never be.
-    Committed { epoch: Epoch, result: Result<u64, RowError> },
-    /// Stored jobs changed.
-    Jobs { epoch: Epoch, changes: Vec<RowChange> },
-    /// The process is ending.
-    End(oneshot::Sender<()>),
-}
-
 /// A coordinator.
 #[derive(xtra::Actor)]
 pub struct Coordinator<S: 'static> {
@@ -435,6 +396,15 @@
         self.peers.send_to_all(&PeerMessage::Progress { epoch, is_snapshot: false, jobs });
     }
 
+    /// Returns the coordinators behind the addresses that are being kept connected.
+    pub(super) fn dialed(&self) -> &BTreeMap<SocketAddr, Option<ProcessId>> {
+        &self.dialed
+    }
+
+    pub(super) fn process(&self) -> &ProcessId {
+        &self.settings.process
+    }
+
     pub(super) fn directives(&self) -> &Directives {
         &self.directives
     }
@@ -482,26 +452,3 @@
         }
     }
 }
-
-/// Asks for the state of the process.
-#[derive(Clone, Copy, Debug)]
-pub struct Dump;
-
-impl<S> Handler<Dump> for Coordinator<S>
-where
-    S: RowStore,
-{
-    type Return = Value;
-
-    async fn handle(&mut self, _message: Dump, _context: &mut Context<Self>) -> Value {
-        json!({
-            "process": self.settings.process,
-            "succession": self.succession,
-            "directives": { "as_of": self.directives.as_of, "out_of_service": self.directives.out_of_service },
-            "rules_version": self.directives.rules.as_ref().map(|rules| rules.version),
-            "coordinators": self.dialed,
-            "jobs_known": self.service.shared.with_view(|view| view.len()),
-            "planner": self.leading.as_ref().map(Leading::dump),
-        })
-    }
-}
--- a/src/coordinator/feed.rs
+++ b/src/coordinator/feed.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::actor::{Event, EventSender};
+use super::event::{Event, EventSender};
 use super::relay::RelayingStore;
 use super::{JOB_TABLE, LEAD_TABLE, LEADER_KEY, MEMBER_PREFIX};
 use crate::prelude::*;
--- a/src/coordinator/lead.rs
+++ b/src/coordinator/lead.rs
@@ -5,7 +5,8 @@
 
 use tokio::task::JoinHandle;
 
-use super::actor::{Coordinator, Event, EventSender};
+use super::actor::Coordinator;
+use super::event::{Event, EventSender};
 use super::feed::follow_jobs;
 use super::message::{AcceptorMessage, JobUpdate, LeaderMessage, PeerMessage};
 use super::relay::RelayingStore;
--- a/src/coordinator/listener.rs
+++ b/src/coordinator/listener.rs
@@ -6,7 +6,7 @@
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::actor::{Event, EventSender};
+use super::event::{Event, EventSender};
 use super::message::{AcceptorMessage, DialerMessage, HostMessage};
 use super::peers::PeerSender;
 use crate::process::{self, BindSnafu};
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -4,6 +4,8 @@
 //! docs/platform-deployment.md.
 
 mod actor;
+mod dump;
+mod event;
 mod feed;
 mod lead;
 mod listener;
@@ -17,7 +19,8 @@
 mod tests;
 mod view;
 
-pub use actor::{Coordinator, Dump};
+pub use actor::Coordinator;
+pub use dump::Dump;
 pub use feed::{DirectiveChange, DirectiveSource};
 pub use service::{Cancellation, Service, Submission};
 pub use settings::{CoordinatorSettings, WORKER_LEASE_MS};
@@ -32,7 +35,7 @@
 use crate::prelude::*;
 use crate::process::{self, Metrics, Readiness, SteadyClock, run_with_inbox};
 use crate::store::RowStore;
-use actor::Event;
+use event::Event;
 use peers::PeerSenders;
 use relay::RelayingStore;
 use service::SharedState;
--- a/src/coordinator/peers.rs
+++ b/src/coordinator/peers.rs
@@ -5,12 +5,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::net::TcpStream;
-
-use super::actor::{Event, EventSender};
+use super::event::{Event, EventSender};
 use super::message::{AcceptorMessage, DialerMessage, PeerMessage};
 use crate::prelude::*;
-use crate::wire::{Link, LinkSender, LinkSettings};
+use crate::wire::{Link, LinkSender, LinkSettings, dial};
 
 /// How long a connection to another coordinator may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -100,7 +98,7 @@
 pub async fn keep_connected(address: SocketAddr, links: LinkSettings, events: EventSender) {
     let mut failures = 0;
     while failures < GIVE_UP_ATTEMPTS {
-        match connect(address, &links).await {
+        match dial(address, &links, CONNECT_TIMEOUT).await {
             Some(link) => {
                 failures = 0;
                 serve_dialed(address, link, &events).await;
@@ -113,31 +111,6 @@
     let _ = events.send(Event::PeerGivenUp(address)).await;
 }
 
-async fn connect(
-    address: SocketAddr,
-    links: &LinkSettings,
-) -> Option<Link<DialerMessage, AcceptorMessage>> {
-    let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = match opened {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => {
-            log::debug!(address = address.to_string(); "no connection to a coordinator: {error}");
-            return None;
-        }
-        Err(_) => {
-            log::debug!(address = address.to_string(); "no connection to a coordinator in time");
-            return None;
-        }
-    };
-    match Link::connect(stream, links).await {
-        Ok(link) => Some(link),
-        Err(error) => {
-            log::warn!(address = address.to_string(); "handshake with a coordinator failed: {error}");
-            None
-        }
-    }
-}
-
 async fn serve_dialed(
     address: SocketAddr,
     mut link: Link<DialerMessage, AcceptorMessage>,
--- a/src/coordinator/tests.rs
+++ b/src/coordinator/tests/mod.rs
@@ -1,134 +1,26 @@
 //! Tests of coordinators: real connections on loopback, a store in memory, and workers that do as they are told.
 
-use std::collections::BTreeMap;
+mod worker;
+
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::message::JobUpdate;
 use super::takeover::{Head, TakeoverError, head_key, take_over};
 use super::*;
-use crate::host::{
-    self, Held, HostSettings, Renewal, StartAnswer, WorkerError, WorkerHeartbeat, WorkerPort,
-    WorkerTarget,
-};
-use crate::planner::{EndEntry, EndKind, JobProgress, RunEntry, StartOrder, WorkerReport};
+use crate::host::{self, HostSettings, WorkerHeartbeat, WorkerTarget};
+use crate::planner::{JobProgress, WorkerReport};
 use crate::prelude::*;
 use crate::rules::{Organisation, Rules};
 use crate::store::{Fault, MemoryRows, RowError, RowKey, RowStore, Transaction};
-use crate::workflow::{
-    self, JobRecord, JobResult, Life, Resources, StepSpec, TaskId, WorkflowSpec,
-};
+use crate::workflow::{self, JobRecord, JobResult, Life, Resources, StepSpec, WorkflowSpec};
+use worker::InProcessWorker;
 
 const DIRECTIVES: &str = "directives";
 /// Enough for several elections on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// A worker in this process. Its runs end by themselves after a while.
-#[derive(Clone, Default)]
-struct InProcessWorker(Arc<Mutex<WorkerState>>);
-
-#[derive(Default)]
-struct WorkerState {
-    fence: Epoch,
-    runs: BTreeMap<TaskId, (u32, Instant)>,
-    ended: Vec<EndEntry>,
-    ends: u64,
-    starts: Vec<(TaskId, u32)>,
-    run_ms: u64,
-}
-
-impl InProcessWorker {
-    fn with<T, F>(&self, work: F) -> T
-    where
-        F: FnOnce(&mut WorkerState) -> T,
-    {
-        work(&mut self.0.lock().expect("no thread panics"))
-    }
-}
-
-impl WorkerState {
-    fn end(&mut self, task: &TaskId, kind: EndKind) {
-        let Some((run, _)) = self.runs.remove(task) else {
-            return;
-        };
-        self.ends += 1;
-        let (number, task) = (self.ends, task.clone());
-        self.ended.push(EndEntry { number, task, run, kind, checkpoint: None });
-    }
-
-    fn finish(&mut self) {
-        let run_time = Duration::from_millis(self.run_ms);
-        let finished: Vec<TaskId> = self
-            .runs
-            .iter()
-            .filter(|(_, (_, since))| since.elapsed() >= run_time)
-            .map(|(task, _)| task.clone())
-            .collect();
-        for task in finished {
-            self.end(&task, EndKind::Done);
-        }
-    }
-}
-
-impl WorkerPort for InProcessWorker {
-    async fn start(
-        &self,
-        _target: &WorkerTarget,
-        order: &StartOrder,
-        fence: Epoch,
-        _deadline_ms: u64,
-    ) -> StartAnswer {
-        self.with(|state| {
-            if fence < state.fence {
-                return StartAnswer::Refused(crate::planner::StartRefusal::Fenced);
-            }
-            let key = (order.task.clone(), order.run);
-            if !state.starts.contains(&key) {
-                state.starts.push(key);
-                state.runs.insert(order.task.clone(), (order.run, Instant::now()));
-            }
-            StartAnswer::Started
-        })
-    }
-
-    async fn stop(
-        &self,
-        _target: &WorkerTarget,
-        task: &TaskId,
-        _run: u32,
-        _fence: Epoch,
-    ) -> Result<(), WorkerError> {
-        self.with(|state| state.end(task, EndKind::Stopped));
-        Ok(())
-    }
-
-    async fn hold(&self, _: &WorkerTarget, renewal: &Renewal) -> Result<Held, WorkerError> {
-        tokio::time::sleep(Duration::from_millis(renewal.wait_ms.min(50))).await;
-        self.with(|state| {
-            if renewal.fence < state.fence {
-                return Err(WorkerError::Fenced);
-            }
-            state.fence = renewal.fence;
-            state.finish();
-            state.ended.retain(|end| end.number > renewal.acknowledged);
-            let run_ms = state.run_ms.max(1);
-            let running = state.runs.iter().map(|(task, (run, since))| RunEntry {
-                task: task.clone(),
-                run: *run,
-                checkpoint: None,
-                percent: (since.elapsed().as_millis() as u64 * 100 / run_ms).min(99) as u8,
-            });
-            Ok(Held {
-                clock_ms: 1_000,
-                born_ms: 1,
-                running: running.collect(),
-                ended: state.ended.clone(),
-            })
-        })
-    }
-}
-
 fn source() -> DirectiveSource {
     let decode = |key: &str, content: &[u8]| match key {
         "rules" => serde_json::from_slice::<Rules>(content)
@@ -247,7 +139,7 @@
 }
 
 /// Starts a host beside a worker in this process.
-async fn worker(seeds: &[SocketAddr], run_ms: u64) -> InProcessWorker {
+async fn start_worker(seeds: &[SocketAddr], run_ms: u64) -> InProcessWorker {
     let port = InProcessWorker::default();
     port.with(|state| state.run_ms = run_ms);
     let settings =
@@ -292,7 +184,7 @@
     let store = MemoryRows::default();
     publish(&store, &rules(1)).await;
     let members = members(3, &store);
-    let worker = worker(&addresses(&members), 100).await;
+    let worker = start_worker(&addresses(&members), 100).await;
     ready(&members).await;
 
     for (index, member) in members.iter().enumerate() {
@@ -311,7 +203,7 @@
     let store = MemoryRows::default();
     publish(&store, &rules(1)).await;
     let mut members = members(3, &store);
-    let worker = worker(&addresses(&members), 4_000).await;
+    let worker = start_worker(&addresses(&members), 4_000).await;
     ready(&members).await;
     let job = JobId::from("job");
     assert_eq!(members[0].service().submit(&job, &record(), 3_000).await, Submission::Accepted);
@@ -339,7 +231,7 @@
     let store = MemoryRows::default();
     publish(&store, &rules(1)).await;
     let members = members(3, &store);
-    let _worker = worker(&addresses(&members), 100).await;
+    let _worker = start_worker(&addresses(&members), 100).await;
     ready(&members).await;
     let leader = leader_of(&store).await;
     let cut_off = members.iter().find(|member| member.running.name != leader).expect("two follow");
@@ -389,7 +281,7 @@
     let store = MemoryRows::default();
     publish(&store, &rules(1)).await;
     let members = members(1, &store);
-    let _worker = worker(&addresses(&members), 100).await;
+    let _worker = start_worker(&addresses(&members), 100).await;
     ready(&members).await;
 
     store.silence_feeds();
--- /dev/null
+++ b/src/coordinator/tests/worker.rs
@@ -0,0 +1,115 @@
+//! A worker in this process, whose runs end by themselves after a while.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::host::{Held, Renewal, StartAnswer, WorkerError, WorkerPort, WorkerTarget};
+use crate::planner::{EndEntry, EndKind, RunEntry, StartOrder, StartRefusal};
+use crate::prelude::*;
+use crate::workflow::TaskId;
+
+/// A worker in this process. Its runs end by themselves after a while.
+#[derive(Clone, Default)]
+pub struct InProcessWorker(Arc<Mutex<WorkerState>>);
+
+#[derive(Default)]
+pub struct WorkerState {
+    pub fence: Epoch,
+    pub runs: BTreeMap<TaskId, (u32, Instant)>,
+    ended: Vec<EndEntry>,
+    ends: u64,
+    pub starts: Vec<(TaskId, u32)>,
+    pub run_ms: u64,
+}
+
+impl InProcessWorker {
+    pub fn with<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut WorkerState) -> T,
+    {
+        work(&mut self.0.lock().expect("no thread panics"))
+    }
+}
+
+impl WorkerState {
+    fn end(&mut self, task: &TaskId, kind: EndKind) {
+        let Some((run, _)) = self.runs.remove(task) else {
+            return;
+        };
+        self.ends += 1;
+        let (number, task) = (self.ends, task.clone());
+        self.ended.push(EndEntry { number, task, run, kind, checkpoint: None });
+    }
+
+    fn finish(&mut self) {
+        let run_time = Duration::from_millis(self.run_ms);
+        let finished: Vec<TaskId> = self
+            .runs
+            .iter()
+            .filter(|(_, (_, since))| since.elapsed() >= run_time)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in finished {
+            self.end(&task, EndKind::Done);
+        }
+    }
+}
+
+impl WorkerPort for InProcessWorker {
+    async fn start(
+        &self,
+        _target: &WorkerTarget,
+        order: &StartOrder,
+        fence: Epoch,
+        _deadline_ms: u64,
+    ) -> StartAnswer {
+        self.with(|state| {
+            if fence < state.fence {
+                return StartAnswer::Refused(StartRefusal::Fenced);
+            }
+            let key = (order.task.clone(), order.run);
+            if !state.starts.contains(&key) {
+                state.starts.push(key);
+                state.runs.insert(order.task.clone(), (order.run, Instant::now()));
+            }
+            StartAnswer::Started
+        })
+    }
+
+    async fn stop(
+        &self,
+        _target: &WorkerTarget,
+        task: &TaskId,
+        _run: u32,
+        _fence: Epoch,
+    ) -> Result<(), WorkerError> {
+        self.with(|state| state.end(task, EndKind::Stopped));
+        Ok(())
+    }
+
+    async fn hold(&self, _: &WorkerTarget, renewal: &Renewal) -> Result<Held, WorkerError> {
+        tokio::time::sleep(Duration::from_millis(renewal.wait_ms.min(50))).await;
+        self.with(|state| {
+            if renewal.fence < state.fence {
+                return Err(WorkerError::Fenced);
+            }
+            state.fence = renewal.fence;
+            state.finish();
+            state.ended.retain(|end| end.number > renewal.acknowledged);
+            let run_ms = state.run_ms.max(1);
+            let running = state.runs.iter().map(|(task, (run, since))| RunEntry {
+                task: task.clone(),
+                run: *run,
+                checkpoint: None,
+                percent: (since.elapsed().as_millis() as u64 * 100 / run_ms).min(99) as u8,
+            });
+            Ok(Held {
+                clock_ms: 1_000,
+                born_ms: 1,
+                running: running.collect(),
+                ended: state.ended.clone(),
+            })
+        })
+    }
+}
--- a/src/host/link.rs
+++ b/src/host/link.rs
@@ -4,13 +4,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use super::actor::{Event, EventSender};
 use crate::coordinator::message::{AcceptorMessage, DialerMessage, HostMessage, LeaderMessage};
 use crate::prelude::*;
-use crate::wire::{Link, LinkSettings};
+use crate::wire::{Link, LinkSettings, dial};
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -87,7 +86,7 @@
 ) {
     loop {
         if let Some(address) = addresses.next()
-            && let Some(link) = connect(address, &links).await
+            && let Some(link) = dial(address, &links, CONNECT_TIMEOUT).await
         {
             serve(&worker, address, link, &addresses, &events).await;
         }
@@ -98,30 +97,6 @@
     }
 }
 
-async fn connect(
-    address: SocketAddr,
-    links: &LinkSettings,
-) -> Option<Link<DialerMessage, AcceptorMessage>> {
-    let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = match opened {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => {
-            log::debug!(address = address.to_string(); "no connection to a coordinator: {error}");
-            return None;
-        }
-        Err(_) => return None,
-    };
-    let handshake = tokio::time::timeout(CONNECT_TIMEOUT, Link::connect(stream, links)).await;
-    match handshake {
-        Ok(Ok(link)) => Some(link),
-        Ok(Err(error)) => {
-            log::warn!(address = address.to_string(); "handshake with a coordinator failed: {error}");
-            None
-        }
-        Err(_) => None,
-    }
-}
-
 async fn serve(
     worker: &WorkerId,
     address: SocketAddr,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 mod datagram;
+mod dial;
 mod link;
 mod message;
 #[cfg(test)]
@@ -14,6 +15,7 @@
 pub use datagram::{
     DATAGRAM_TAG_BYTES, DatagramDecoder, DatagramEncoder, DatagramHeader, MAX_DATAGRAM_BYTES,
 };
+pub use dial::dial;
 pub use link::{Link, LinkError, LinkReceiver, LinkSender, LinkSettings};
 pub use message::{
     AgentMessage, AnswerChecksum, AnswerChunk, AttemptRequest, EndpointSpec, EntryMessage,
