Skip the pass of placement for lists that bring nothing new, and state what was measured

Cause: at 128 workers with 500 waiting jobs a pass takes 271 us, and each worker lists its runs once a second; that is 3.5 % of a core, over the budget of 1.1 %.

Change: a list that ends no run and opens no worker needs no pass.

--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -148,6 +148,13 @@
     /// Takes an event and returns what can be done at once. [`Planner::take_batch`] returns the rest.
     pub fn handle(&mut self, now: Now, input: &Input) -> Vec<Output> {
         let mut out = Vec::new();
+        let was_closed = match input {
+            Input::Runs(report) => self
+                .workers
+                .get(&report.life.worker)
+                .is_none_or(|worker| !worker.synced || !worker.foreign.is_empty()),
+            _ => false,
+        };
         match input {
             Input::Directives(directives) => self.directives = directives.clone(),
             Input::Submitted { job, record } => self.submitted(job, record, &mut out),
@@ -170,7 +177,15 @@
             Input::Tick => self.forget_ended(now, &mut out),
         }
         self.expire_leases(now, &mut out);
-        self.place_all(now, &mut out);
+        // A list that brings nothing new, the most frequent event, frees no room. Waiting times are looked at each tick.
+        let may_place = match input {
+            Input::Runs(_) => was_closed || !out.is_empty(),
+            Input::Started { .. } => false,
+            _ => true,
+        };
+        if may_place {
+            self.place_all(now, &mut out);
+        }
         out
     }
 
