--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -282,15 +282,12 @@
         if directives.as_of <= self.directives.as_of {
             return;
         }
+        let directives = directives.with_newest_rules(&self.directives);
         let version = directives.rules.as_ref().map_or(0, |rules| rules.version);
-        let current = self.directives.rules.as_ref().map_or(0, |rules| rules.version);
-        if version < current {
-            log::error!(version, current, source; "directives with older rules are ignored");
-            return;
-        }
+        let out_of_service: Vec<&str> =
+            directives.out_of_service.iter().map(DataCentreId::as_str).collect();
         log::info!(
-            as_of = directives.as_of, version, source,
-            out_of_service = directives.out_of_service.len();
+            as_of = directives.as_of, version, source, out_of_service = out_of_service.join(" ");
             "directives in force"
         );
         self.service.metrics.set(
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -84,6 +84,18 @@
     pub out_of_service: BTreeSet<DataCentreId>,
 }
 
+impl Directives {
+    /// Keeps the rules that were in force before if these are older: a late write can put an earlier version back into the
+    /// store.
+    pub fn with_newest_rules(mut self, before: &Self) -> Self {
+        let version = |directives: &Self| directives.rules.as_ref().map_or(0, |one| one.version);
+        if version(&self) < version(before) {
+            self.rules.clone_from(&before.rules);
+        }
+        self
+    }
+}
+
 /// Who sent a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Caller<'a> {
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -58,3 +58,18 @@
     let (.., caller) = rules.admit("jobs.example", "/p/1", None).expect("the queue is public");
     assert_eq!(caller, Caller::Anonymous);
 }
+
+/// Guards against a data centre that stays out of service because the same directives hold an older version of the rules.
+#[test]
+fn older_rules_do_not_hold_back_other_directives() {
+    let directives = |as_of, version, out_of_service: &[&str]| Directives {
+        as_of,
+        rules: Some(Arc::new(Rules { version, ..Rules::default() })),
+        out_of_service: out_of_service.iter().map(|name| DataCentreId::from(*name)).collect(),
+    };
+    let before = directives(10, 7, &["north"]);
+
+    let merged = directives(11, 6, &[]).with_newest_rules(&before);
+
+    assert_eq!(merged, directives(11, 7, &[]));
+}
