Tell the leader of stored jobs and cancellations directly

Change: the coordinator that stores a job or a cancellation sends the row to the leader; the feed remains for what is lost. The test of silent feeds now stores its job directly, so that it still proves the feed. Test, failing before: the_leader_hears_of_stored_jobs_without_the_feed.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -19,7 +19,7 @@
 use crate::prelude::*;
 use crate::process::{InboxActor, new_incarnation};
 use crate::rules::Directives;
-use crate::store::RowStore;
+use crate::store::{RowChange, RowStore};
 use crate::succession::{Gossip, Part, Step, Succession};
 use crate::wire::LinkSender;
 
@@ -230,6 +230,7 @@
             PeerMessage::Progress { epoch, is_snapshot, jobs } => {
                 self.service.shared.with_view(|view| view.update(epoch, is_snapshot, &jobs));
             }
+            PeerMessage::Stored(change) => self.take_stored(&change),
             PeerMessage::Relay { call, request } => {
                 let store = self.store().clone();
                 tokio::spawn(async move {
@@ -301,6 +302,15 @@
         self.plan(&Input::Directives(directives));
     }
 
+    /// Tells the leader what became durable here. If this message is lost, the leader reads the change in the store.
+    fn on_stored(&mut self, change: RowChange) {
+        if self.leading.is_some() {
+            self.take_stored(&change);
+        } else if let Some(leadership) = self.succession.leadership() {
+            self.peers.send_to(&leadership.leader, PeerMessage::Stored(change));
+        }
+    }
+
     fn on_host_connected(
         &mut self,
         connection: u64,
@@ -444,6 +454,7 @@
             }
             Event::TakenOver(result) => self.taken_over(*result),
             Event::Committed { epoch, result } => self.committed(epoch, result),
+            Event::Stored(change) => self.on_stored(change),
             Event::Jobs { epoch, changes } => self.jobs_changed(epoch, &changes),
             Event::End(done) => self.end(done),
         }
--- a/src/coordinator/event.rs
+++ b/src/coordinator/event.rs
@@ -45,6 +45,8 @@
     TakenOver(Box<Result<Takeover, TakeoverError>>),
     /// The leader's transaction is durable, or can never be.
     Committed { epoch: Epoch, result: Result<u64, RowError> },
+    /// A job or a cancellation of a client of this coordinator is durable.
+    Stored(RowChange),
     /// Stored jobs changed.
     Jobs { epoch: Epoch, changes: Vec<RowChange> },
     /// The process is ending.
--- a/src/coordinator/lead.rs
+++ b/src/coordinator/lead.rs
@@ -308,24 +308,28 @@
         }
     }
 
-    /// Takes in stored jobs and cancellations.
+    /// Takes in stored jobs and cancellations from the feed of an epoch.
     pub(super) fn jobs_changed(&mut self, epoch: Epoch, changes: &[RowChange]) {
-        if self.leading.as_ref().is_none_or(|leading| leading.epoch() != epoch) {
+        if self.leading.as_ref().is_some_and(|leading| leading.epoch() == epoch) {
+            for change in changes {
+                self.take_stored(change);
+            }
+        }
+    }
+
+    /// Takes in a stored job or cancellation, if this coordinator leads. One that is known already has no effect.
+    pub(super) fn take_stored(&mut self, change: &RowChange) {
+        let Some(content) = &change.content else {
+            return;
+        };
+        let key = change.key.key.as_str();
+        if let Some(job) = key.strip_suffix(CANCEL_SUFFIX) {
+            self.plan(&Input::Cancelled { job: JobId::from(job) });
             return;
         }
-        for change in changes {
-            let Some(content) = &change.content else {
-                continue;
-            };
-            let key = change.key.key.as_str();
-            if let Some(job) = key.strip_suffix(CANCEL_SUFFIX) {
-                self.plan(&Input::Cancelled { job: JobId::from(job) });
-                continue;
-            }
-            match workflow::decode::<JobRecord>(content) {
-                Ok(record) => self.plan(&Input::Submitted { job: JobId::from(key), record }),
-                Err(error) => log::error!(job = key; "stored job cannot be read: {error}"),
-            }
+        match workflow::decode::<JobRecord>(content) {
+            Ok(record) => self.plan(&Input::Submitted { job: JobId::from(key), record }),
+            Err(error) => log::error!(job = key; "stored job cannot be read: {error}"),
         }
     }
 }
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -7,7 +7,7 @@
 use crate::planner::{JobProgress, RunsReport, StartOrder, StartRefusal, WorkerReport};
 use crate::prelude::*;
 use crate::rules::Directives;
-use crate::store::{RowError, RowKey, StoredRow, Transaction};
+use crate::store::{RowChange, RowError, RowKey, StoredRow, Transaction};
 use crate::succession::{Gossip, Leadership};
 use crate::workflow::{Life, TaskId};
 
@@ -123,6 +123,8 @@
         /// The jobs.
         jobs: Vec<JobUpdate>,
     },
+    /// A job or a cancellation is durable; for the leader, which hears of it sooner this way than from the store.
+    Stored(RowChange),
     /// Asks the receiver to call the store, which does not answer the sender.
     Relay {
         /// The number of the call.
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -97,6 +97,7 @@
         clock,
         metrics,
         readiness: Readiness::default(),
+        events: events.clone(),
     };
     let settings = Arc::new(settings);
     listener::spawn(settings.inner_address, settings.links(), events.clone()).await?;
--- a/src/coordinator/peers.rs
+++ b/src/coordinator/peers.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// Sends to one coordinator, if it is connected.
+    pub fn send_to(&self, peer: &ProcessId, message: PeerMessage) {
+        let sender = self.with(|peers| peers.get(peer).map(|peer| peer.sender.clone()));
+        if let Some(sender) = sender {
+            sender.send(message);
+        }
+    }
+
     /// Sends to the coordinator that the store answered last. Returns false if there is none.
     pub fn send_to_best(&self, message: PeerMessage) -> bool {
         let best = self.with(|peers| {
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
+use super::event::{Event, EventSender};
 use super::relay::RelayingStore;
 use super::view::JobView;
 use super::{CANCEL_SUFFIX, JOB_TABLE};
@@ -10,7 +11,7 @@
 use crate::prelude::*;
 use crate::process::{Metrics, Readiness, SteadyClock};
 use crate::rules::{Directives, Rules};
-use crate::store::{RowError, RowKey, RowStore, Transaction};
+use crate::store::{RowChange, RowError, RowKey, RowStore, Transaction};
 use crate::workflow::{self, JobRecord, JobResult};
 
 /// The longest time for which a write is repeated while its result is unknown. Clients wait for 3 s, and ask another
@@ -82,6 +83,7 @@
     pub(super) clock: SteadyClock,
     pub(super) metrics: Metrics,
     pub(super) readiness: Readiness,
+    pub(super) events: EventSender,
 }
 
 impl<S> Service<S>
@@ -126,7 +128,10 @@
             let left = Duration::from_millis(limit_ms.saturating_sub(spent_ms));
             let write = tokio::time::timeout(left, self.store.transact(&transaction)).await;
             let reason = match write.unwrap_or_else(|_| Err(no_answer())) {
-                Ok(_) => break (Submission::Accepted, String::new()),
+                Ok(version) => {
+                    self.announce(&transaction, version);
+                    break (Submission::Accepted, String::new());
+                }
                 Err(RowError::Conflict { current }) => {
                     break (compare(&current, record), "the job is stored already".to_owned());
                 }
@@ -212,7 +217,10 @@
                 Ok(Some(JobProgress::Over(_))) => return Cancellation::NoSuchJob,
                 Ok(Some(JobProgress::Pending | JobProgress::Running)) => {
                     match self.store.transact(&transaction).await {
-                        Ok(_) => return Cancellation::Accepted,
+                        Ok(version) => {
+                            self.announce(&transaction, version);
+                            return Cancellation::Accepted;
+                        }
                         Err(error) => error,
                     }
                 }
@@ -230,6 +238,17 @@
         }
     }
 
+    /// Hands what became durable to the actor, for the leader.
+    fn announce(&self, transaction: &Transaction, version: u64) {
+        for (key, content) in &transaction.puts {
+            let content = Some(content.clone());
+            let change = RowChange { key: key.clone(), content, version };
+            if let Err(error) = self.events.try_send(Event::Stored(change)) {
+                log::debug!("the leader reads a change in the store only: {error}");
+            }
+        }
+    }
+
     /// Counts the jobs of a queue of which no task has started.
     pub fn waiting(&self, queue: &str) -> usize {
         self.shared.with_view(|view| view.waiting(queue))
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -288,7 +288,10 @@
     publish(&store, &rules(2)).await;
     let silent_since = Instant::now();
     let job = JobId::from("job");
-    assert_eq!(members[0].service().submit(&job, &record(), 3_000).await, Submission::Accepted);
+    let key = RowKey::new(JOB_TABLE, job.as_str());
+    let puts = vec![(key, workflow::encode(&record()))];
+    let transaction = Transaction { puts, ..Transaction::default() };
+    store.other_client().transact(&transaction).await.expect("the store takes it");
 
     assert_eq!(until_over(&members[0], &job).await, JobResult::Done);
     eventually("the new rules arrive", || {
@@ -298,6 +301,30 @@
     assert!(silent_since.elapsed() < Duration::from_secs(5));
 }
 
+/// Guards against jobs that wait for the feed of the store, which may be late or silent, although a coordinator has just
+/// stored them. Cancellations go the same way.
+#[tokio::test]
+async fn the_leader_hears_of_stored_jobs_without_the_feed() {
+    let store = MemoryRows::default();
+    store.silence_table(JOB_TABLE);
+    publish(&store, &rules(1)).await;
+    let members = members(2, &store);
+    let _worker = start_worker(&addresses(&members), 100).await;
+    ready(&members).await;
+
+    for (index, member) in members.iter().enumerate() {
+        let job = JobId::from(format!("job{index}").as_str());
+        assert_eq!(member.service().submit(&job, &record(), 3_000).await, Submission::Accepted);
+        assert_eq!(until_over(member, &job).await, JobResult::Done);
+
+        let job = JobId::from(format!("cancelled{index}").as_str());
+        let endless = JobRecord { service: "absent".to_owned(), ..record() };
+        assert_eq!(member.service().submit(&job, &endless, 3_000).await, Submission::Accepted);
+        assert_eq!(member.service().cancel(&job, 3_000).await, Cancellation::Accepted);
+        assert_eq!(until_over(member, &job).await, JobResult::Cancelled);
+    }
+}
+
 /// Guards against an acceptance that is not durable, and a refusal of what is stored later.
 #[tokio::test]
 async fn answers_to_submissions_are_true() {
--- a/src/store/memory_rows.rs
+++ b/src/store/memory_rows.rs
@@ -1,6 +1,6 @@
 //! A row store in memory, with the faults of the platform's.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -43,6 +43,8 @@
     fault: Arc<Mutex<Fault>>,
     /// Calls that wait for changes since before the last rise of this number are never answered.
     silenced: Arc<AtomicU64>,
+    /// Calls that wait for changes of these tables are never answered.
+    silent_tables: Arc<Mutex<BTreeSet<String>>>,
 }
 
 impl Default for MemoryRows {
@@ -52,6 +54,7 @@
             changed: watch::Sender::new(0),
             fault: Arc::default(),
             silenced: Arc::default(),
+            silent_tables: Arc::default(),
         }
     }
 }
@@ -89,6 +92,16 @@
         self.silenced.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Leaves all calls that wait for changes of a table without an answer from now on.
+    pub fn silence_table(&self, table: &str) {
+        let mut tables = self.silent_tables.lock().unwrap_or_else(PoisonError::into_inner);
+        tables.insert(table.to_owned());
+    }
+
+    fn is_silent(&self, table: &str) -> bool {
+        self.silent_tables.lock().unwrap_or_else(PoisonError::into_inner).contains(table)
+    }
+
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u64 {
         self.with(|state| state.calls)
@@ -177,6 +190,9 @@
 
     async fn watch(&self, table: &str, after: u64, wait: Duration) -> RowResult<Changes> {
         self.begin_call()?;
+        if self.is_silent(table) {
+            return std::future::pending().await;
+        }
         let silenced = self.silenced.load(Ordering::Relaxed);
         let mut changed = self.changed.subscribe();
         let until = tokio::time::Instant::now() + wait;
