List young runs more often and give up urgent runs that stand still sooner

Change: runs younger than 10 s are listed each 0.3 s; urgent runs are given up after 0.9 s; a worker on which a run of no gang stands still for 1 s gets nothing new; after a gang stood still its workers without other progress come last. Tests, two of them failing before: a_worker_on_which_a_run_stands_still_gets_nothing_new, a_gang_that_stood_still_moves_to_other_workers, young_runs_are_listed_more_often.

--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -9,6 +9,7 @@
 
 use super::lease::LeaseClock;
 use super::link::LeaderAddresses;
+use super::listing::ListingPace;
 use super::{Held, Renewal, WorkerError, WorkerHeartbeat, WorkerPort, orders};
 use crate::coordinator::message::{DialerMessage, HostMessage, LeaderMessage};
 use crate::planner::{RunsReport, StartOrder, StartRefusal};
@@ -17,8 +18,6 @@
 use crate::wire::LinkSender;
 use crate::workflow::{Life, TaskId};
 
-/// How long the worker waits for an end before it lists its runs anyway; also the interval of lease renewals.
-const HOLD_WAIT_MS: u64 = 1_000;
 /// The pause before a call of the worker that failed is repeated.
 const FAILURE_PAUSE_MS: u64 = 200;
 /// How long ends that the leader has not acknowledged delay the next list.
@@ -96,6 +95,7 @@
     stops: BTreeMap<RunKey, JoinHandle<()>>,
     stopped: BTreeSet<RunKey>,
     refused_connections: u32,
+    listing: ListingPace,
 }
 
 impl<P> Host<P>
@@ -131,6 +131,7 @@
             stops: BTreeMap::new(),
             stopped: BTreeSet::new(),
             refused_connections: 0,
+            listing: ListingPace::default(),
         }
     }
 
@@ -196,6 +197,7 @@
         self.starts.clear();
         self.stops.clear();
         self.stopped.clear();
+        self.listing.clear();
     }
 
     fn on_left(&mut self, instance: &str) {
@@ -237,9 +239,10 @@
 
     /// Asks the worker to extend its lease and to list its runs, unless that is under way.
     fn renew(&mut self) {
-        if self.hold.is_none() && self.clock.now_ms() >= self.hold_after_ms {
+        let now_ms = self.clock.now_ms();
+        if self.hold.is_none() && now_ms >= self.hold_after_ms {
             let is_first = self.lease.renewed_ms().is_none();
-            self.begin_hold(if is_first { 0 } else { HOLD_WAIT_MS });
+            self.begin_hold(if is_first { 0 } else { self.listing.wait_ms(now_ms) });
         }
     }
 
@@ -304,6 +307,7 @@
             return;
         }
         self.lease.answered(held.clock_ms, now_ms);
+        self.listing.listed(now_ms, &held.running);
         self.stopped.retain(|key| !hold.stopped.contains(key));
         let last_ended = held.ended.last().map_or(0, |end| end.number);
         let has_unacknowledged = last_ended > self.acknowledged;
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -3,6 +3,7 @@
 mod actor;
 mod lease;
 mod link;
+mod listing;
 mod orders;
 #[cfg(test)]
 mod tests;
--- a/src/host/tests.rs
+++ b/src/host/tests.rs
@@ -143,3 +143,21 @@
 
     assert_eq!(lease.deadline_ms(11_000), Some(500 + WORKER_LEASE_MS));
 }
+
+/// Guards against a run that stands still and is noticed late, and against lists several times a second for hours.
+#[test]
+fn young_runs_are_listed_more_often() {
+    let entry = |run| RunEntry { task: order().task, run, checkpoint: None, percent: 0 };
+    let mut pace = super::listing::ListingPace::default();
+    assert_eq!(pace.wait_ms(0), 1_000);
+
+    pace.listed(1_000, &[entry(1)]);
+    pace.listed(9_000, &[entry(1)]);
+    assert_eq!(pace.wait_ms(10_000), 300);
+    assert_eq!(pace.wait_ms(11_000), 1_000);
+
+    pace.listed(12_000, &[entry(1), entry(2)]);
+    assert_eq!(pace.wait_ms(12_000), 300);
+    pace.listed(13_000, &[entry(1)]);
+    assert_eq!(pace.wait_ms(13_000), 1_000);
+}
--- a/src/planner/pace.rs
+++ b/src/planner/pace.rs
@@ -1,15 +1,24 @@
 //! Finds runs that stand still and workers that are slow, by the progress that workers report.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use super::Planner;
 use super::message::{Now, Output};
 use super::state::{Placement, StartPhase};
+use crate::prelude::*;
 use crate::workflow::{Life, TaskId};
 
 /// A run without progress for this time stands still, if it has not worked for longer before. The longest tasks take 11 s; even at a seventh of the usual speed
 /// they make a percent in 0.8 s.
 const STALL_MS: u64 = 1_500;
+/// The same for an urgent run that began without a checkpoint. Its task takes up to 8 s, so at a seventh of the usual
+/// speed it makes a percent in 0.6 s, and its worker lists it each 0.3 s.
+const URGENT_STALL_MS: u64 = 900;
+/// A worker on which a run of no gang stands still for this time gets nothing new for as long again. Restoring a
+/// checkpoint takes up to 0.6 s.
+const SUSPECT_MS: u64 = 1_000;
 /// How often a task is stopped for standing still. One that does so everywhere is left to its worker.
 const MAX_STALLS: u32 = 3;
 /// How long a worker rests on which a run stood still.
@@ -68,6 +77,7 @@
         };
         for task in worker.placed.clone() {
             self.learn_pace(now, life, &task);
+            self.suspect_worker(now, life, &task);
             if let Some(because) = self.too_slow(now, life, &task) {
                 self.give_up_run(now, life, &task, &because, out);
             }
@@ -98,6 +108,28 @@
         }
     }
 
+    /// Keeps new work from a worker on which a run stands still, before the run itself is given up. Runs of a gang wait for
+    /// each other, so they do not tell which worker is at fault.
+    fn suspect_worker(&mut self, now: Now, life: &Life, task: &TaskId) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let step = job.step(task.step.into());
+        let Some(state) = job.task(task).filter(|_| !step.gang && !step.long_running) else {
+            return;
+        };
+        let is_still = state.stalls < MAX_STALLS
+            && state.placement.as_ref().is_some_and(|placement| {
+                placement.phase == StartPhase::Running
+                    && placement.stopping_ms.is_none()
+                    && placement.percent < 100
+                    && now.steady_ms >= placement.progress_ms + SUSPECT_MS
+            });
+        if let Some(worker) = self.workers.get_mut(&life.worker).filter(|_| is_still) {
+            worker.resting_until_ms = worker.resting_until_ms.max(now.steady_ms + SUSPECT_MS);
+        }
+    }
+
     /// Returns why a run should be started anew elsewhere, if it should.
     fn too_slow(&self, now: Now, life: &Life, task: &TaskId) -> Option<String> {
         let job = self.jobs.get(&task.job)?;
@@ -127,8 +159,9 @@
         // A run that is started anew loses what it has done, so it waits about as long for a worker that may recover.
         let worked_ms = now.steady_ms.saturating_sub(began_ms).saturating_sub(still_ms);
         let patience_ms = match (step.checkpointable, job.record.priority) {
+            (true, 0) if placement.checkpoint_at_start.is_none() => URGENT_STALL_MS,
             (true, _) => STALL_MS,
-            (false, 0) => STALL_MS.max(worked_ms / 2),
+            (false, 0) => URGENT_STALL_MS.max(worked_ms / 2),
             (false, _) => STALL_MS.max(worked_ms),
         };
         if still_ms >= patience_ms {
@@ -145,6 +178,14 @@
             .then(|| format!("{left_ms:.0} ms left on a slow worker, {typical_ms:.0} ms are usual"))
     }
 
+    /// Returns whether a run on a worker has made progress lately.
+    fn has_progress(&self, now: Now, worker: &WorkerId) -> bool {
+        let placed = self.workers.get(worker).into_iter().flat_map(|worker| &worker.placed);
+        placed
+            .filter_map(|task| self.jobs.get(&task.job)?.task(task)?.placement.as_ref())
+            .any(|one| one.percent > 0 && now.steady_ms < one.progress_ms + SUSPECT_MS)
+    }
+
     fn give_up_run(
         &mut self,
         now: Now,
@@ -157,13 +198,22 @@
             return;
         };
         let members = job.members(task);
+        let is_gang = job.step(task.step.into()).gang;
+        let mut workers = BTreeSet::new();
         for member in &members {
             if let Some(state) = job.task_mut(member) {
                 state.stalls += 1;
-                state.avoid = Some(life.worker.clone());
+                state.avoid = state.placement.as_ref().map(|one| one.life.worker.clone());
+                workers.extend(state.avoid.clone());
             }
         }
-        if let Some(worker) = self.workers.get_mut(&life.worker) {
+        workers.retain(|id| !is_gang || !self.has_progress(now, id));
+        for id in workers {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.suspect_until_ms = now.steady_ms + REST_AFTER_STALL_MS;
+            }
+        }
+        if !is_gang && let Some(worker) = self.workers.get_mut(&life.worker) {
             worker.resting_until_ms =
                 worker.resting_until_ms.max(now.steady_ms + REST_AFTER_STALL_MS);
         }
--- a/src/planner/pool.rs
+++ b/src/planner/pool.rs
@@ -183,6 +183,7 @@
                 soon: free.plus(&stopping),
                 reserved: false,
                 is_doubtful: !worker.failed_jobs.is_empty()
+                    || now.steady_ms < worker.suspect_until_ms
                     || worker.slowness.is_slow(now.steady_ms),
             });
         }
--- a/src/planner/scope.rs
+++ b/src/planner/scope.rs
@@ -107,9 +107,11 @@
             })
             .filter(|(_, allocation)| wanted.is_whole(allocation))
             .min_by_key(|(rack, allocation)| {
+                let doubtful =
+                    allocation.iter().filter(|(index, _)| pool[*index].is_doubtful).count();
                 let free: u32 =
                     allocation.iter().map(|(index, _)| pool[*index].soon.accelerators).sum();
-                (data_rack.is_some_and(|data| data != rack.as_str()), free)
+                (data_rack.is_some_and(|data| data != rack.as_str()), doubtful, free)
             })
             .map(|(_, allocation)| allocation)
     }
--- a/src/planner/tests/pace.rs
+++ b/src/planner/tests/pace.rs
@@ -89,3 +89,33 @@
 
     assert!(world.places("urgent").iter().all(|place| place.1 != slow));
 }
+
+/// Guards against work that is given to a worker while a run there stands still but is not given up yet.
+#[test]
+fn a_worker_on_which_a_run_stands_still_gets_nothing_new() {
+    let mut world = World::new(2);
+    world.submit("probe", job(1, vec![step(1, 1)]));
+    let stuck = world.places("probe")[0].1.clone();
+    work(&mut world, 5_000, |_| 15.0);
+
+    work(&mut world, 1_500, |_| 0.0);
+    assert!(world.stops.is_empty());
+    world.submit("next", job(1, vec![step(1, 1)]));
+
+    assert_ne!(world.places("next")[0].1, stuck);
+}
+
+/// Guards against a gang that is started again on the workers on which it stood still, although others are free.
+#[test]
+fn a_gang_that_stood_still_moves_to_other_workers() {
+    let mut world = World::new(4);
+    world.submit("j", job(0, vec![gang(2, 8)]));
+    let before: Vec<WorkerId> = world.places("j").into_iter().map(|place| place.1).collect();
+
+    work(&mut world, 1_500, |_| 0.0);
+    world.finish_stops();
+
+    let after: Vec<WorkerId> = world.places("j").into_iter().map(|place| place.1).collect();
+    assert_eq!(after.len(), 2);
+    assert!(after.iter().all(|worker| !before.contains(worker)));
+}
