Leave out workers of a gang that stood still

Change: suspects get no work, unless more than half of the workers are suspect. Test, failing before: a_gang_that_stood_still_displaces_others.

--- a/src/planner/pool.rs
+++ b/src/planner/pool.rs
@@ -22,6 +22,8 @@
     pub reserved: bool,
     /// Runs failed here lately, or are slow.
     pub is_doubtful: bool,
+    /// A gang that had a member here stood still.
+    pub is_suspect: bool,
 }
 
 /// Where to look for room.
@@ -185,8 +187,14 @@
                 is_doubtful: !worker.failed_jobs.is_empty()
                     || now.steady_ms < worker.suspect_until_ms
                     || worker.slowness.is_slow(now.steady_ms),
+                is_suspect: now.steady_ms < worker.suspect_until_ms,
             });
         }
+        // A gang can suspect a whole small deployment; then the suspects only come last.
+        let suspects = pool.iter().filter(|candidate| candidate.is_suspect).count();
+        if suspects <= pool.len() / 2 {
+            pool.retain(|candidate| !candidate.is_suspect);
+        }
         pool
     }
 }
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -170,6 +170,6 @@
     /// How long it rested last.
     pub rest_ms: u64,
     pub slowness: Slowness,
-    /// Until this time it comes last: a gang that had a member here stood still.
+    /// Until this time it gets no work, or comes last if too many others do: a gang that had a member here stood still.
     pub suspect_until_ms: u64,
 }
--- a/src/planner/tests/pace.rs
+++ b/src/planner/tests/pace.rs
@@ -119,3 +119,24 @@
     assert_eq!(after.len(), 2);
     assert!(after.iter().all(|worker| !before.contains(worker)));
 }
+
+/// Guards against a gang that is started again on the workers on which it stood still, because only work that it may
+/// displace runs on the others.
+#[test]
+fn a_gang_that_stood_still_displaces_others() {
+    let mut world = World::new(6);
+    world.submit("urgent", job(0, vec![gang(2, 8)]));
+    world.submit("others", job(2, vec![step(4, 8)]));
+    let before: Vec<WorkerId> = world.places("urgent").into_iter().map(|place| place.1).collect();
+
+    for _ in 0..3 {
+        let stuck = before.clone();
+        work(&mut world, 500, |worker| if stuck.contains(worker) { 0.0 } else { 10.0 });
+    }
+    world.finish_stops();
+    world.finish_stops();
+
+    let after: Vec<WorkerId> = world.places("urgent").into_iter().map(|place| place.1).collect();
+    assert_eq!(after.len(), 2);
+    assert!(after.iter().all(|worker| !before.contains(worker)));
+}
