Compare the speed of workers at most once in 0.9 s, and not by the first second

Change: a run is projected after 1 s, and a worker compared at most once in 0.9 s. Test, failing before: a_run_that_has_just_begun_tells_nothing_of_its_worker.

--- a/src/planner/pace.rs
+++ b/src/planner/pace.rs
@@ -25,8 +25,10 @@
 const REST_AFTER_STALL_MS: u64 = 5_000;
 /// The least progress from which the duration of a run is projected.
 const LEAST_PERCENT: u8 = 5;
-/// The least time from which the duration of a run is projected.
-const LEAST_ELAPSED_MS: u64 = 600;
+/// The least time from which the duration of a run is projected; starting and restoring take up to 0.7 s of it.
+const LEAST_ELAPSED_MS: u64 = 1_000;
+/// The least time between two comparisons of the runs of a worker, so that a long run does not count for many.
+const OBSERVE_INTERVAL_MS: u64 = 900;
 /// The weight of a new observation in the averages.
 const WEIGHT: f64 = 0.3;
 /// A worker counts as slow if its runs take this many times as long as those of the same queue elsewhere. The speeds of
@@ -42,6 +44,8 @@
 pub(super) struct Slowness {
     log_ratio: f64,
     seen_ms: u64,
+    /// When the runs of the worker were last compared with others.
+    observed_ms: u64,
 }
 
 impl Slowness {
@@ -72,11 +76,17 @@
 impl Planner {
     /// Compares the runs of a worker with others of their queues, and stops what stands still or is too slow.
     pub(super) fn check_pace(&mut self, now: Now, life: &Life, out: &mut Vec<Output>) {
-        let Some(worker) = self.workers.get(&life.worker) else {
+        let Some(worker) = self.workers.get_mut(&life.worker) else {
             return;
         };
+        let is_due = now.steady_ms >= worker.slowness.observed_ms + OBSERVE_INTERVAL_MS;
+        if is_due {
+            worker.slowness.observed_ms = now.steady_ms;
+        }
         for task in worker.placed.clone() {
-            self.learn_pace(now, life, &task);
+            if is_due {
+                self.learn_pace(now, life, &task);
+            }
             self.suspect_worker(now, life, &task);
             if let Some(because) = self.too_slow(now, life, &task) {
                 self.give_up_run(now, life, &task, &because, out);
--- a/src/planner/tests/pace.rs
+++ b/src/planner/tests/pace.rs
@@ -140,3 +140,20 @@
     assert_eq!(after.len(), 2);
     assert!(after.iter().all(|worker| !before.contains(worker)));
 }
+
+/// Guards against a worker that is taken for slow because a run there has only just begun.
+#[test]
+fn a_run_that_has_just_begun_tells_nothing_of_its_worker() {
+    let mut world = World::new(2);
+    world.submit("usual", job(1, vec![step(1, 8)]));
+    work(&mut world, 3_000, |_| 30.0);
+    world.submit("new", job(1, vec![step(1, 8)]));
+    let place = world.places("new")[0].1.clone();
+
+    let run = world.workers.get_mut(&place).and_then(|worker| worker.runs.values_mut().next());
+    run.expect("the task runs").percent = 6;
+    world.pass(500);
+    world.pass(300);
+
+    assert!(!world.planner.workers[&place].slowness.is_slow(world.now.steady_ms));
+}
