Move runs off workers that leave before the runs can end

The time that a draining worker has left was not read.

Tests, the first failing before: a_run_that_outlasts_its_worker_is_moved, a_run_that_ends_before_its_worker_leaves_goes_on.

--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -24,6 +24,7 @@
         labels: vec!["a".to_owned(), rack],
         room: Resources { cores_milli: 32_000, memory_mb: 131_072, accelerators: 8 },
         draining: false,
+        leaves_in_ms: None,
     }
 }
 
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -153,6 +153,7 @@
         labels: Vec::new(),
         room: Resources { cores_milli: 8_000, memory_mb: 8_000, accelerators: 8 },
         draining: false,
+        leaves_in_ms: None,
     };
     let target = WorkerTarget { address: "w".to_owned(), instance: "i".to_owned() };
     assert!(running.heartbeat(WorkerHeartbeat { report, target, sequence: 1 }).await);
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -166,7 +166,8 @@
         if is_changed {
             log::info!(
                 instance = heartbeat.target.instance.as_str(), born_ms = life.born_ms,
-                draining = heartbeat.report.draining, sequence = heartbeat.sequence;
+                draining = heartbeat.report.draining,
+                leaves_in_ms:debug = heartbeat.report.leaves_in_ms, sequence = heartbeat.sequence;
                 "worker changed"
             );
             self.tell(HostMessage::Worker(heartbeat.report.clone()));
--- a/src/planner/message.rs
+++ b/src/planner/message.rs
@@ -32,6 +32,8 @@
     pub room: Resources,
     /// It takes no new work and will leave.
     pub draining: bool,
+    /// The least time until it leaves and ends all its runs, if it has said so.
+    pub leaves_in_ms: Option<u64>,
 }
 
 /// A run that a worker lists.
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -5,6 +5,7 @@
 
 mod end;
 mod evict;
+mod leave;
 mod message;
 mod pace;
 mod place;
--- a/src/planner/pace.rs
+++ b/src/planner/pace.rs
@@ -65,7 +65,7 @@
 }
 
 /// Projects the duration of a run from its progress.
-fn projected_ms(now: Now, placement: &Placement) -> Option<f64> {
+pub(super) fn projected_ms(now: Now, placement: &Placement) -> Option<f64> {
     let elapsed_ms = now.steady_ms.saturating_sub(placement.started_ms);
     if placement.percent < LEAST_PERCENT || elapsed_ms < LEAST_ELAPSED_MS {
         return None;
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -31,9 +31,11 @@
             *known = Worker { placed: std::mem::take(&mut known.placed), ..Worker::default() };
         }
         known.report = Some(report.clone());
+        known.leaves_ms = report.leaves_in_ms.map(|left_ms| now.steady_ms + left_ms);
         known.connected = true;
         known.heard_ms = known.heard_ms.max(now.steady_ms);
         self.end_earlier_lives(now, &report.life, out);
+        self.move_from_leaving(now, &report.life, out);
     }
 
     fn end_earlier_lives(&mut self, now: Now, life: &Life, out: &mut Vec<Output>) {
@@ -81,6 +83,7 @@
         self.take_running(now, report, out);
         self.check_missing(now, report, out);
         self.check_pace(now, &report.life, out);
+        self.move_from_leaving(now, &report.life, out);
     }
 
     fn take_ends(&mut self, now: Now, report: &RunsReport, out: &mut Vec<Output>) {
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -172,4 +172,6 @@
     pub slowness: Slowness,
     /// Until this time it gets no work, or comes last if too many others do: a gang that had a member here stood still.
     pub suspect_until_ms: u64,
+    /// It does not leave before this time; known once it has said that it will.
+    pub leaves_ms: Option<u64>,
 }
--- a/src/planner/tests/pace.rs
+++ b/src/planner/tests/pace.rs
@@ -157,3 +157,38 @@
 
     assert!(!world.planner.workers[&place].slowness.is_slow(world.now.steady_ms));
 }
+
+/// Guards against a run that goes on on a worker that leaves before the run can end, and is lost with it.
+#[test]
+fn a_run_that_outlasts_its_worker_is_moved() {
+    let mut world = World::new(3);
+    let long = StepSpec { estimate_ms: 8_000, ..gang(2, 8) };
+    world.submit("j", job(0, vec![long]));
+    let leaving = world.places("j")[0].1.clone();
+
+    work(&mut world, 1_000, |_| 12.0);
+    let worker = world.workers.get_mut(&leaving).expect("the worker exists");
+    (worker.draining, worker.leaves_in_ms) = (true, Some(2_000));
+    world.report(&leaving);
+    world.finish_stops();
+
+    let places = world.places("j");
+    assert_eq!(places.len(), 2);
+    assert!(places.iter().all(|place| place.1 != leaving));
+}
+
+/// Guards against work that is thrown away though it ends before its worker leaves.
+#[test]
+fn a_run_that_ends_before_its_worker_leaves_goes_on() {
+    let mut world = World::new(3);
+    let long = StepSpec { estimate_ms: 8_000, ..gang(2, 8) };
+    world.submit("j", job(0, vec![long]));
+    let leaving = world.places("j")[0].1.clone();
+
+    work(&mut world, 2_000, |_| 40.0);
+    let worker = world.workers.get_mut(&leaving).expect("the worker exists");
+    (worker.draining, worker.leaves_in_ms) = (true, Some(2_000));
+    world.report(&leaving);
+
+    assert!(world.stops.is_empty());
+}
--- a/src/planner/tests/world.rs
+++ b/src/planner/tests/world.rs
@@ -27,6 +27,7 @@
     pub closed: BTreeMap<TaskId, u32>,
     pub is_connected: bool,
     pub draining: bool,
+    pub leaves_in_ms: Option<u64>,
 }
 
 /// What the store has.
@@ -98,6 +99,7 @@
                 closed: BTreeMap::new(),
                 is_connected: true,
                 draining: false,
+                leaves_in_ms: None,
             };
             world.workers.insert(worker, fake);
         }
@@ -280,6 +282,7 @@
             labels: vec!["a".to_owned(), fake.rack.clone()],
             room: worker_room(),
             draining: fake.draining,
+            leaves_in_ms: fake.leaves_in_ms,
         };
         let running = fake.runs.iter().map(|(task, run)| RunEntry {
             task: task.clone(),
@@ -339,6 +342,7 @@
         worker.ends = 0;
         worker.is_connected = true;
         worker.draining = false;
+        worker.leaves_in_ms = None;
     }
 
     /// Returns the workers on which tasks of a job run.
