--- a/src/coordinator/feed.rs
+++ b/src/coordinator/feed.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::event::{Event, EventSender};
+use super::job_rows::list_jobs;
 use super::relay::RelayingStore;
 use super::{JOB_TABLE, LEAD_TABLE, LEADER_KEY, MEMBER_PREFIX};
 use crate::prelude::*;
@@ -58,7 +59,7 @@
 {
     let mut known = Directives::default();
     loop {
-        let listing = store.direct().list(source.table).await;
+        let listing = store.direct().list(source.table, 0).await;
         store.note(&listing);
         let mut version = match listing {
             Ok(listing) => {
@@ -179,7 +180,7 @@
     loop {
         // After a failure a short read tells sooner than a feed whether the store is back.
         let answer = match after {
-            None => store.direct().list(LEAD_TABLE).await.map(|listing| {
+            None => store.direct().list(LEAD_TABLE, 0).await.map(|listing| {
                 let row = listing.rows.into_iter().find(|row| row.key == key);
                 (row.map(|row| row.content), listing.version)
             }),
@@ -241,7 +242,7 @@
                 version = changes.version;
                 changes.changes
             }
-            Err(RowError::HistoryGone) => match store.direct().list(JOB_TABLE).await {
+            Err(RowError::HistoryGone) => match list_jobs(store.direct()).await {
                 Ok(listing) => {
                     version = listing.version;
                     listing.rows.into_iter().map(row_as_change).collect()
@@ -278,7 +279,7 @@
         Transaction { puts: vec![(key, workflow::encode(&address))], ..Transaction::default() };
     loop {
         let listing = match store.transact(&transaction).await {
-            Ok(_) => store.list(LEAD_TABLE).await,
+            Ok(_) => store.list(LEAD_TABLE, 0).await,
             Err(error) => Err(error),
         };
         match listing {
--- a/src/coordinator/lead.rs
+++ b/src/coordinator/lead.rs
@@ -8,10 +8,11 @@
 use super::actor::Coordinator;
 use super::event::{Event, EventSender};
 use super::feed::follow_jobs;
+use super::job_rows::{cancel_key, job_key};
 use super::message::{AcceptorMessage, JobUpdate, LeaderMessage, PeerMessage};
 use super::relay::RelayingStore;
 use super::takeover::{Head, Takeover, head_key};
-use super::{CANCEL_SUFFIX, JOB_TABLE, PROGRESS_TABLE};
+use super::{CANCEL_SUFFIX, PROGRESS_TABLE};
 use crate::planner::{Batch, Input, JobProgress, Now, Output, Planner, RecordChange};
 use crate::prelude::*;
 use crate::process::Metrics;
@@ -361,8 +362,8 @@
             transaction.puts.push((key, workflow::encode(record.as_ref())));
         }
         RecordChange::Forget { job, occurrences } => {
-            transaction.removals.push(RowKey::new(JOB_TABLE, job.as_str()));
-            transaction.removals.push(RowKey::new(JOB_TABLE, &format!("{job}{CANCEL_SUFFIX}")));
+            transaction.removals.push(job_key(job.as_str()));
+            transaction.removals.push(cancel_key(job.as_str()));
             // Rows beyond this number are left behind rather than exceed the size of a transaction.
             const MOST_REMOVED: u32 = 80;
             for occurrence in 0..(*occurrences).min(MOST_REMOVED) {
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use super::event::{Event, EventSender};
+use super::job_rows::{cancel_key, job_key};
 use super::relay::RelayingStore;
 use super::view::JobView;
-use super::{CANCEL_SUFFIX, JOB_TABLE};
 use crate::planner::JobProgress;
 use crate::prelude::*;
 use crate::process::{Metrics, Readiness, SteadyClock};
 use crate::rules::{Directives, Rules};
-use crate::store::{RowChange, RowError, RowKey, RowStore, Transaction};
+use crate::store::{RowChange, RowError, RowStore, Transaction};
 use crate::workflow::{self, JobRecord, JobResult};
 
 /// The longest time for which a write is repeated while its result is unknown. Clients wait for 3 s, and ask another
@@ -112,7 +112,7 @@
 
     /// Makes a job durable. A repeated submission of the same job is accepted again.
     pub async fn submit(&self, job: &JobId, record: &JobRecord, patience_ms: u64) -> Submission {
-        let key = RowKey::new(JOB_TABLE, job.as_str());
+        let key = job_key(job.as_str());
         let content = workflow::encode(record);
         let transaction = Transaction {
             conditions: vec![(key.clone(), 0)],
@@ -178,7 +178,7 @@
         if let Some(progress) = self.shared.with_view(|view| view.progress(job)) {
             return Ok(Some(progress));
         }
-        let row = self.store.read(&RowKey::new(JOB_TABLE, job.as_str())).await?;
+        let row = self.store.read(&job_key(job.as_str())).await?;
         let Some(row) = row else {
             return Ok(None);
         };
@@ -206,7 +206,7 @@
     }
 
     async fn try_cancel(&self, job: &JobId, until_ms: u64) -> Cancellation {
-        let key = RowKey::new(JOB_TABLE, &format!("{job}{CANCEL_SUFFIX}"));
+        let key = cancel_key(job.as_str());
         let transaction = Transaction { puts: vec![(key, vec![1])], ..Transaction::default() };
         let mut pause = REPEAT_PAUSE;
         let mut maybe_stored = false;
--- a/src/coordinator/takeover.rs
+++ b/src/coordinator/takeover.rs
@@ -2,9 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use super::{
-    CANCEL_SUFFIX, HEAD_KEY, HEAD_TABLE, JOB_TABLE, LEAD_TABLE, LEADER_KEY, PROGRESS_TABLE,
-};
+use super::job_rows::list_jobs;
+use super::{CANCEL_SUFFIX, HEAD_KEY, HEAD_TABLE, LEAD_TABLE, LEADER_KEY, PROGRESS_TABLE};
 use crate::prelude::*;
 use crate::store::{RowError, RowKey, RowResult, RowStore, Transaction};
 use crate::succession::Leadership;
@@ -125,8 +124,8 @@
 where
     S: RowStore,
 {
-    let listing = store.list(JOB_TABLE).await?;
-    let progress = store.list(PROGRESS_TABLE).await?;
+    let listing = list_jobs(store).await?;
+    let progress = store.list(PROGRESS_TABLE, 0).await?;
     let mut jobs: BTreeMap<String, StoredJob> = BTreeMap::new();
     for row in &listing.rows {
         if row.key.key.ends_with(CANCEL_SUFFIX) {
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::job_rows::job_key;
 use super::message::JobUpdate;
 use super::takeover::{Head, TakeoverError, head_key, take_over};
 use super::*;
@@ -289,7 +290,7 @@
     publish(&store, &rules(2)).await;
     let silent_since = Instant::now();
     let job = JobId::from("job");
-    let key = RowKey::new(JOB_TABLE, job.as_str());
+    let key = job_key(job.as_str());
     let puts = vec![(key, workflow::encode(&record()))];
     let transaction = Transaction { puts, ..Transaction::default() };
     store.other_client().transact(&transaction).await.expect("the store takes it");
@@ -335,7 +336,7 @@
     ready(&members).await;
     let (service, client) = (members[0].service(), &members[0].store);
     let row = |name: &str| {
-        let (reader, key) = (store.other_client(), RowKey::new(JOB_TABLE, name));
+        let (reader, key) = (store.other_client(), job_key(name));
         async move { reader.read(&key).await.expect("the store answers") }
     };
 
@@ -503,3 +504,22 @@
     assert_eq!(view.progress(&job), Some(JobProgress::Over(JobResult::Done)));
     assert_eq!(view.waiting("queue"), 0);
 }
+
+/// Guards against submissions that wait for each other while the store is slow, until their results are unknown.
+#[tokio::test]
+async fn submissions_do_not_queue_behind_each_other_in_a_slow_store() {
+    let store = MemoryRows::default();
+    publish(&store, &rules(1)).await;
+    let members = members(1, &store);
+    ready(&members).await;
+
+    members[0].store.set_fault(Fault::Slow(Duration::from_millis(280)));
+    let submit = |number: u32| {
+        let job = JobId::from(format!("{:016x}", number.wrapping_mul(0x9e37_79b9)).as_str());
+        let service = members[0].service().clone();
+        async move { service.submit(&job, &record(), 3_000).await }
+    };
+    let outcomes = futures::future::join_all((1..=8).map(submit)).await;
+
+    assert_eq!(outcomes, vec![Submission::Accepted; 8]);
+}
--- a/src/store/memory_rows.rs
+++ b/src/store/memory_rows.rs
@@ -21,6 +21,8 @@
     Down,
     /// Transactions are applied and not answered.
     LostAnswers,
+    /// Each transaction takes this time, and those of one partition take turns.
+    Slow(Duration),
     /// Transactions are not answered, and applied when [`MemoryRows::apply_late`] is called.
     Late,
 }
@@ -45,8 +47,12 @@
     silenced: Arc<AtomicU64>,
     /// Calls that wait for changes of these tables are never answered.
     silent_tables: Arc<Mutex<BTreeSet<String>>>,
+    turns: Arc<Mutex<BTreeMap<(String, u8), Turn>>>,
 }
 
+/// Held by the transaction that a partition is applying.
+type Turn = Arc<tokio::sync::Mutex<()>>;
+
 impl Default for MemoryRows {
     fn default() -> Self {
         Self {
@@ -55,6 +61,7 @@
             fault: Arc::default(),
             silenced: Arc::default(),
             silent_tables: Arc::default(),
+            turns: Arc::default(),
         }
     }
 }
@@ -114,6 +121,12 @@
         work(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    fn turn_of(&self, transaction: &Transaction) -> Turn {
+        let partition = transaction.puts.first().map(|(key, _)| (key.table.clone(), key.partition));
+        let mut turns = self.turns.lock().unwrap_or_else(PoisonError::into_inner);
+        turns.entry(partition.unwrap_or_default()).or_default().clone()
+    }
+
     fn fault(&self) -> Fault {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -172,10 +185,11 @@
 }
 
 impl RowStore for MemoryRows {
-    async fn list(&self, table: &str) -> RowResult<Listing> {
+    async fn list(&self, table: &str, partition: u8) -> RowResult<Listing> {
         self.begin_call()?;
         Ok(self.with(|state| {
-            let keys = state.rows.keys().filter(|key| key.table == table);
+            let is_here = |key: &&RowKey| key.table == table && key.partition == partition;
+            let keys = state.rows.keys().filter(is_here);
             Listing {
                 rows: keys.filter_map(|key| state.row(key)).collect(),
                 version: state.version,
@@ -223,6 +237,12 @@
                 Err(unknown())
             }
             Fault::LostAnswers => self.apply(transaction).and_then(|_| Err(unknown())),
+            Fault::Slow(duration) => {
+                let turn = self.turn_of(transaction);
+                let _turn = turn.lock().await;
+                tokio::time::sleep(duration).await;
+                self.apply(transaction)
+            }
             Fault::None | Fault::Down => self.apply(transaction),
         }
     }
--- a/src/store/rows.rs
+++ b/src/store/rows.rs
@@ -13,14 +13,21 @@
 pub struct RowKey {
     /// The table.
     pub table: String,
-    /// The key in the table.
+    /// The partition of the table. Transactions of one partition are applied one after another.
+    pub partition: u8,
+    /// The key in the partition.
     pub key: String,
 }
 
 impl RowKey {
-    /// Names a row.
+    /// Names a row of a table with one partition.
     pub fn new(table: &str, key: &str) -> Self {
-        Self { table: table.to_owned(), key: key.to_owned() }
+        Self::in_partition(table, 0, key)
+    }
+
+    /// Names a row of a partition.
+    pub fn in_partition(table: &str, partition: u8, key: &str) -> Self {
+        Self { table: table.to_owned(), partition, key: key.to_owned() }
     }
 }
 
@@ -113,12 +120,12 @@
 
 /// A store of rows.
 pub trait RowStore: Clone + Send + Sync + 'static {
-    /// Reads all rows of a table.
+    /// Reads all rows of a partition.
     ///
     /// # Errors
     ///
     /// [`RowError::Unavailable`] or [`RowError::Refused`].
-    fn list(&self, table: &str) -> impl Future<Output = RowResult<Listing>> + Send;
+    fn list(&self, table: &str, partition: u8) -> impl Future<Output = RowResult<Listing>> + Send;
 
     /// Reads one row.
     ///
