Send transactions without an answer again while the first attempt is still waited for

Change: a further attempt is made 0.2, 0.6 and 1.4 s after the first, all under the same condition; the first certain answer counts, and a refusal only if no attempt is open or unknown. Tests of the new module: a_lost_answer_costs_a_fraction_of_a_second, the_first_of_several_slow_answers_is_taken, an_open_attempt_forbids_a_refusal, a_refusal_is_passed_on_at_once.

--- a/src/coordinator/lead.rs
+++ b/src/coordinator/lead.rs
@@ -8,6 +8,7 @@
 use super::actor::Coordinator;
 use super::event::{Event, EventSender};
 use super::feed::follow_jobs;
+use super::hedge::{Written, write_hedged};
 use super::job_rows::{cancel_key, job_key};
 use super::message::{AcceptorMessage, JobUpdate, LeaderMessage, PeerMessage};
 use super::relay::RelayingStore;
@@ -23,6 +24,8 @@
 
 /// The pause before a transaction is repeated that had no answer or no effect.
 const COMMIT_PAUSE: Duration = Duration::from_millis(60);
+/// The limit of a round of attempts, each of which ends by itself after 0.8 s.
+const COMMIT_LIMIT: Duration = Duration::from_secs(3);
 /// The longest such pause.
 const LONGEST_COMMIT_PAUSE: Duration = Duration::from_millis(250);
 
@@ -388,11 +391,15 @@
     S: RowStore,
 {
     let mut pause = COMMIT_PAUSE;
-    let result = loop {
+    let attempt = || async {
         let answer = store.direct().transact(&transaction).await;
         store.note(&answer);
-        match answer {
-            Err(RowError::Conflict { current }) => {
+        answer
+    };
+    let result = loop {
+        let reason = match write_hedged(attempt, COMMIT_LIMIT).await {
+            Written::Applied(version) => break Ok(version),
+            Written::Conflict(current) => {
                 let own = current
                     .iter()
                     .find(|row| workflow::decode::<Head>(&row.content).is_ok_and(|it| it == head));
@@ -401,13 +408,16 @@
                     None => Err(RowError::Conflict { current }),
                 };
             }
-            Err(error @ (RowError::Unavailable { .. } | RowError::Unknown { .. })) => {
-                log::warn!(epoch = epoch.0, sequence = head.sequence; "a transaction is repeated: {error}");
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(LONGEST_COMMIT_PAUSE);
-            }
-            result => break result,
-        }
+            Written::NotApplied(error @ RowError::Unavailable { .. }) => error.to_string(),
+            Written::NotApplied(error) => break Err(error),
+            Written::Unknown(reason) => reason,
+        };
+        log::warn!(
+            epoch = epoch.0, sequence = head.sequence, reason = reason.as_str();
+            "a transaction is repeated"
+        );
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_COMMIT_PAUSE);
     };
     // The actor only ends with the process.
     let _ = events.send(Event::Committed { epoch, result }).await;
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 mod dump;
 mod event;
 mod feed;
+mod hedge;
 mod job_rows;
 mod lead;
 mod listener;
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::event::{Event, EventSender};
+use super::hedge::{Written, write_hedged};
 use super::job_rows::{cancel_key, job_key};
 use super::relay::RelayingStore;
 use super::view::JobView;
@@ -17,10 +18,8 @@
 /// The longest time for which a write is repeated while its result is unknown. Clients wait for 3 s, and ask another
 /// coordinator after a clear answer.
 const WRITE_LIMIT_MS: u64 = 1_500;
-/// The pause before a write is repeated; it doubles each time.
+/// The pause before a cancellation is written again; it doubles each time.
 const REPEAT_PAUSE: Duration = Duration::from_millis(40);
-/// The number of writes without an answer after which a submission is given up.
-const MAX_UNKNOWN: u32 = 4;
 
 /// What became of a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -121,38 +120,18 @@
         };
         let started_ms = self.clock.now_ms();
         let limit_ms = WRITE_LIMIT_MS.min(patience_ms / 2);
-        let mut unknown = 0;
-        let mut pause = REPEAT_PAUSE;
-        let (outcome, reason) = loop {
-            let spent_ms = self.clock.now_ms().saturating_sub(started_ms);
-            let left = Duration::from_millis(limit_ms.saturating_sub(spent_ms));
-            let write = tokio::time::timeout(left, self.store.transact(&transaction)).await;
-            let reason = match write.unwrap_or_else(|_| Err(no_answer())) {
-                Ok(version) => {
-                    self.announce(&transaction, version);
-                    break (Submission::Accepted, String::new());
-                }
-                Err(RowError::Conflict { current }) => {
-                    break (compare(&current, record), "the job is stored already".to_owned());
-                }
-                Err(RowError::Unknown { reason }) => {
-                    unknown += 1;
-                    reason
-                }
-                Err(error @ RowError::Refused { .. }) => {
-                    break (Submission::NotAccepted, error.to_string());
-                }
-                Err(error) => error.to_string(),
-            };
-            if unknown == 0 {
-                break (Submission::NotAccepted, reason);
+        let attempt = || self.store.transact(&transaction);
+        let written = write_hedged(attempt, Duration::from_millis(limit_ms)).await;
+        let (outcome, reason) = match written {
+            Written::Applied(version) => {
+                self.announce(&transaction, version);
+                (Submission::Accepted, String::new())
             }
-            let is_late = self.clock.now_ms().saturating_sub(started_ms) >= limit_ms;
-            if is_late || unknown >= MAX_UNKNOWN {
-                break (Submission::Unknown, reason);
+            Written::Conflict(current) => {
+                (compare(&current, record), "the job is stored already".to_owned())
             }
-            tokio::time::sleep(pause).await;
-            pause *= 2;
+            Written::NotApplied(error) => (Submission::NotAccepted, error.to_string()),
+            Written::Unknown(reason) => (Submission::Unknown, reason),
         };
         if outcome == Submission::Accepted {
             self.shared.with_view(|view| view.accepted(job, &record.queue));
@@ -255,10 +234,6 @@
     }
 }
 
-fn no_answer() -> RowError {
-    RowError::Unknown { reason: "no answer in time".to_owned() }
-}
-
 /// Compares a stored job with one that was submitted under the same id.
 fn compare(current: &[crate::store::StoredRow], record: &JobRecord) -> Submission {
     let stored = current.first().map(|row| workflow::decode::<JobRecord>(&row.content));
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of coordinators: real connections on loopback, a store in memory, and workers that do as they are told.
 
+mod hedge;
 mod worker;
 
 use std::net::SocketAddr;
