--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -35,7 +35,7 @@
 use xtra::prelude::*;
 
 use crate::prelude::*;
-use crate::process::{self, Metrics, Readiness, SteadyClock, run_with_inbox};
+use crate::process::{self, Metrics, Readiness, SteadyClock, run_with_inbox, send_at_intervals};
 use crate::store::RowStore;
 use event::Event;
 use peers::PeerSenders;
@@ -112,7 +112,7 @@
         settings.inner_address,
         events.clone(),
     ));
-    tokio::spawn(tick(events.clone()));
+    tokio::spawn(send_at_intervals(TICK, events.clone(), || Event::Tick));
     let (name, inner_address) = (settings.process.clone(), settings.inner_address);
     let coordinator = Coordinator::new(settings, service.clone(), peers, events.clone());
     let (actor, mailbox) = Mailbox::unbounded();
@@ -133,14 +133,3 @@
         }
     }
 }
-
-async fn tick(events: mpsc::Sender<Event>) {
-    let mut interval = tokio::time::interval(TICK);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        interval.tick().await;
-        if events.send(Event::Tick).await.is_err() {
-            return;
-        }
-    }
-}
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::planner::{EndEntry, RunEntry, StartOrder, StartRefusal, WorkerReport};
 use crate::prelude::*;
-use crate::process::{Metrics, SteadyClock, run_with_inbox};
+use crate::process::{Metrics, SteadyClock, run_with_inbox, send_at_intervals};
 use crate::wire::{FrameKey, LinkSettings};
 use crate::workflow::TaskId;
 use actor::Event;
@@ -170,7 +170,7 @@
         links,
         events.clone(),
     ));
-    tokio::spawn(tick(events.clone()));
+    tokio::spawn(send_at_intervals(TICK, events.clone(), || Event::Tick));
     let host = Host::new(settings.worker, port, leaders, SteadyClock, metrics, events.clone());
     let (actor, mailbox) = Mailbox::unbounded();
     tokio::spawn(run_with_inbox(mailbox, host, inbox));
@@ -191,14 +191,3 @@
         self.events.send(Event::Left(instance.to_owned())).await.is_ok()
     }
 }
-
-async fn tick(events: mpsc::Sender<Event>) {
-    let mut interval = tokio::time::interval(TICK);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        interval.tick().await;
-        if events.send(Event::Tick).await.is_err() {
-            return;
-        }
-    }
-}
--- a/src/process/inbox.rs
+++ b/src/process/inbox.rs
@@ -1,6 +1,7 @@
 //! An ordered inbox for actors.
 
 use std::future::poll_fn;
+use std::time::Duration;
 
 use futures::future::Either;
 use tokio::sync::mpsc;
@@ -18,6 +19,18 @@
     fn on_event(&mut self, event: Self::Event);
 }
 
+/// Sends an event at intervals until the inbox is closed. Intervals that were missed are not made up for.
+pub async fn send_at_intervals<E>(interval: Duration, events: mpsc::Sender<E>, event: fn() -> E) {
+    let mut interval = tokio::time::interval(interval);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if events.send(event()).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Runs an actor until its last address is dropped, with a mailbox and an inbox.
 ///
 /// An xtra mailbox is a heap that does not keep the order of messages, so its senders must wait until each message was
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -10,7 +10,7 @@
 mod tests;
 
 pub use clock::{Clock, new_incarnation};
-pub use inbox::{InboxActor, run_with_inbox};
+pub use inbox::{InboxActor, run_with_inbox, send_at_intervals};
 pub use log_output::{LineBudget, LogOutput, log_lines_left_out};
 pub use observe::{Metrics, Readiness, observe_routes, serve};
 pub use options::{Options, Parsed, parse};
