Let a gang that belongs in one rack wait until workers have reported to a new leader

Change: until 0.8 s after a takeover no step leaves its rack or its data. Test, failing before: a_gang_waits_for_the_reports_of_its_rack.

--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -37,7 +37,8 @@
 
 /// The steps of a job that the log describes, to bound its lines.
 const MAX_DESCRIBED_STEPS: usize = 6;
-/// How long a new leader stops nothing for urgent jobs: until then it may not have heard of workers that are free.
+/// How long a new leader stops nothing for urgent jobs and spreads no gang that belongs in one rack: until then it may
+/// not have heard of workers that are free.
 const SETTLE_MS: u64 = 800;
 
 /// The times that the planner works with.
@@ -110,6 +111,11 @@
         self.jobs.insert(job.clone(), state);
     }
 
+    /// Returns whether the workers have had time to report to this leader.
+    fn has_settled(&self, now: Now) -> bool {
+        now.steady_ms >= self.settled_ms
+    }
+
     fn index_placements(&mut self, now: Now, job: &JobId, state: &Job) {
         for (number, occurrence) in &state.occurrences {
             for step in 0..state.record.spec.steps.len() {
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -68,7 +68,7 @@
                 without_room.extend(shape);
             }
             if !placed && !has_reservation && priority <= 1 {
-                has_reservation = self.reserve(&step, &mut pool);
+                has_reservation = self.reserve(now, &step, &mut pool);
             }
         }
     }
@@ -167,9 +167,11 @@
         }
         let rack_wait_ms = (wanted.step.estimate_ms * SAME_RACK_WAIT_FACTOR)
             .clamp(*SAME_RACK_WAIT_MS.start(), *SAME_RACK_WAIT_MS.end());
+        let has_settled = self.has_settled(now);
         let scope = Scope {
-            may_leave_rack: waited_ms >= rack_wait_ms,
-            may_leave_data: waited_ms >= DATA_RACK_WAIT_MS,
+            may_leave_rack: has_settled && waited_ms >= rack_wait_ms,
+            may_leave_data: has_settled && waited_ms >= DATA_RACK_WAIT_MS,
+            has_settled,
             home: rack_of_step(self, job, ready),
         };
         let Some(allocation) = scope.find(&wanted, pool, Horizon::Now) else {
@@ -195,11 +197,13 @@
             let wanted = wanted(job, ready, pool);
             let wait_ms = (wanted.step.estimate_ms / URGENT_WAIT_DIVISOR)
                 .clamp(*URGENT_WAIT_MS.start(), *URGENT_WAIT_MS.end());
-            if may_leave && waited_ms < wait_ms {
+            let has_settled = self.has_settled(now);
+            if may_leave && (waited_ms < wait_ms || !has_settled) {
                 return false;
             }
             let home = rack_of_step(self, job, ready);
-            let scope = Scope { may_leave_rack: may_leave, may_leave_data: may_leave, home };
+            let scope =
+                Scope { may_leave_rack: may_leave, may_leave_data: may_leave, has_settled, home };
             if let Some(allocation) = scope.find(&wanted, pool, Horizon::Now) {
                 let is_whole = wanted.is_whole(&allocation);
                 self.start_tasks(now, ready, pool, &allocation, waited_ms, out);
@@ -209,7 +213,6 @@
                 hold_back(pool, &wanted, &allocation);
                 return true;
             }
-            let has_settled = now.steady_ms >= self.settled_ms;
             if has_settled && self.evict_for(now, ready, &scope, pool, out) {
                 return true;
             }
@@ -247,7 +250,7 @@
     }
 
     /// Keeps workers from jobs of lower priority, so that the gang finds room once their present work has ended.
-    fn reserve(&self, ready: &ReadyStep, pool: &mut [Candidate]) -> bool {
+    fn reserve(&self, now: Now, ready: &ReadyStep, pool: &mut [Candidate]) -> bool {
         let job = &self.jobs[&ready.job];
         let wanted = wanted(job, ready, pool);
         if !wanted.step.gang {
@@ -256,7 +259,12 @@
         let free = |allocation: &Allocation| -> u32 {
             allocation.iter().map(|(index, _)| pool[*index].soon.accelerators).sum()
         };
-        let scope = Scope { may_leave_rack: false, may_leave_data: true, home: None };
+        let scope = Scope {
+            may_leave_rack: false,
+            may_leave_data: true,
+            has_settled: self.has_settled(now),
+            home: None,
+        };
         // The rack that needs the least more room is free first.
         let allocations = scope.whole_allocations(&wanted, pool, Horizon::Empty);
         let Some(allocation) = allocations.into_iter().max_by_key(free) else {
--- a/src/planner/scope.rs
+++ b/src/planner/scope.rs
@@ -10,6 +10,8 @@
     pub may_leave_rack: bool,
     /// Tasks may run far from their data, even if its rack is large enough.
     pub may_leave_data: bool,
+    /// The workers have had time to report; before that, one that is large enough may not be among the candidates yet.
+    pub has_settled: bool,
     /// The rack where tasks of the step run already.
     pub home: Option<RackId>,
 }
@@ -75,12 +77,14 @@
     }
 
     fn stays_in_rack(&self, wanted: &Wanted<'_>, pool: &[Candidate]) -> bool {
-        !self.may_leave_rack && self.find_rack(wanted, pool, Horizon::Empty).is_some()
+        let is_possible = || self.find_rack(wanted, pool, Horizon::Empty).is_some();
+        !self.may_leave_rack && (!self.has_settled || is_possible())
     }
 
     fn stays_near_data(&self, wanted: &Wanted<'_>, pool: &[Candidate]) -> bool {
         let near = |one: &Candidate| wanted.is_near_data(one);
-        !self.may_leave_data && !wanted.allocate(pool, Horizon::Empty, near).is_empty()
+        let is_possible = || !wanted.allocate(pool, Horizon::Empty, near).is_empty();
+        !self.may_leave_data && (!self.has_settled || is_possible())
     }
 
     fn racks<'a>(&self, pool: &'a [Candidate]) -> Vec<&'a RackId> {
--- a/src/planner/tests/takeover.rs
+++ b/src/planner/tests/takeover.rs
@@ -138,3 +138,28 @@
     assert_eq!(world.places("urgent").len(), 1);
     assert!(world.stops.is_empty());
 }
+
+/// Guards against an urgent gang that belongs in one rack and is spread because a new leader has not heard of enough
+/// workers of any rack yet.
+#[test]
+fn a_gang_waits_for_the_reports_of_its_rack() {
+    let mut world = World::new(6);
+    let one_rack = StepSpec { same_rack: true, ..gang(3, 8) };
+    world.store.jobs.insert(id("urgent"), job(0, vec![one_rack]));
+    world.take_over();
+
+    world.now.steady_ms += 550;
+    for worker in ["w00", "w01", "w03"] {
+        world.report(&WorkerId::from(worker));
+    }
+    assert!(world.places("urgent").is_empty());
+
+    world.report_all();
+    let racks: Vec<String> = world
+        .places("urgent")
+        .into_iter()
+        .map(|(_, worker)| world.workers[&worker].rack.clone())
+        .collect();
+    assert_eq!(racks.len(), 3);
+    assert!(racks.iter().all(|rack| *rack == racks[0]));
+}
