Use one type for events of workers and one for orders to them

Change: planner::WorkerEvent and WorkerOrder are what hosts send and receive; events of a host have a file of their own, as those of a coordinator.

Tests of planner, coordinators and hosts: 95 passed, with expectations unchanged.

--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -3,7 +3,9 @@
 use std::hint::black_box;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use teaselhall::planner::{Input, Now, Planner, PlannerSettings, RunsReport, WorkerReport};
+use teaselhall::planner::{
+    Input, Now, Planner, PlannerSettings, RunsReport, WorkerEvent, WorkerReport,
+};
 use teaselhall::prelude::*;
 use teaselhall::rules::Directives;
 use teaselhall::workflow::{JobRecord, Life, Resources, StepSpec, WorkflowSpec};
@@ -65,7 +67,7 @@
     let settings = PlannerSettings { lease_over_ms: 9_500, takeover_lease_over_ms: 15_500 };
     let mut planner = Planner::new(now, settings, Directives::default());
     for number in 0..workers {
-        planner.handle(now, &Input::Worker(report(number)));
+        planner.handle(now, &Input::Worker(WorkerEvent::Reported(report(number))));
         planner.handle(now, &Input::Runs(runs(number)));
     }
     let filling = workers * 2;
--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -345,8 +345,7 @@
         };
         let input = match message {
             HostMessage::Hello { .. } => return,
-            HostMessage::Worker(report) => Input::Worker(report),
-            HostMessage::Left(life) => Input::WorkerLeft(life),
+            HostMessage::Worker(event) => Input::Worker(event),
             HostMessage::Runs { asked_ms, report } => {
                 let store_age_ms = self.succession.store_age_ms(self.service.clock.now_ms());
                 if let Some(leading) = &self.leading
@@ -356,10 +355,6 @@
                 }
                 Input::Runs(report)
             }
-            HostMessage::Started { life, task, run } => Input::Started { life, task, run },
-            HostMessage::Refused { life, task, run, refusal } => {
-                Input::Refused { life, task, run, refusal }
-            }
         };
         self.plan(&input);
     }
--- a/src/coordinator/lead.rs
+++ b/src/coordinator/lead.rs
@@ -214,17 +214,9 @@
         let mut updates = Vec::new();
         for output in outputs {
             match output {
-                Output::Start(order) => {
-                    let worker = order.life.worker.clone();
-                    leading.send(&worker, LeaderMessage::Start(order));
-                }
-                Output::Stop { life, task, run } => {
-                    let worker = life.worker.clone();
-                    leading.send(&worker, LeaderMessage::Stop { life, task, run });
-                }
-                Output::AcknowledgeEnds { life, up_to } => {
-                    let worker = life.worker.clone();
-                    leading.send(&worker, LeaderMessage::AcknowledgeEnds { life, up_to });
+                Output::Order(order) => {
+                    let worker = order.worker().clone();
+                    leading.send(&worker, LeaderMessage::Order(order));
                 }
                 Output::Progress { job, queue, progress } => {
                     leading.measure(&self.service.metrics, now_ms, &job, progress);
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -4,12 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::planner::{JobProgress, RunsReport, StartOrder, StartRefusal, WorkerReport};
+use crate::planner::{JobProgress, RunsReport, WorkerEvent, WorkerOrder};
 use crate::prelude::*;
 use crate::rules::Directives;
 use crate::store::{RowChange, RowError, RowKey, StoredRow, Transaction};
 use crate::succession::{Gossip, Leadership};
-use crate::workflow::{Life, TaskId};
 
 /// From the side that opened a connection.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -37,10 +36,8 @@
         /// The worker beside the host.
         worker: WorkerId,
     },
-    /// What the worker says of itself.
-    Worker(WorkerReport),
-    /// The worker has ended for good.
-    Left(Life),
+    /// Something happened at the worker.
+    Worker(WorkerEvent),
     /// What runs on the worker.
     Runs {
         /// The host's clock when it asked for a longer lease.
@@ -48,26 +45,6 @@
         /// The runs.
         report: RunsReport,
     },
-    /// The worker has started a run.
-    Started {
-        /// The worker.
-        life: Life,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: u32,
-    },
-    /// The worker has not started a run and never will.
-    Refused {
-        /// The worker.
-        life: Life,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: u32,
-        /// Why.
-        refusal: StartRefusal,
-    },
 }
 
 /// What the leader tells a host.
@@ -87,24 +64,8 @@
         /// The host's clock when it asked.
         asked_ms: u64,
     },
-    /// Start a run.
-    Start(StartOrder),
-    /// Stop a run, or make sure that it never starts.
-    Stop {
-        /// The worker.
-        life: Life,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: u32,
-    },
-    /// Ends up to this number are durable.
-    AcknowledgeEnds {
-        /// The worker.
-        life: Life,
-        /// The number of the last end.
-        up_to: u64,
-    },
+    /// What the worker is to do.
+    Order(WorkerOrder),
 }
 
 /// What coordinators tell each other.
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -3,16 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde_json::{Value, json};
-use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use xtra::prelude::*;
 
+use super::event::{Event, EventSender, RunKey};
 use super::lease::LeaseClock;
 use super::link::LeaderAddresses;
 use super::listing::ListingPace;
 use super::{Held, Renewal, WorkerError, WorkerHeartbeat, WorkerPort, orders};
 use crate::coordinator::message::{DialerMessage, HostMessage, LeaderMessage};
-use crate::planner::{RunsReport, StartOrder, StartRefusal};
+use crate::planner::{RunsReport, StartOrder, StartRefusal, WorkerEvent, WorkerOrder};
 use crate::prelude::*;
 use crate::process::{InboxActor, Metrics, SteadyClock};
 use crate::wire::LinkSender;
@@ -27,34 +27,6 @@
 /// A leader that has renewed nothing for this time is left for another.
 const RENEWAL_SILENCE_MS: u64 = 5_000;
 
-/// Where events for the actor go.
-pub type EventSender = mpsc::Sender<Event>;
-
-type RunKey = (TaskId, u32);
-
-/// What happens around a host.
-#[derive(Debug)]
-pub enum Event {
-    /// Time has passed.
-    Tick,
-    /// The worker reports.
-    Heartbeat(Box<WorkerHeartbeat>),
-    /// The lifetime with this name has ended.
-    Left(String),
-    /// The leader has welcomed this host.
-    Connected { epoch: Epoch, sender: LinkSender<DialerMessage> },
-    /// The leader sent a message.
-    Leader(LeaderMessage),
-    /// The connection to the leader is lost.
-    Disconnected,
-    /// The worker answered a renewal.
-    HoldEnded { hold: u64, result: Result<Held, WorkerError> },
-    /// A start has a certain result.
-    StartEnded { life: Life, key: RunKey, result: Result<(), StartRefusal> },
-    /// A stop is confirmed.
-    StopEnded { life: Life, key: RunKey },
-}
-
 /// A renewal under way.
 #[derive(Debug)]
 struct Hold {
@@ -144,6 +116,10 @@
         }
     }
 
+    fn tell_event(&self, event: WorkerEvent) {
+        self.tell(HostMessage::Worker(event));
+    }
+
     fn on_heartbeat(&mut self, mut heartbeat: WorkerHeartbeat) {
         let life = heartbeat.report.life.clone();
         let known = self.beside.as_ref();
@@ -170,7 +146,7 @@
                 leaves_in_ms:debug = heartbeat.report.leaves_in_ms, sequence = heartbeat.sequence;
                 "worker changed"
             );
-            self.tell(HostMessage::Worker(heartbeat.report.clone()));
+            self.tell_event(WorkerEvent::Reported(heartbeat.report.clone()));
         }
         self.beside = Some(heartbeat);
         self.renew();
@@ -214,7 +190,7 @@
         log::info!(instance = known.target.instance.as_str(), reason; "the worker's lifetime is over");
         self.abort_orders();
         self.hold = None;
-        self.tell(HostMessage::Left(known.report.life));
+        self.tell_event(WorkerEvent::Left(known.report.life));
     }
 
     fn on_connected(&mut self, epoch: Epoch, sender: LinkSender<DialerMessage>) {
@@ -231,7 +207,7 @@
         self.highest_epoch = epoch;
         self.leader = Some(Leader { epoch, sender, since_ms: self.clock.now_ms() });
         if let Some(beside) = &self.beside {
-            self.tell(HostMessage::Worker(beside.report.clone()));
+            self.tell_event(WorkerEvent::Reported(beside.report.clone()));
         }
         self.hold = None;
         self.hold_after_ms = 0;
@@ -351,9 +327,15 @@
                     self.renew();
                 }
             }
-            LeaderMessage::Start(order) => self.on_start(order),
-            LeaderMessage::Stop { life, task, run } => self.on_stop(&life, task, run),
-            LeaderMessage::AcknowledgeEnds { life, up_to } => {
+            LeaderMessage::Order(order) => self.on_order(order),
+        }
+    }
+
+    fn on_order(&mut self, order: WorkerOrder) {
+        match order {
+            WorkerOrder::Start(order) => self.on_start(order),
+            WorkerOrder::Stop { life, task, run } => self.on_stop(&life, task, run),
+            WorkerOrder::AcknowledgeEnds { life, up_to } => {
                 if self.is_current(&life) {
                     self.acknowledged = self.acknowledged.max(up_to);
                     self.hold_after_ms = 0;
@@ -379,7 +361,7 @@
         let (true, Some(deadline_ms)) = (self.is_current(&order.life), deadline_ms) else {
             let refusal = StartRefusal::Lapsed;
             let StartOrder { life, task, run, .. } = order;
-            self.tell(HostMessage::Refused { life, task, run, refusal });
+            self.tell_event(WorkerEvent::Refused { life, task, run, refusal });
             return;
         };
         if let Some(hold) = &mut self.hold {
@@ -406,9 +388,9 @@
             "start"
         );
         self.metrics.count("host", if result.is_ok() { "started" } else { "start_refused" });
-        self.tell(match result {
-            Ok(()) => HostMessage::Started { life, task, run },
-            Err(refusal) => HostMessage::Refused { life, task, run, refusal },
+        self.tell_event(match result {
+            Ok(()) => WorkerEvent::Started { life, task, run },
+            Err(refusal) => WorkerEvent::Refused { life, task, run, refusal },
         });
     }
 
--- /dev/null
+++ b/src/host/event.rs
@@ -0,0 +1,39 @@
+//! What happens around a host.
+
+use tokio::sync::mpsc;
+
+use super::{Held, WorkerError, WorkerHeartbeat};
+use crate::coordinator::message::{DialerMessage, LeaderMessage};
+use crate::planner::StartRefusal;
+use crate::prelude::*;
+use crate::wire::LinkSender;
+use crate::workflow::{Life, TaskId};
+
+/// Where events for the actor go.
+pub type EventSender = mpsc::Sender<Event>;
+
+/// Names a run.
+pub type RunKey = (TaskId, u32);
+
+/// What happens around a host.
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// The worker reports.
+    Heartbeat(Box<WorkerHeartbeat>),
+    /// The lifetime with this name has ended.
+    Left(String),
+    /// The leader has welcomed this host.
+    Connected { epoch: Epoch, sender: LinkSender<DialerMessage> },
+    /// The leader sent a message.
+    Leader(LeaderMessage),
+    /// The connection to the leader is lost.
+    Disconnected,
+    /// The worker answered a renewal.
+    HoldEnded { hold: u64, result: Result<Held, WorkerError> },
+    /// A start has a certain result.
+    StartEnded { life: Life, key: RunKey, result: Result<(), StartRefusal> },
+    /// A stop is confirmed.
+    StopEnded { life: Life, key: RunKey },
+}
--- a/src/host/link.rs
+++ b/src/host/link.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::Notify;
 
-use super::actor::{Event, EventSender};
+use super::event::{Event, EventSender};
 use crate::coordinator::message::{AcceptorMessage, DialerMessage, HostMessage, LeaderMessage};
 use crate::prelude::*;
 use crate::wire::{Link, LinkSettings, dial};
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -1,6 +1,7 @@
 //! The process beside a worker: renews its lease, carries out the leader's orders and reports what runs.
 
 mod actor;
+mod event;
 mod lease;
 mod link;
 mod listing;
@@ -23,7 +24,7 @@
 use crate::process::{Metrics, SteadyClock, run_with_inbox, send_at_intervals};
 use crate::wire::{FrameKey, LinkSettings};
 use crate::workflow::TaskId;
-use actor::Event;
+use event::Event;
 
 /// The most events that wait for the actor.
 const EVENT_QUEUE: usize = 1_024;
--- a/src/planner/end.rs
+++ b/src/planner/end.rs
@@ -1,6 +1,6 @@
 //! Ends of runs and of jobs.
 
-use super::message::{Decision, EndKind, Now, Output};
+use super::message::{Decision, EndKind, Now, Output, WorkerOrder};
 use super::state::Job;
 use super::{JobProgress, Planner};
 use crate::prelude::*;
@@ -198,11 +198,11 @@
         });
         // The order of an intended run was not sent; it is dropped once the intent is durable.
         if placement.phase != super::StartPhase::Intended {
-            out.push(Output::Stop {
+            out.push(Output::Order(WorkerOrder::Stop {
                 life: placement.life.clone(),
                 task: task.clone(),
                 run: placement.run,
-            });
+            }));
         }
     }
 
--- a/src/planner/message.rs
+++ b/src/planner/message.rs
@@ -111,6 +111,35 @@
     pub stopped: Vec<(TaskId, u32)>,
 }
 
+/// What happens at a worker.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum WorkerEvent {
+    /// It says this of itself.
+    Reported(WorkerReport),
+    /// It has ended for good.
+    Left(Life),
+    /// It has started a run.
+    Started {
+        /// The worker.
+        life: Life,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+    },
+    /// It has not started a run and never will.
+    Refused {
+        /// The worker.
+        life: Life,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+        /// Why.
+        refusal: StartRefusal,
+    },
+}
+
 /// An event for the planner.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Input {
@@ -128,34 +157,12 @@
         /// The job.
         job: JobId,
     },
-    /// A worker is connected, and says this of itself.
-    Worker(WorkerReport),
-    /// A worker has ended for good.
-    WorkerLeft(Life),
+    /// Something happened at a connected worker.
+    Worker(WorkerEvent),
     /// The connection to a worker's agent is lost.
     Disconnected(WorkerId),
     /// What runs on a worker.
     Runs(RunsReport),
-    /// A worker has started a run.
-    Started {
-        /// The worker.
-        life: Life,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: u32,
-    },
-    /// A worker has not started a run.
-    Refused {
-        /// The worker.
-        life: Life,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: u32,
-        /// Why.
-        refusal: StartRefusal,
-    },
     /// Time has passed.
     Tick,
 }
@@ -186,9 +193,9 @@
     pub checkpoint: Option<String>,
 }
 
-/// What the planner wants done.
+/// What a worker is told to do.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Output {
+pub enum WorkerOrder {
     /// Start a run.
     Start(StartOrder),
     /// Stop a run, or make sure that it never starts.
@@ -200,13 +207,31 @@
         /// The run.
         run: u32,
     },
-    /// Tell a worker that its ends up to this number are durable.
+    /// Forget the ends up to this number, which are durable.
     AcknowledgeEnds {
         /// The worker.
         life: Life,
         /// The number of the last end.
         up_to: u64,
     },
+}
+
+impl WorkerOrder {
+    /// Returns the worker that the order is for.
+    pub fn worker(&self) -> &WorkerId {
+        let life = match self {
+            Self::Start(order) => &order.life,
+            Self::Stop { life, .. } | Self::AcknowledgeEnds { life, .. } => life,
+        };
+        &life.worker
+    }
+}
+
+/// What the planner wants done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Output {
+    /// Tell a worker what to do.
+    Order(WorkerOrder),
     /// Tell clients how far a job is.
     Progress {
         /// The job.
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -18,7 +18,7 @@
 
 pub use message::{
     Batch, Decision, EndEntry, EndKind, Input, JobProgress, Now, Output, RecordChange, RunEntry,
-    RunsReport, StartOrder, StartRefusal, WorkerReport,
+    RunsReport, StartOrder, StartRefusal, WorkerEvent, WorkerOrder, WorkerReport,
 };
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -166,8 +166,7 @@
             Input::Directives(directives) => self.directives = directives.clone(),
             Input::Submitted { job, record } => self.submitted(job, record, &mut out),
             Input::Cancelled { job } => self.cancelled(now, job, &mut out),
-            Input::Worker(report) => self.worker_reported(now, report, &mut out),
-            Input::WorkerLeft(life) => self.worker_left(now, life, &mut out),
+            Input::Worker(event) => self.worker_event(now, event, &mut out),
             Input::Disconnected(worker) => {
                 if let Some(worker) = self.workers.get_mut(worker) {
                     worker.connected = false;
@@ -175,19 +174,13 @@
                 }
             }
             Input::Runs(report) => self.runs_reported(now, report, &mut out),
-            Input::Started { life, task, run } => {
-                self.run_started(now, life, (task, *run), &mut out)
-            }
-            Input::Refused { life, task, run, refusal } => {
-                self.run_refused(now, life, (task, *run), *refusal, &mut out);
-            }
             Input::Tick => self.forget_ended(now, &mut out),
         }
         self.expire_leases(now, &mut out);
         // A list that brings nothing new, the most frequent event, frees no room. Waiting times are looked at each tick.
         let may_place = match input {
             Input::Runs(_) => was_closed || !out.is_empty(),
-            Input::Started { .. } => false,
+            Input::Worker(WorkerEvent::Started { .. }) => false,
             _ => true,
         };
         if may_place {
@@ -254,7 +247,9 @@
         let mut out = Vec::new();
         for effect in effects {
             match effect {
-                Output::Start(order) => self.release_start(now, order, &mut out),
+                Output::Order(WorkerOrder::Start(order)) => {
+                    self.release_start(now, order, &mut out);
+                }
                 other => out.push(other),
             }
         }
@@ -275,7 +270,7 @@
         if let Some(placement) = self.placement_mut(&order.task, order.run) {
             placement.phase = StartPhase::Ordered(now.steady_ms);
         }
-        out.push(Output::Start(order));
+        out.push(Output::Order(WorkerOrder::Start(order)));
     }
 
     /// Returns whether operators and the worker itself allow starts there.
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use super::Planner;
-use super::message::{Decision, Now, Output, StartOrder};
+use super::message::{Decision, Now, Output, StartOrder, WorkerOrder};
 use super::pool::{Allocation, Candidate, Horizon, Wanted};
 use super::scope::Scope;
 use super::state::{Job, Occurrence, Placement, StartPhase, Task};
@@ -353,7 +353,7 @@
                     ready.priority, self.directives.as_of
                 ),
             });
-            self.effects.push(Output::Start(order));
+            self.effects.push(Output::Order(WorkerOrder::Start(order)));
         }
     }
 
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use super::message::{Decision, EndKind, Now, Output, RunsReport, StartRefusal, WorkerReport};
+use super::message::{
+    Decision, EndKind, Now, Output, RunsReport, StartRefusal, WorkerEvent, WorkerOrder,
+    WorkerReport,
+};
 use super::state::{StartPhase, Worker};
 use super::{JobProgress, Planner};
 use crate::prelude::*;
@@ -14,12 +17,20 @@
 const REST_AFTER_REFUSAL_MS: u64 = 500;
 
 impl Planner {
-    pub(super) fn worker_reported(
-        &mut self,
-        now: Now,
-        report: &WorkerReport,
-        out: &mut Vec<Output>,
-    ) {
+    pub(super) fn worker_event(&mut self, now: Now, event: &WorkerEvent, out: &mut Vec<Output>) {
+        match event {
+            WorkerEvent::Reported(report) => self.worker_reported(now, report, out),
+            WorkerEvent::Left(life) => self.worker_left(now, life, out),
+            WorkerEvent::Started { life, task, run } => {
+                self.run_started(now, life, (task, *run), out);
+            }
+            WorkerEvent::Refused { life, task, run, refusal } => {
+                self.run_refused(now, life, (task, *run), *refusal, out);
+            }
+        }
+    }
+
+    fn worker_reported(&mut self, now: Now, report: &WorkerReport, out: &mut Vec<Output>) {
         let id = &report.life.worker;
         let known = self.workers.entry(id.clone()).or_default();
         let known_born = known.report.as_ref().map_or(0, |old| old.life.born_ms);
@@ -52,7 +63,7 @@
         }
     }
 
-    pub(super) fn worker_left(&mut self, now: Now, life: &Life, out: &mut Vec<Output>) {
+    fn worker_left(&mut self, now: Now, life: &Life, out: &mut Vec<Output>) {
         let Some(worker) = self.workers.get_mut(&life.worker) else {
             return;
         };
@@ -100,7 +111,8 @@
         if let Some(worker) = self.workers.get_mut(&report.life.worker) {
             worker.ends_taken = last;
         }
-        self.effects.push(Output::AcknowledgeEnds { life: report.life.clone(), up_to: last });
+        let order = WorkerOrder::AcknowledgeEnds { life: report.life.clone(), up_to: last };
+        self.effects.push(Output::Order(order));
     }
 
     fn take_running(&mut self, now: Now, report: &RunsReport, out: &mut Vec<Output>) {
@@ -127,11 +139,11 @@
                 .is_some_and(|ordered_ms| now.steady_ms >= ordered_ms + REPEAT_ORDER_MS);
             if repeat_stop {
                 placement.stopping_ms = Some(now.steady_ms);
-                out.push(Output::Stop {
+                out.push(Output::Order(WorkerOrder::Stop {
                     life: report.life.clone(),
                     task: entry.task.clone(),
                     run: entry.run,
-                });
+                }));
             }
             if is_new {
                 self.mark_started(&entry.task.job, out);
@@ -150,7 +162,11 @@
         if let Some(worker) = self.workers.get_mut(&report.life.worker) {
             worker.foreign.insert((task.clone(), run));
         }
-        out.push(Output::Stop { life: report.life.clone(), task: task.clone(), run });
+        out.push(Output::Order(WorkerOrder::Stop {
+            life: report.life.clone(),
+            task: task.clone(),
+            run,
+        }));
         out.push(Output::Decision {
             job: task.job.clone(),
             run: Some((task.clone(), run)),
@@ -211,14 +227,18 @@
         };
         if placement.stopping_ms.is_some() {
             placement.stopping_ms = Some(now.steady_ms);
-            out.push(Output::Stop { life: order.life, task: task.clone(), run });
+            out.push(Output::Order(WorkerOrder::Stop {
+                life: order.life,
+                task: task.clone(),
+                run,
+            }));
         } else {
             placement.phase = StartPhase::Ordered(now.steady_ms);
-            out.push(Output::Start(order));
+            out.push(Output::Order(WorkerOrder::Start(order)));
         }
     }
 
-    pub(super) fn run_started(
+    fn run_started(
         &mut self,
         now: Now,
         life: &Life,
@@ -250,7 +270,7 @@
         });
     }
 
-    pub(super) fn run_refused(
+    fn run_refused(
         &mut self,
         now: Now,
         life: &Life,
--- a/src/planner/tests/rules.rs
+++ b/src/planner/tests/rules.rs
@@ -324,7 +324,8 @@
     let life = world.worker(0).life.clone();
     let refusal = StartRefusal::Capacity;
 
-    let refused = Input::Refused { life, task: task("j", 0, 0), run: 1, refusal };
+    let refused = WorkerEvent::Refused { life, task: task("j", 0, 0), run: 1, refusal };
+    let refused = Input::Worker(refused);
     world.handle(&refused);
     assert_eq!(world.starts.len(), 1);
 
--- a/src/planner/tests/world.rs
+++ b/src/planner/tests/world.rs
@@ -149,9 +149,13 @@
     fn carry_out(&mut self, outputs: Vec<Output>) {
         for output in outputs {
             match output {
-                Output::Start(order) => self.start(order),
-                Output::Stop { life, task, run } => self.stop(&life, &task, run),
-                Output::AcknowledgeEnds { life, up_to } => self.acknowledge(&life, up_to),
+                Output::Order(WorkerOrder::Start(order)) => self.start(order),
+                Output::Order(WorkerOrder::Stop { life, task, run }) => {
+                    self.stop(&life, &task, run);
+                }
+                Output::Order(WorkerOrder::AcknowledgeEnds { life, up_to }) => {
+                    self.acknowledge(&life, up_to);
+                }
                 Output::Progress { job, progress: Some(progress), .. } => {
                     self.progress.insert(job, progress);
                 }
@@ -185,7 +189,7 @@
         assert!(worker_room().holds(&used), "{}: over its room", worker.life.worker);
         self.check_single(&order.task);
         let (life, run) = (order.life, order.run);
-        self.handle(&Input::Started { life, task: order.task, run });
+        self.handle(&Input::Worker(WorkerEvent::Started { life, task: order.task, run }));
     }
 
     /// Checks that no task runs twice at the same time.
@@ -297,7 +301,7 @@
             starting: Vec::new(),
             stopped: fake.closed.iter().map(|(task, run)| (task.clone(), *run)).collect(),
         };
-        self.handle(&Input::Worker(report));
+        self.handle(&Input::Worker(WorkerEvent::Reported(report)));
         self.handle(&Input::Runs(runs));
     }
 
