Send cancellations again as submissions are

Change: they go through write_hedged, with a condition that their own effect breaks, so that a cancellation that is stored already is accepted. The log line names the reason.

--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -18,8 +18,6 @@
 /// The longest time for which a write is repeated while its result is unknown. Clients wait for 3 s, and ask another
 /// coordinator after a clear answer.
 const WRITE_LIMIT_MS: u64 = 1_500;
-/// The pause before a cancellation is written again; it doubles each time.
-const REPEAT_PAUSE: Duration = Duration::from_millis(40);
 
 /// What became of a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -171,7 +169,8 @@
     /// Makes the cancellation of a job durable.
     pub async fn cancel(&self, job: &JobId, patience_ms: u64) -> Cancellation {
         let started_ms = self.clock.now_ms();
-        let outcome = self.try_cancel(job, started_ms + WRITE_LIMIT_MS.min(patience_ms / 2)).await;
+        let limit = Duration::from_millis(WRITE_LIMIT_MS.min(patience_ms / 2));
+        let (outcome, reason) = self.try_cancel(job, limit).await;
         let name = match outcome {
             Cancellation::Accepted => "accepted",
             Cancellation::NoSuchJob => "no_such_job",
@@ -180,40 +179,41 @@
         };
         let took_ms = self.clock.now_ms().saturating_sub(started_ms);
         self.metrics.count("cancellation", name);
-        log::info!(job = job.as_str(), took_ms, outcome = name; "cancellation");
+        log::info!(
+            job = job.as_str(), took_ms, outcome = name, reason = reason.as_str();
+            "cancellation"
+        );
         outcome
     }
 
-    async fn try_cancel(&self, job: &JobId, until_ms: u64) -> Cancellation {
+    async fn try_cancel(&self, job: &JobId, limit: Duration) -> (Cancellation, String) {
+        match self.progress(job).await {
+            Ok(Some(JobProgress::Pending | JobProgress::Running)) => {}
+            Ok(Some(JobProgress::Over(JobResult::Cancelled))) => {
+                return (Cancellation::Accepted, "the job is cancelled already".to_owned());
+            }
+            Ok(Some(JobProgress::Over(_))) => {
+                return (Cancellation::NoSuchJob, "the job is over".to_owned());
+            }
+            Ok(None) => return (Cancellation::NoSuchJob, String::new()),
+            Err(error) => return (Cancellation::NotAccepted, error.to_string()),
+        }
         let key = cancel_key(job.as_str());
-        let transaction = Transaction { puts: vec![(key, vec![1])], ..Transaction::default() };
-        let mut pause = REPEAT_PAUSE;
-        let mut maybe_stored = false;
-        loop {
-            let error = match self.progress(job).await {
-                Ok(None) => return Cancellation::NoSuchJob,
-                Ok(Some(JobProgress::Over(JobResult::Cancelled))) => return Cancellation::Accepted,
-                Ok(Some(JobProgress::Over(_))) => return Cancellation::NoSuchJob,
-                Ok(Some(JobProgress::Pending | JobProgress::Running)) => {
-                    match self.store.transact(&transaction).await {
-                        Ok(version) => {
-                            self.announce(&transaction, version);
-                            return Cancellation::Accepted;
-                        }
-                        Err(error) => error,
-                    }
-                }
-                Err(error) => error,
-            };
-            maybe_stored |= matches!(error, RowError::Unknown { .. });
-            if !maybe_stored {
-                return Cancellation::NotAccepted;
+        let transaction = Transaction {
+            conditions: vec![(key.clone(), 0)],
+            puts: vec![(key, vec![1])],
+            removals: Vec::new(),
+        };
+        match write_hedged(|| self.store.transact(&transaction), limit).await {
+            Written::Applied(version) => {
+                self.announce(&transaction, version);
+                (Cancellation::Accepted, String::new())
             }
-            if self.clock.now_ms() >= until_ms {
-                return Cancellation::Unknown;
+            Written::Conflict(_) => {
+                (Cancellation::Accepted, "the cancellation is stored already".to_owned())
             }
-            tokio::time::sleep(pause).await;
-            pause *= 2;
+            Written::NotApplied(error) => (Cancellation::NotAccepted, error.to_string()),
+            Written::Unknown(reason) => (Cancellation::Unknown, reason),
         }
     }
 
