--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -382,8 +382,8 @@
     assert_eq!(taken.leadership.epoch, Epoch(2));
 }
 
-/// Guards against an earlier leader whose late word replaces that of its successor, and against accepted jobs that vanish
-/// from the view when a new leader tells what it has.
+/// Guards against an earlier leader whose late report replaces that of its successor, and against accepted jobs that
+/// vanish from the view when a new leader tells what it has.
 #[test]
 fn the_view_of_jobs_follows_the_newest_leader() {
     let mut view = JobView::default();
--- a/src/coordinator/view.rs
+++ b/src/coordinator/view.rs
@@ -6,8 +6,8 @@
 use crate::planner::JobProgress;
 use crate::prelude::*;
 
-/// The jobs that a coordinator knows of. The leader's word comes first; jobs that were accepted here count as pending
-/// until the leader has seen them.
+/// The jobs that a coordinator knows of. What the leader reports takes precedence; jobs that were accepted here count as
+/// pending until the leader has seen them.
 #[derive(Debug, Default)]
 pub struct JobView {
     jobs: HashMap<JobId, (String, JobProgress)>,
--- a/src/planner/pace.rs
+++ b/src/planner/pace.rs
@@ -10,8 +10,8 @@
 use crate::prelude::*;
 use crate::workflow::{Life, TaskId};
 
-/// A run without progress for this time stands still, if it has not worked for longer before. The longest tasks take 11 s; even at a seventh of the usual speed
-/// they make a percent in 0.8 s.
+/// A run without progress for this time stands still, if it has not worked for longer before. The longest tasks take
+/// 11 s; even at a seventh of the usual speed they make a percent in 0.8 s.
 const STALL_MS: u64 = 1_500;
 /// The same for an urgent run that began without a checkpoint. Its task takes up to 8 s, so at a seventh of the usual
 /// speed it makes a percent in 0.6 s, and its worker lists it each 0.3 s.
