Derive the lease of workers from the platform's limit

The planner counted on 9.5 s before it restarted the tasks of a lost worker, 3 s longer than necessary.

--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -25,7 +25,9 @@
 pub use actor::Coordinator;
 pub use dump::Dump;
 pub use service::{Cancellation, Service, Submission};
-pub use settings::{CoordinatorSettings, WORKER_LEASE_MS};
+pub use settings::{
+    CoordinatorSettings, MAX_WORKER_LEASE_MS, MIN_WORKER_LEASE_MS, worker_lease_ms,
+};
 pub use store_watch::{DirectiveChange, DirectiveSource};
 pub use view::JobView;
 
--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -7,9 +7,11 @@
 use crate::prelude::*;
 use crate::wire::{FrameKey, LinkSettings};
 
-/// The duration of a worker's lease after a renewal by the leader. It is longer than the restart of an agent
-/// (about 4 s) and most partitions, and shorter than the platform's limit of 10 s.
-pub const WORKER_LEASE_MS: u64 = 9_000;
+/// The longest lease of a worker after a renewal by the leader, and the lease if workers set no limit. It is longer than
+/// the restart of an agent (about 4 s) and most partitions.
+pub const MAX_WORKER_LEASE_MS: u64 = 9_000;
+/// The shortest lease of a worker: a takeover with lost messages and the reconnection of a host take up to 3 s.
+pub const MIN_WORKER_LEASE_MS: u64 = 4_000;
 /// The allowance for a lease that lasts longer on a clock that is 2 % slow, and for the transit of messages.
 const LEASE_MARGIN_MS: u64 = 500;
 /// The age of the store's last answer from which on a leader renews no more leases: without an answer it cannot exclude
@@ -32,6 +34,14 @@
     pub seeds: Vec<SocketAddr>,
     /// The key of the frames on connections between processes.
     pub frame_key: [u8; 32],
+    /// The duration of a worker's lease after a renewal by the leader, in milliseconds.
+    pub worker_lease_ms: u64,
+}
+
+/// Returns the duration of a worker's lease if workers shorten longer leases to `limit_ms`. A leader that counts on a
+/// longer lease than the worker grants would wait longer than necessary before it restarts lost work.
+pub fn worker_lease_ms(limit_ms: Option<u64>) -> u64 {
+    limit_ms.map_or(MAX_WORKER_LEASE_MS, |limit_ms| limit_ms.min(MAX_WORKER_LEASE_MS))
 }
 
 impl CoordinatorSettings {
@@ -42,7 +52,7 @@
 
     /// Returns the settings of the planner.
     pub fn planner(&self) -> PlannerSettings {
-        let lease_expiry_ms = WORKER_LEASE_MS + LEASE_MARGIN_MS;
+        let lease_expiry_ms = self.worker_lease_ms + LEASE_MARGIN_MS;
         PlannerSettings {
             lease_expiry_ms,
             takeover_lease_expiry_ms: lease_expiry_ms
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -106,6 +106,7 @@
         .expect("a runtime can be built");
     let store = store.new_client();
     let settings = CoordinatorSettings {
+        worker_lease_ms: MAX_WORKER_LEASE_MS,
         process: ProcessId::from(name),
         inner_address: address,
         seeds: seeds.to_vec(),
@@ -149,7 +150,12 @@
     let port = InProcessWorker::default();
     port.with(|state| state.task_duration_ms = task_duration_ms);
     let settings =
-        HostSettings { worker: WorkerId::from("w"), seeds: seeds.to_vec(), frame_key: [7; 32] };
+        HostSettings {
+            worker: WorkerId::from("w"),
+            seeds: seeds.to_vec(),
+            frame_key: [7; 32],
+            worker_lease_ms: MAX_WORKER_LEASE_MS,
+        };
     let host = host::start(settings, port.clone(), Metrics::default());
     let report = WorkerReport {
         incarnation: WorkerIncarnation { worker: WorkerId::from("w"), born_ms: 1 },
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -79,6 +79,7 @@
     /// Creates a host that has neither received a heartbeat nor connected to a leader.
     pub fn new(
         worker: WorkerId,
+        lease: LeaseClock,
         port: P,
         addresses: LeaderAddresses,
         clock: BoottimeClock,
@@ -95,7 +96,7 @@
             last_heartbeat: None,
             leader: None,
             highest_epoch: Epoch(0),
-            lease: LeaseClock::default(),
+            lease,
             pending_renewal: None,
             last_renewal_number: 0,
             renew_after_ms: 0,
--- a/src/host/lease.rs
+++ b/src/host/lease.rs
@@ -2,17 +2,22 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordinator::WORKER_LEASE_MS;
-
 /// The relation between the worker's clock and the host's, and the time of the leader's last renewal.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseClock {
+    /// The duration of the lease after a renewal, in milliseconds.
+    lease_ms: u64,
     /// The time on the worker's clock in its last answer, and the time on the host's clock when the answer arrived.
     reference: Option<(u64, u64)>,
     renewed_ms: Option<u64>,
 }
 
 impl LeaseClock {
+    /// Creates a clock for leases of this duration, without a renewal.
+    pub fn new(lease_ms: u64) -> Self {
+        Self { lease_ms, reference: None, renewed_ms: None }
+    }
+
     /// Records the time on the worker's clock from an answer. The answer arrives after the clock was read, so a
     /// deadline that is computed from the two times is never too late.
     pub fn record_worker_clock(&mut self, worker_clock_ms: u64, arrived_ms: u64) {
@@ -37,7 +42,7 @@
     /// Returns the end of the lease on the worker's clock, or `None` if it cannot be computed yet or has passed.
     pub fn deadline_ms(&self, now_ms: u64) -> Option<u64> {
         let (worker_clock_ms, arrived_ms) = self.reference?;
-        let end_ms = self.renewed_ms? + WORKER_LEASE_MS;
+        let end_ms = self.renewed_ms? + self.lease_ms;
         if end_ms <= now_ms {
             return None;
         }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -145,6 +145,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The key of the frames on connections between processes.
     pub frame_key: [u8; 32],
+    /// The duration of the worker's lease after a renewal by the leader, in milliseconds.
+    pub worker_lease_ms: u64,
 }
 
 /// Handle of a running host.
@@ -173,7 +175,9 @@
         events.clone(),
     ));
     tokio::spawn(send_at_intervals(TICK, events.clone(), || Event::Tick));
-    let host = Host::new(settings.worker, port, leaders, BoottimeClock, metrics, events.clone());
+    let lease = LeaseClock::new(settings.worker_lease_ms);
+    let host =
+        Host::new(settings.worker, lease, port, leaders, BoottimeClock, metrics, events.clone());
     let (actor, mailbox) = Mailbox::unbounded();
     tokio::spawn(run_with_inbox(mailbox, host, inbox));
     HostHandle { actor, events }
--- a/src/host/tests.rs
+++ b/src/host/tests.rs
@@ -3,9 +3,11 @@
 use std::sync::{Arc, Mutex};
 
 use super::*;
-use crate::coordinator::WORKER_LEASE_MS;
 use crate::workflow::WorkerIncarnation;
 
+/// The duration of leases in the tests.
+const LEASE_MS: u64 = 6_000;
+
 /// A worker whose answers to starts are scripted, and which records the calls.
 #[derive(Clone, Default)]
 struct ScriptedPort {
@@ -127,28 +129,28 @@
 /// Guards against a lease that lasts longer on the worker's clock than the leader granted.
 #[test]
 fn lease_deadline_counts_from_the_time_of_the_request() {
-    let mut lease = LeaseClock::default();
+    let mut lease = LeaseClock::new(LEASE_MS);
     assert_eq!(lease.deadline_ms(10_000), None);
 
     // The answer with the worker's clock at 500 arrives when the host's clock is at 10,000.
     lease.record_worker_clock(500, 10_000);
     lease.record_renewal(10_000);
 
-    assert_eq!(lease.deadline_ms(12_000), Some(500 + WORKER_LEASE_MS));
-    assert_eq!(lease.deadline_ms(10_000 + WORKER_LEASE_MS), None);
+    assert_eq!(lease.deadline_ms(12_000), Some(500 + LEASE_MS));
+    assert_eq!(lease.deadline_ms(10_000 + LEASE_MS), None);
 }
 
 /// Guards against a delayed renewal that changes the lease, such as one that waited in a socket while the process was
 /// suspended.
 #[test]
 fn delayed_earlier_renewal_does_not_change_the_lease() {
-    let mut lease = LeaseClock::default();
+    let mut lease = LeaseClock::new(LEASE_MS);
     lease.record_worker_clock(500, 10_000);
     lease.record_renewal(10_000);
 
     lease.record_renewal(8_000);
 
-    assert_eq!(lease.deadline_ms(11_000), Some(500 + WORKER_LEASE_MS));
+    assert_eq!(lease.deadline_ms(11_000), Some(500 + LEASE_MS));
 }
 
 /// Guards against attempts without progress that are detected late, and against lists several times per second for as
