Count sent messages and bytes by kind

Change: each message type names its kind, and connections count frames and bytes by kind in Traffic.

--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -9,6 +9,7 @@
 use crate::prelude::*;
 use crate::rules::Directives;
 use crate::store::{RowChange, RowError, RowKey, StoredRow, Transaction};
+use crate::wire::MessageKind;
 
 /// A message from the side that opened a connection.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -131,3 +132,55 @@
     /// The version at which the transaction was applied.
     Version(u64),
 }
+
+impl MessageKind for HostMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello { .. } => "host_hello",
+            Self::Worker(_) => "host_worker",
+            Self::Runs { .. } => "host_runs",
+        }
+    }
+}
+
+impl MessageKind for LeaderMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Welcome { .. } => "leader_welcome",
+            Self::Redirect(_) => "leader_redirect",
+            Self::Renewed { .. } => "leader_renewed",
+            Self::Order(_) => "leader_order",
+        }
+    }
+}
+
+impl MessageKind for PeerMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Gossip(_) => "peer_gossip",
+            Self::Directives(_) => "peer_directives",
+            Self::Progress { .. } => "peer_progress",
+            Self::Stored(_) => "peer_stored",
+            Self::Relay { .. } => "peer_relay",
+            Self::Relayed { .. } => "peer_relayed",
+        }
+    }
+}
+
+impl MessageKind for DialerMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Host(message) => message.kind(),
+            Self::Peer(message) => message.kind(),
+        }
+    }
+}
+
+impl MessageKind for AcceptorMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Host(message) => message.kind(),
+            Self::Peer(message) => message.kind(),
+        }
+    }
+}
--- a/src/wire/connect.rs
+++ b/src/wire/connect.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::{Link, LinkSettings};
+use super::{Link, LinkSettings, MessageKind};
 
 /// Opens a connection; `limit` applies to the TCP connect and to the handshake separately.
 ///
@@ -19,7 +19,7 @@
     limit: Duration,
 ) -> Option<Link<Out, In>>
 where
-    Out: Serialize + Send + 'static,
+    Out: Serialize + MessageKind + Send + 'static,
     In: DeserializeOwned,
 {
     let stream = match timeout(limit, TcpStream::connect(address)).await {
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -21,6 +21,7 @@
     BadTagSnafu, Direction, FrameDecoder, FrameEncoder, FrameError, FrameKey, MAX_FRAME_BYTES,
     NONCE_BYTES, Nonce, PROTOCOL_VERSION, TAG_BYTES, UnknownVersionSnafu,
 };
+use super::traffic::{MessageKind, Traffic};
 
 /// Free space of the receive buffer before each read, in bytes.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -76,12 +77,20 @@
     pub queue_messages: usize,
     /// Idle timeout in milliseconds: the longest time without received bytes, and the longest handshake and write.
     pub idle_ms: u64,
+    /// Counts the sent messages by kind.
+    pub traffic: Traffic,
 }
 
 impl LinkSettings {
     /// Returns the default limits with the given key.
     pub fn new(key: FrameKey) -> Self {
-        Self { key, max_frame_bytes: MAX_FRAME_BYTES, queue_messages: 1_024, idle_ms: 3_000 }
+        Self {
+            key,
+            max_frame_bytes: MAX_FRAME_BYTES,
+            queue_messages: 1_024,
+            idle_ms: 3_000,
+            traffic: Traffic::default(),
+        }
     }
 
     fn idle(&self) -> Duration {
@@ -100,7 +109,7 @@
 
 impl<Out, In> Link<Out, In>
 where
-    Out: Serialize + Send + 'static,
+    Out: Serialize + MessageKind + Send + 'static,
     In: DeserializeOwned,
 {
     /// Opens a connection on a connected socket, as its initiator.
@@ -135,7 +144,8 @@
         let (read_half, write_half) = stream.into_split();
         let (queue, messages) = mpsc::channel(settings.queue_messages);
         let (write_failed, write_failure) = watch::channel(false);
-        let writer = Writer { write_half, encoder, messages, write_failed, idle: settings.idle() };
+        let (idle, traffic) = (settings.idle(), settings.traffic.clone());
+        let writer = Writer { write_half, encoder, messages, write_failed, idle, traffic };
         tokio::spawn(writer.run());
         let receiver = LinkReceiver {
             read_half,
@@ -311,11 +321,12 @@
     /// keep-alives would otherwise hold the connection open.
     write_failed: watch::Sender<bool>,
     idle: Duration,
+    traffic: Traffic,
 }
 
 impl<Out> Writer<Out>
 where
-    Out: Serialize,
+    Out: Serialize + MessageKind,
 {
     async fn run(mut self) {
         let keep_alive = self.idle / KEEP_ALIVES_PER_IDLE;
@@ -351,8 +362,10 @@
     }
 
     fn encode(&mut self, message: &Out, buffer: &mut BytesMut) {
-        if let Err(error) = self.encoder.encode(message, buffer) {
-            log::error!("outgoing message could not be encoded; dropped: {error}");
+        let start = buffer.len();
+        match self.encoder.encode(message, buffer) {
+            Ok(()) => self.traffic.record(message.kind(), (buffer.len() - start) as u64),
+            Err(error) => log::error!("outgoing message could not be encoded; dropped: {error}"),
         }
     }
 }
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use super::traffic::MessageKind;
 use crate::prelude::*;
 use crate::scheduler::{ReserveResult, RunningShare, ShareRequest, TaskEnd, WorkerSpec};
 
@@ -457,3 +458,39 @@
         task: u32,
     },
 }
+
+impl MessageKind for AgentMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Announce(_) => "agent_announce",
+            Self::Drain => "agent_drain",
+            Self::NotRun { .. } => "agent_not_run",
+            Self::Answer { .. } => "agent_answer",
+            Self::Failed { .. } => "agent_failed",
+            Self::Tombstoned { .. } => "agent_tombstoned",
+            Self::AlreadyStarted { .. } => "agent_already_started",
+            Self::FindLeader { .. } => "agent_find_leader",
+            Self::Lead(_) => "agent_lead",
+            Self::JobAccepted { .. } => "agent_job_accepted",
+            Self::AskPermit { .. } => "agent_ask_permit",
+            Self::Applied { .. } => "agent_applied",
+        }
+    }
+}
+
+impl MessageKind for EntryMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello { .. } => "entry_hello",
+            Self::Attempt(_) => "entry_attempt",
+            Self::Cancel { .. } => "entry_cancel",
+            Self::Drain => "entry_drain",
+            Self::Config { .. } => "entry_config",
+            Self::DataCentreState { .. } => "entry_data_centre_state",
+            Self::Permit { .. } => "entry_permit",
+            Self::Leader { .. } => "entry_leader",
+            Self::SubmitJob { .. } => "entry_submit_job",
+            Self::CancelJobs { .. } => "entry_cancel_jobs",
+        }
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,6 +7,7 @@
 mod message;
 #[cfg(test)]
 mod tests;
+mod traffic;
 
 pub use codec::{
     Direction, FrameDecoder, FrameEncoder, FrameError, FrameKey, MAX_FRAME_BYTES, NONCE_BYTES,
@@ -21,3 +22,4 @@
     AgentMessage, AnswerChecksum, AnswerChunk, AttemptRequest, DataCentreState, EndpointSpec,
     EntryMessage, GroupSummary, LeaderDatagram, LeaderMessage, MemberMessage, NotRunReason,
 };
+pub use traffic::{MessageKind, SentMessages, Traffic};
