Announce a leadership before the stored jobs are read

Two coordinators replaced each other about every 0.7 s, up to epoch 45 and beyond: the log shows 'takeover failed: no answer within 800ms'. The stored jobs are about 300 kB, the link carries 250 kB a second, and each list had to be complete within 0.8 s. A candidate announced itself only after it had read all jobs, so the other one claimed the leadership after 0.9 s of silence. The same happens on any link once there are enough jobs.

Change: a claim and the read of the jobs are separate steps. The claimant leads from the claim on, gossips that, keeps the connections of hosts until it has read the jobs, and repeats a failed read under the same epoch.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -12,10 +12,11 @@
 use super::message::{AcceptorMessage, HostMessage, JobUpdate, LeaderMessage, PeerMessage};
 use super::peers::{PeerSender, PeerSenders, keep_connected};
 use super::relay::RelayingStore;
+use super::restoring::Restoring;
 use super::service::Service;
 use super::settings::MAX_RENEWAL_STORE_AGE_MS;
-use super::takeover::{Takeover, TakeoverError, take_over};
-use crate::election::{ElectionRole, ElectionStep, Gossip, LeaderElection};
+use super::takeover::{Candidate, Claim, Takeover, TakeoverError};
+use crate::election::{ElectionRole, ElectionStep, Gossip, LeaderElection, Leadership};
 use crate::planner::{Input, PlannerTime};
 use crate::prelude::*;
 use crate::process::{InboxActor, new_incarnation};
@@ -42,6 +43,8 @@
     /// The addresses to which connections are kept open, each with its coordinator once that is known.
     dialed: BTreeMap<SocketAddr, Option<ProcessId>>,
     pub(super) leader_state: Option<LeaderState>,
+    /// The restoration of the leader's state, from the attempt to claim the leadership until the state is complete.
+    restoring: Option<Restoring>,
     /// The worker of each host connection, by the number of the connection.
     host_workers: HashMap<u64, WorkerId>,
     ticks: u64,
@@ -71,6 +74,7 @@
             incarnation: new_incarnation(),
             dialed: BTreeMap::new(),
             leader_state: None,
+            restoring: None,
             host_workers: HashMap::new(),
             ticks: 0,
             ending: None,
@@ -146,62 +150,84 @@
             store_is_failing: self.store().is_failing(),
             directives_as_of: self.directives.as_of,
             is_ending: self.ending.is_some(),
-            leads: self.leader_state.is_some(),
+            leads: self.election.role() == ElectionRole::Leader,
         }
     }
 
-    fn begin_takeover(&self) {
-        let store = self.store().direct().clone();
+    fn begin_takeover(&mut self) {
         let last_leadership = self.election.leadership().cloned();
-        let (process, address) = (self.settings.process.clone(), self.settings.inner_address);
-        let (incarnation, events) = (self.incarnation, self.events.clone());
         log::info!(
             known_epoch = last_leadership.as_ref().map_or(0, |known| known.epoch.0);
             "trying to take over the leadership"
         );
-        tokio::spawn(async move {
-            let result =
-                take_over(&store, (&process, address, incarnation), last_leadership.as_ref()).await;
-            let _ = events.send(Event::TakenOver(Box::new(result))).await;
-        });
+        let candidate = Candidate {
+            process: self.settings.process.clone(),
+            address: self.settings.inner_address,
+            incarnation: self.incarnation,
+        };
+        self.restoring = Some(Restoring::begin(
+            self.store().direct().clone(),
+            candidate,
+            last_leadership,
+            self.events.clone(),
+        ));
     }
 
-    fn on_takeover_finished(&mut self, result: Result<Takeover, TakeoverError>) {
+    /// Announces a leadership that is durable before the stored jobs are read: reading them takes longer than the
+    /// silence after which other coordinators would replace a leader.
+    fn on_claimed(&mut self, result: Result<Claim, TakeoverError>) {
         let now = self.now();
-        let takeover = match result {
-            Ok(takeover) => takeover,
+        let leadership = match result {
+            Ok(claim) => claim.head.leadership,
             Err(TakeoverError::Lost(current)) => {
                 log::info!(
                     epoch = current.as_ref().map_or(0, |current| current.epoch.0);
                     "takeover failed: another coordinator leads"
                 );
-                self.election.on_takeover_failed(now.steady_ms, current.as_ref());
+                self.abandon_takeover(current.as_ref());
                 return;
             }
             Err(TakeoverError::Store(error)) => {
                 log::warn!(
                     "takeover failed; retried after a pause if no leader is observed: {error}"
                 );
-                self.election.on_takeover_failed(now.steady_ms, None);
+                self.abandon_takeover(None);
                 return;
             }
         };
         let is_outdated =
-            self.election.leadership().is_some_and(|known| known.epoch > takeover.leadership.epoch);
+            self.election.leadership().is_some_and(|known| known.epoch > leadership.epoch);
         if is_outdated || self.ending.is_some() {
-            self.election.on_takeover_failed(now.steady_ms, None);
+            self.abandon_takeover(None);
             return;
         }
+        log::info!(epoch = leadership.epoch.0; "leadership claimed; reading the stored jobs");
+        self.election.on_elected(now.steady_ms, leadership);
+        self.election.store_answered(now.steady_ms);
+        self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
+    }
+
+    fn abandon_takeover(&mut self, current: Option<&Leadership>) {
+        self.restoring = None;
+        self.election.on_takeover_failed(self.service.clock.now_ms(), current);
+    }
+
+    fn on_taken_over(&mut self, takeover: Takeover) {
+        let epoch = takeover.claim.head.leadership.epoch;
+        let is_current = self.election.role() == ElectionRole::Leader
+            && self.election.leadership().is_some_and(|known| known.epoch == epoch);
+        let Some(restoring) = self.restoring.take_if(|_| is_current) else {
+            return;
+        };
         self.service.metrics.count("leadership", "taken");
         log::info!(
-            epoch = takeover.leadership.epoch.0, jobs = takeover.jobs.len(),
-            jobs_version = takeover.jobs_version;
+            epoch = epoch.0, jobs = takeover.jobs.len(), jobs_version = takeover.jobs_version;
             "this coordinator leads now"
         );
-        self.election.on_elected(now.steady_ms, takeover.leadership.clone());
-        self.election.store_answered(now.steady_ms);
-        self.lead(now, takeover);
-        self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
+        self.lead(self.now(), takeover);
+        for (connection, (worker, sender)) in restoring.into_hosts() {
+            self.on_host_connected(connection, worker, sender);
+        }
     }
 
     pub(super) fn step_down(&mut self, reason: &str) {
@@ -211,6 +237,9 @@
             log::warn!(reason; "this coordinator no longer leads");
             self.service.metrics.count("leadership", "given_up");
         }
+        if self.restoring.take().is_some() {
+            log::warn!(reason; "takeover abandoned before the stored jobs were read");
+        }
         self.host_workers.clear();
         if self.election.role() == ElectionRole::Leader {
             self.election.step_down(now_ms);
@@ -221,7 +250,8 @@
 
     /// Steps down if the election has observed a newer leadership.
     fn on_leadership_changed(&mut self) {
-        if self.leader_state.is_some() && self.election.role() != ElectionRole::Leader {
+        let has_led = self.leader_state.is_some() || self.restoring.is_some();
+        if has_led && self.election.role() == ElectionRole::Follower {
             self.step_down("another coordinator leads");
         }
     }
@@ -324,6 +354,12 @@
         sender: LinkSender<AcceptorMessage>,
     ) {
         let coordinators = self.coordinators();
+        if let Some(restoring) = &mut self.restoring
+            && self.election.role() == ElectionRole::Leader
+        {
+            restoring.add_host(connection, worker, sender);
+            return;
+        }
         let Some(leader_state) = &mut self.leader_state else {
             let redirect = LeaderMessage::Redirect(self.election.leadership().cloned());
             if let Err(error) = sender.try_send(AcceptorMessage::Host(redirect)) {
@@ -366,6 +402,9 @@
     }
 
     fn on_host_lost(&mut self, connection: u64) {
+        if let Some(restoring) = &mut self.restoring {
+            restoring.remove_host(connection);
+        }
         let Some(worker) = self.host_workers.remove(&connection) else {
             return;
         };
@@ -384,7 +423,7 @@
         self.election.stop_candidacy();
         self.service.readiness.set(false);
         log::info!(leads = self.leader_state.is_some(); "coordinator is shutting down");
-        if self.leader_state.is_some() {
+        if self.election.role() == ElectionRole::Leader {
             self.step_down("the process is ending");
         }
         self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
@@ -456,7 +495,8 @@
                     self.on_leadership_changed();
                 }
             }
-            Event::TakenOver(result) => self.on_takeover_finished(*result),
+            Event::Claimed(result) => self.on_claimed(result),
+            Event::TakenOver(takeover) => self.on_taken_over(*takeover),
             Event::Committed { epoch, result } => self.on_commit_finished(epoch, result),
             Event::Stored(change) => self.on_stored(change),
             Event::Jobs { epoch, changes } => self.on_jobs_changed(epoch, &changes),
--- a/src/coordinator/event.rs
+++ b/src/coordinator/event.rs
@@ -6,7 +6,7 @@
 
 use super::message::{AcceptorMessage, HostMessage, PeerMessage};
 use super::peers::PeerSender;
-use super::takeover::{Takeover, TakeoverError};
+use super::takeover::{Claim, Takeover, TakeoverError};
 use crate::election::Leadership;
 use crate::prelude::*;
 use crate::rules::Directives;
@@ -41,8 +41,10 @@
     Directives(Directives),
     /// The leadership row was read from the store.
     Leadership(Leadership),
-    /// A takeover by this coordinator has succeeded or failed.
-    TakenOver(Box<Result<Takeover, TakeoverError>>),
+    /// A claim of the leadership by this coordinator has succeeded or failed.
+    Claimed(Result<Claim, TakeoverError>),
+    /// The stored jobs were read after a successful claim.
+    TakenOver(Box<Takeover>),
     /// The leader's transaction was applied, or was rejected and cannot be applied.
     Committed { epoch: Epoch, result: Result<u64, RowError> },
     /// A job or a cancellation of a client of this coordinator is durable.
--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -158,7 +158,7 @@
 {
     /// Begins to lead: restores the planner from the rows that the takeover read, and watches the stored jobs.
     pub(super) fn lead(&mut self, now: PlannerTime, takeover: Takeover) {
-        let epoch = takeover.leadership.epoch;
+        let epoch = takeover.claim.head.leadership.epoch;
         let mut planner = Planner::new(now, self.planner_settings(), self.directives().clone());
         let mut cancelled = Vec::new();
         for job in takeover.jobs {
@@ -170,8 +170,8 @@
         let watch =
             watch_jobs(self.store().clone(), epoch, takeover.jobs_version, self.events.clone());
         let leader_state = LeaderState {
-            head: takeover.head,
-            head_version: takeover.head_version,
+            head: takeover.claim.head,
+            head_version: takeover.claim.head_version,
             planner,
             pending_effects: None,
             commit: None,
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -13,6 +13,7 @@
 pub mod message;
 mod peers;
 mod relay;
+mod restoring;
 mod service;
 mod settings;
 mod store_watch;
--- a/src/coordinator/takeover.rs
+++ b/src/coordinator/takeover.rs
@@ -1,4 +1,4 @@
-//! Replaces the leader in the store and reads the stored jobs and their states.
+//! Replaces the leader in the store, and reads the stored jobs and their states for the new leader.
 
 use std::collections::BTreeMap;
 
@@ -9,6 +9,17 @@
 use crate::store::{RowError, RowKey, RowResult, RowStore, Transaction};
 use crate::workflow::{self, JobRecord, OccurrenceRecord};
 
+/// A coordinator that claims the leadership.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// The name of the process.
+    pub process: ProcessId,
+    /// The address that accepts connections of other processes of the system.
+    pub address: std::net::SocketAddr,
+    /// The incarnation of the process.
+    pub incarnation: Incarnation,
+}
+
 /// The head row. Each transaction of a leader replaces it under the condition that the previous one wrote it, so the
 /// transactions are applied in order.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -39,22 +50,27 @@
     pub is_cancelled: bool,
 }
 
-/// The result of a successful takeover: the new leadership and the stored jobs.
+/// A leadership that is durable. From then on no transaction of an earlier leader is applied.
 #[derive(Clone, Debug)]
-pub struct Takeover {
-    /// The new leadership.
-    pub leadership: Leadership,
-    /// The head that the takeover wrote.
+pub struct Claim {
+    /// The head that the claim wrote, with the new leadership.
     pub head: Head,
     /// The version of the head row in the store.
     pub head_version: u64,
+}
+
+/// All that a new leader needs: its leadership and the stored jobs.
+#[derive(Clone, Debug)]
+pub struct Takeover {
+    /// The new leadership.
+    pub claim: Claim,
     /// All stored jobs, in the order in which they were accepted.
     pub jobs: Vec<StoredJob>,
     /// The version of the table of jobs from which on changes have to be watched.
     pub jobs_version: u64,
 }
 
-/// The reason for which a takeover failed.
+/// The reason for which a claim of the leadership failed.
 #[derive(Clone, Debug)]
 pub enum TakeoverError {
     /// Another coordinator leads; its leadership, if it could be decoded.
@@ -74,17 +90,17 @@
 ///
 /// # Errors
 ///
-/// [`TakeoverError`]. After [`TakeoverError::Store`] the candidate may be leader in the store; its next takeover then
+/// [`TakeoverError`]. After [`TakeoverError::Store`] the candidate may be leader in the store; its next claim then
 /// replaces its own leadership.
-pub async fn take_over<S>(
+pub async fn claim_leadership<S>(
     store: &S,
-    candidate: (&ProcessId, std::net::SocketAddr, Incarnation),
+    candidate: &Candidate,
     last_leadership: Option<&Leadership>,
-) -> Result<Takeover, TakeoverError>
+) -> Result<Claim, TakeoverError>
 where
     S: RowStore,
 {
-    let (process, address, incarnation) = candidate;
+    let Candidate { process, address, incarnation } = candidate;
     let row = store.read(&head_key()).await?;
     let version = row.as_ref().map_or(0, |row| row.version);
     let current = match &row {
@@ -95,14 +111,14 @@
     let current_epoch = current.as_ref().map_or(Epoch(0), |head| head.leadership.epoch);
     if let Some(head) = &current
         && current_epoch > known_epoch
-        && head.incarnation != incarnation
+        && head.incarnation != *incarnation
         && last_leadership.is_some()
     {
         return Err(TakeoverError::Lost(Some(head.leadership.clone())));
     }
     let epoch = current_epoch.max(known_epoch).next();
-    let leadership = Leadership { epoch, leader: process.clone(), address };
-    let head = Head { leadership: leadership.clone(), incarnation, sequence: 0 };
+    let leadership = Leadership { epoch, leader: process.clone(), address: *address };
+    let head = Head { leadership: leadership.clone(), incarnation: *incarnation, sequence: 0 };
     let transaction = Transaction {
         conditions: vec![(head_key(), version)],
         puts: vec![
@@ -119,11 +135,15 @@
         }
         Err(error) => return Err(error.into()),
     };
-    let (jobs, jobs_version) = read_jobs(store).await?;
-    Ok(Takeover { leadership, head, head_version, jobs, jobs_version })
+    Ok(Claim { head, head_version })
 }
 
-async fn read_jobs<S>(store: &S) -> RowResult<(Vec<StoredJob>, u64)>
+/// Reads the stored jobs with their states, and the version from which on changes have to be watched.
+///
+/// # Errors
+///
+/// [`RowError`] if the store does not answer.
+pub async fn read_jobs<S>(store: &S) -> RowResult<(Vec<StoredJob>, u64)>
 where
     S: RowStore,
 {
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of coordinators with connections on loopback, a store in memory and an in-process worker that carries out all
 //! orders.
 
+mod slow_takeover;
 mod submissions;
 mod transaction_retry;
 mod worker;
@@ -11,7 +12,7 @@
 
 use super::job_rows::job_key;
 use super::message::JobUpdate;
-use super::takeover::{Head, TakeoverError, head_key, take_over};
+use super::takeover::{Candidate, Head, TakeoverError, claim_leadership, head_key};
 use super::*;
 use crate::host::{self, HostSettings, WorkerHeartbeat, WorkerTarget};
 use crate::planner::{JobProgress, WorkerReport};
@@ -68,6 +69,10 @@
     }
 }
 
+fn candidate(name: &str, address: SocketAddr, incarnation: u64) -> Candidate {
+    Candidate { process: ProcessId::from(name), address, incarnation: Incarnation(incarnation) }
+}
+
 /// A coordinator with its own runtime, so that a test can kill it.
 struct Member {
     handle: CoordinatorHandle<MemoryRowStore>,
@@ -149,13 +154,12 @@
 async fn start_worker(seeds: &[SocketAddr], task_duration_ms: u64) -> InProcessWorker {
     let port = InProcessWorker::default();
     port.with(|state| state.task_duration_ms = task_duration_ms);
-    let settings =
-        HostSettings {
-            worker: WorkerId::from("w"),
-            seeds: seeds.to_vec(),
-            frame_key: [7; 32],
-            worker_lease_ms: MAX_WORKER_LEASE_MS,
-        };
+    let settings = HostSettings {
+        worker: WorkerId::from("w"),
+        seeds: seeds.to_vec(),
+        frame_key: [7; 32],
+        worker_lease_ms: MAX_WORKER_LEASE_MS,
+    };
     let host = host::start(settings, port.clone(), Metrics::default());
     let report = WorkerReport {
         incarnation: WorkerIncarnation { worker: WorkerId::from("w"), born_ms: 1 },
@@ -347,25 +351,23 @@
 async fn late_transaction_of_replaced_leader_is_not_applied() {
     let store = MemoryRowStore::default();
     let address = free_address();
-    let first = ProcessId::from("first");
-    let second = ProcessId::from("second");
-    let takeover = take_over(&store, (&first, address, Incarnation(1)), None).await;
-    let takeover = takeover.expect("there is no leader");
+    let claim = claim_leadership(&store, &candidate("first", address, 1), None).await;
+    let claim = claim.expect("there is no leader");
     let late = Transaction {
-        conditions: vec![(head_key(), takeover.head_version)],
+        conditions: vec![(head_key(), claim.head_version)],
         puts: vec![(RowKey::new(PROGRESS_TABLE, "job.0"), vec![1])],
         removals: Vec::new(),
     };
 
     store.set_fault(StoreFault::Delayed);
     assert!(matches!(store.transact(&late).await, Err(RowError::Unknown { .. })));
-    let candidate = (&second, address, Incarnation(2));
     let other = store.new_client();
-    let replacement = take_over(&other, candidate, Some(&takeover.leadership)).await;
+    let second = candidate("second", address, 2);
+    let replacement = claim_leadership(&other, &second, Some(&claim.head.leadership)).await;
     let replacement = replacement.expect("the stored leadership is the last observed one");
     store.apply_delayed();
 
-    assert!(replacement.leadership.epoch > takeover.leadership.epoch);
+    assert!(replacement.head.leadership.epoch > claim.head.leadership.epoch);
     let row = other.read(&RowKey::new(PROGRESS_TABLE, "job.0")).await;
     assert_eq!(row, Ok(None));
 }
@@ -376,13 +378,12 @@
 async fn candidate_with_outdated_leadership_fails_and_receives_the_current_one() {
     let store = MemoryRowStore::default();
     let address = free_address();
-    let names = [ProcessId::from("a"), ProcessId::from("b"), ProcessId::from("c")];
-    let first = take_over(&store, (&names[0], address, Incarnation(1)), None).await;
-    let first = first.expect("there is no leader").leadership;
-    let second = take_over(&store, (&names[1], address, Incarnation(2)), Some(&first)).await;
-    let second = second.expect("the stored leadership is the last observed one").leadership;
+    let first = claim_leadership(&store, &candidate("a", address, 1), None).await;
+    let first = first.expect("there is no leader").head.leadership;
+    let second = claim_leadership(&store, &candidate("b", address, 2), Some(&first)).await;
+    let second = second.expect("the stored leadership is the last observed one").head.leadership;
 
-    let third = take_over(&store, (&names[2], address, Incarnation(3)), Some(&first)).await;
+    let third = claim_leadership(&store, &candidate("c", address, 3), Some(&first)).await;
 
     assert!(matches!(third, Err(TakeoverError::Lost(Some(leader))) if leader == second));
 }
@@ -392,15 +393,16 @@
 #[tokio::test]
 async fn repeated_takeover_after_lost_answer_succeeds_with_next_epoch() {
     let store = MemoryRowStore::default();
-    let process = ProcessId::from("a");
-    let candidate = (&process, free_address(), Incarnation(1));
+    let candidate = candidate("a", free_address(), 1);
     store.set_fault(StoreFault::LostAnswers);
-    assert!(matches!(take_over(&store, candidate, None).await, Err(TakeoverError::Store(_))));
+    let unknown = claim_leadership(&store, &candidate, None).await;
+    assert!(matches!(unknown, Err(TakeoverError::Store(_))));
 
     store.set_fault(StoreFault::None);
-    let takeover = take_over(&store, candidate, None).await.expect("the stored leader is itself");
+    let claim = claim_leadership(&store, &candidate, None).await;
 
-    assert_eq!(takeover.leadership.epoch, Epoch(2));
+    let claim = claim.expect("the stored leader is itself");
+    assert_eq!(claim.head.leadership.epoch, Epoch(2));
 }
 
 /// Guards against a late report of an earlier leader that replaces its successor's, and against accepted jobs that are
--- a/src/store/memory_row_store.rs
+++ b/src/store/memory_row_store.rs
@@ -48,9 +48,18 @@
     stalls: Arc<AtomicU64>,
     /// Names of tables whose watches are never answered.
     stalled_tables: Arc<Mutex<BTreeSet<String>>>,
+    list_faults: Arc<Mutex<BTreeMap<String, ListFault>>>,
     partition_locks: Arc<Mutex<BTreeMap<(String, u8), PartitionLock>>>,
 }
 
+/// Simulated fault in the lists of one table.
+#[derive(Clone, Copy, Debug, Default)]
+struct ListFault {
+    duration: Duration,
+    /// Number of lists that fail before the next one succeeds.
+    failures: u32,
+}
+
 /// Lock held while a partition applies a transaction.
 type PartitionLock = Arc<tokio::sync::Mutex<()>>;
 
@@ -62,6 +71,7 @@
             fault: Arc::default(),
             stalls: Arc::default(),
             stalled_tables: Arc::default(),
+            list_faults: Arc::default(),
             partition_locks: Arc::default(),
         }
     }
@@ -106,6 +116,24 @@
         tables.insert(table.to_owned());
     }
 
+    /// Makes each list of a table take this time from now on.
+    pub fn slow_lists_of_table(&self, table: &str, duration: Duration) {
+        self.with_list_fault(table, |fault| fault.duration = duration);
+    }
+
+    /// Makes the next lists of a table fail as unavailable.
+    pub fn fail_lists_of_table(&self, table: &str, failures: u32) {
+        self.with_list_fault(table, |fault| fault.failures = failures);
+    }
+
+    fn with_list_fault<T, F>(&self, table: &str, work: F) -> T
+    where
+        F: FnOnce(&mut ListFault) -> T,
+    {
+        let mut faults = self.list_faults.lock().unwrap_or_else(PoisonError::into_inner);
+        work(faults.entry(table.to_owned()).or_default())
+    }
+
     fn is_stalled(&self, table: &str) -> bool {
         self.stalled_tables.lock().unwrap_or_else(PoisonError::into_inner).contains(table)
     }
@@ -188,6 +216,17 @@
 impl RowStore for MemoryRowStore {
     async fn list(&self, table: &str, partition: u8) -> RowResult<Listing> {
         self.begin_call()?;
+        let (duration, fails) = self.with_list_fault(table, |fault| {
+            let fails = fault.failures > 0;
+            fault.failures = fault.failures.saturating_sub(1);
+            (fault.duration, fails)
+        });
+        if fails {
+            return Err(RowError::Unavailable { reason: "the list failed".to_owned() });
+        }
+        if !duration.is_zero() {
+            tokio::time::sleep(duration).await;
+        }
         Ok(self.with_state(|state| {
             let is_in_partition = |key: &&RowKey| key.table == table && key.partition == partition;
             let keys = state.rows.keys().filter(is_in_partition);
