Publish the sent messages and bytes by kind

A coordinator logs its totals about every 10 s and sets them as metrics, so that the traffic between data centres can be attributed to a mechanism.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -22,10 +22,12 @@
 use crate::process::{InboxActor, new_incarnation};
 use crate::rules::Directives;
 use crate::store::{RowChange, RowStore};
-use crate::wire::LinkSender;
+use crate::wire::{LinkSender, LinkSettings};
 
 /// The number of ticks between two rounds of gossip.
 const TICKS_PER_GOSSIP: u64 = 2;
+/// The number of ticks between two reports of the sent messages, about 10 s.
+const TICKS_PER_TRAFFIC_REPORT: u64 = 64;
 /// The minimum age of the store's last answer at which a coordinator counts as cut off from the store. This coordinator
 /// is not ready while it and all connected coordinators are cut off.
 const READY_STORE_AGE_MS: u64 = 4_000;
@@ -34,6 +36,7 @@
 #[derive(xtra::Actor)]
 pub struct Coordinator<S: 'static> {
     settings: Arc<CoordinatorSettings>,
+    links: LinkSettings,
     pub(super) service: Service<S>,
     pub(super) peers: PeerSenders,
     pub(super) events: EventSender,
@@ -60,12 +63,14 @@
         settings: Arc<CoordinatorSettings>,
         service: Service<S>,
         peers: PeerSenders,
+        links: LinkSettings,
         events: EventSender,
     ) -> Self {
         let now_ms = service.clock.now_ms();
         let election = LeaderElection::new(settings.process.clone(), settings.election(), now_ms);
         let mut coordinator = Self {
             settings,
+            links,
             service,
             peers,
             events,
@@ -101,7 +106,7 @@
             return;
         }
         self.dialed.insert(address, None);
-        tokio::spawn(keep_connected(address, self.settings.links(), self.events.clone()));
+        tokio::spawn(keep_connected(address, self.links.clone(), self.events.clone()));
     }
 
     fn on_tick(&mut self) {
@@ -120,9 +125,23 @@
             self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
             self.update_readiness(now.steady_ms);
         }
+        if self.ticks.is_multiple_of(TICKS_PER_TRAFFIC_REPORT) {
+            self.report_traffic();
+        }
         self.plan(&Input::Tick);
     }
 
+    /// Publishes what was sent on connections to other processes, by kind of message.
+    fn report_traffic(&self) {
+        let mut kinds = Vec::new();
+        for (kind, sent) in self.links.traffic.totals() {
+            let size_bytes = i64::try_from(sent.size_bytes).unwrap_or(i64::MAX);
+            self.service.metrics.set("sent_bytes", kind, size_bytes);
+            kinds.push(format!("{kind} {} in {}", sent.size_bytes, sent.count));
+        }
+        log::info!(kinds = kinds.join(", "); "bytes and messages sent since the start");
+    }
+
     fn update_readiness(&self, now_ms: u64) {
         let can_store = self.election.store_age_ms(now_ms) < READY_STORE_AGE_MS
             || self.peers.best_store_age_ms() < READY_STORE_AGE_MS;
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -106,7 +106,8 @@
         events: events.clone(),
     };
     let settings = Arc::new(settings);
-    listener::spawn(settings.inner_address, settings.links(), events.clone()).await?;
+    let links = settings.links();
+    listener::spawn(settings.inner_address, links.clone(), events.clone()).await?;
     let store = service.store.clone();
     tokio::spawn(store_watch::watch_directives(store.clone(), directives, events.clone()));
     tokio::spawn(store_watch::watch_leadership(store, events.clone()));
@@ -118,7 +119,7 @@
     ));
     tokio::spawn(send_at_intervals(TICK, events.clone(), || Event::Tick));
     let (name, inner_address) = (settings.process.clone(), settings.inner_address);
-    let coordinator = Coordinator::new(settings, service.clone(), peers, events.clone());
+    let coordinator = Coordinator::new(settings, service.clone(), peers, links, events.clone());
     let (actor, mailbox) = Mailbox::unbounded();
     tokio::spawn(run_with_inbox(mailbox, coordinator, inbox));
     Ok(CoordinatorHandle { service, actor, name, inner_address, events })
