Order waiting work by its outlook and limit stops for urgent jobs

An organisation that asked for more than its guarantee lost all of it.

Change: src/planner/overload holds the decisions, each with its load pattern. A waiting job is timely, tight, late or overdue by its objective; within a priority the better outlook goes first, and overdue work beyond the guarantees goes last until an age bound. A guarantee covers the placed and then the oldest urgent jobs of its organisation. Only an organisation within its guarantee stops anything; other urgent jobs stop work of lower priority that was stopped less than twice, and only while they can be in time. A stopped task stays out of the room for which urgent jobs wait, longer with each stop.

Tried and not kept: timely up to the whole objective.

--- a/src/planner/evict.rs
+++ b/src/planner/evict.rs
@@ -4,6 +4,7 @@
 
 use super::Planner;
 use super::message::PlannerTime;
+use super::overload::{EvictionRight, eviction_cost};
 use super::pool::{Allocation, Candidate, Horizon, PlacementRequest};
 use super::scope::Scope;
 use super::state::Job;
@@ -47,18 +48,25 @@
             .collect()
     }
 
-    /// Returns the attempts that an urgent job may stop: those of lower priority and, if the job is within the
-    /// guarantee of its organisation, also those of other organisations that exceed their guarantee.
+    /// Records that a task is stopped for an urgent job.
+    pub(super) fn record_eviction(&mut self, now: PlannerTime, task: &TaskId) {
+        if let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
+            state.evictions += 1;
+            state.evicted_ms = now.steady_ms;
+        }
+    }
+
+    /// Returns the attempts that an urgent job may stop, according to its [`EvictionRight`].
     pub(super) fn victims(
         &self,
         now: PlannerTime,
         urgent: &Job,
-        within_guarantee: bool,
+        right: EvictionRight,
     ) -> Vec<Victim> {
         let over_guarantee = self.organisations_over_guarantee();
         let may_stop = |job: &Job| {
             job.record.priority > urgent.record.priority
-                || (within_guarantee
+                || (right == EvictionRight::Reclaim
                     && job.record.organisation != urgent.record.organisation
                     && over_guarantee.contains(&job.record.organisation))
         };
@@ -74,7 +82,10 @@
                 {
                     continue;
                 }
-                victims.extend(victim(now, job, &task));
+                let evictions = job.task(&task).map_or(0, |state| state.evictions);
+                if right.may_stop_again(evictions) {
+                    victims.extend(victim(now, job, &task));
+                }
             }
         }
         victims
@@ -84,7 +95,7 @@
 fn victim(now: PlannerTime, job: &Job, task: &TaskId) -> Option<Victim> {
     let step = job.step(task.step.into());
     let mut released: BTreeMap<WorkerId, Resources> = BTreeMap::new();
-    let mut lost_ms = 0;
+    let (mut lost_ms, mut evictions) = (0, 0);
     for member in job.members(task) {
         let state = job.task(&member)?;
         let Some(placement) = state.placement.as_ref() else {
@@ -101,12 +112,14 @@
             false => now.steady_ms.saturating_sub(placement.since_ms),
         };
         lost_ms += unsaved_ms + MIN_STOP_COST_MS;
+        evictions = evictions.max(state.evictions);
     }
     let weight = u64::from(step.need.cores_milli)
         + u64::from(step.need.accelerators) * ACCELERATOR_CORES_MILLI;
     // Urgent work costs more, so that it is stopped last.
     let priority_weight = if job.record.priority == 0 { 4 } else { 1 };
-    Some(Victim { task: task.clone(), cost: lost_ms * weight * priority_weight, released })
+    let cost = eviction_cost(lost_ms * weight * priority_weight, evictions);
+    Some(Victim { task: task.clone(), cost, released })
 }
 
 /// Chooses victims of low total cost whose stops make the step fit. Returns the allocation and the indices of the
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -8,8 +8,10 @@
 mod end;
 mod evict;
 mod message;
+mod overload;
 mod place;
 mod pool;
+mod queue;
 mod report;
 mod scope;
 mod state;
@@ -28,8 +30,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
-use crate::rules::Directives;
+use crate::rules::{Directives, Queue};
 use crate::workflow::{JobRecord, JobResult, OccurrenceRecord, StepSpec, TaskId, TaskPhase};
+use overload::Objective;
 use state::{Job, Occurrence, Placement, StartPhase, Task, Worker};
 
 /// Maximum number of records in one batch. The platform allows at most 100 entries per transaction.
@@ -73,6 +76,8 @@
     settled_ms: u64,
     /// Typical duration of a task in milliseconds, by queue.
     typical_ms: BTreeMap<String, f64>,
+    /// Latency objectives by queue, from the directives.
+    objectives: BTreeMap<String, Objective>,
 }
 
 impl Planner {
@@ -81,6 +86,7 @@
         Self {
             settled_ms: now.steady_ms + SETTLE_MS,
             typical_ms: BTreeMap::new(),
+            objectives: objectives_of(&directives),
             settings,
             directives,
             jobs: BTreeMap::new(),
@@ -172,7 +178,10 @@
             _ => false,
         };
         match input {
-            Input::Directives(directives) => self.directives = directives.clone(),
+            Input::Directives(directives) => {
+                self.objectives = objectives_of(directives);
+                self.directives = directives.clone();
+            }
             Input::Submitted { job, record } => self.submitted(job, record, &mut out),
             Input::Cancelled { job } => self.cancelled(now, job, &mut out),
             Input::Worker(event) => self.handle_worker_event(now, event, &mut out),
@@ -341,6 +350,13 @@
     }
 }
 
+fn objectives_of(directives: &Directives) -> BTreeMap<String, Objective> {
+    let queues = directives.rules.iter().flat_map(|rules| &rules.queues);
+    let objective =
+        |queue: &Queue| Objective { stretch: queue.stretch, constant_ms: queue.objective_ms };
+    queues.map(|queue| (queue.name.clone(), objective(queue))).collect()
+}
+
 fn restored_task(now: PlannerTime, record: crate::workflow::TaskRecord) -> Task {
     let placement = match &record.phase {
         TaskPhase::Placed(incarnation) => Some(Placement {
--- /dev/null
+++ b/src/planner/overload/outlook.rs
@@ -0,0 +1,77 @@
+//! Whether a waiting job can still be served in time.
+
+use serde::{Deserialize, Serialize};
+
+/// Part of the objective, in percent, within which a job has to finish to count as timely. Under lasting overload all jobs
+/// start at this limit; starts take up to 0.4 s, and estimates are inaccurate.
+const TIMELY_PERCENT: u64 = 75;
+/// Multiple of the objective after which the result of a job is of no more use to its client.
+const LATE_FACTOR: u64 = 3;
+/// Wait after which a job is placed before all others of its priority, so that none starves.
+const MIN_AGE_BOUND_MS: u64 = 60_000;
+/// Multiple of the objective that extends [`MIN_AGE_BOUND_MS`] for long jobs.
+const AGE_BOUND_FACTOR: u64 = 10;
+
+/// Latency objective of the jobs of a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Objective {
+    /// Part that is a multiple of the longest chain of work of a job.
+    pub stretch: f64,
+    /// Constant part in milliseconds.
+    pub constant_ms: u64,
+}
+
+impl Objective {
+    /// Returns the objective of a job with this longest chain of work.
+    pub fn of_chain_ms(&self, chain_ms: u64) -> u64 {
+        (self.stretch * chain_ms as f64) as u64 + self.constant_ms
+    }
+}
+
+/// Prospect of a waiting job. The derived `Ord` puts the better prospect first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub enum Outlook {
+    /// It finishes well within its objective if it starts now, or it has waited too long to be put off again.
+    #[display("timely")]
+    Timely,
+    /// It finishes within its objective only if its estimate is right and its start is not delayed.
+    #[display("tight")]
+    Tight,
+    /// It misses its objective, but its result is still of use.
+    #[display("late")]
+    Late,
+    /// Its result is of no more use when it finishes.
+    #[display("overdue")]
+    Overdue,
+}
+
+/// Times of a waiting job, all expected except for the wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JobTimes {
+    /// Time since the job was accepted or was due.
+    pub waited_ms: u64,
+    /// Longest chain of the work that is left.
+    pub remaining_ms: u64,
+    /// Objective of the job.
+    pub objective_ms: u64,
+}
+
+impl JobTimes {
+    /// Returns the prospect of the job if it starts now.
+    ///
+    /// Load pattern: more urgent work arrives than fits, for longer than its objective. In the order of age each job
+    /// then starts when it can no longer be in time, and none is; jobs that can be in time go first instead.
+    pub fn outlook(&self) -> Outlook {
+        let age_bound_ms = MIN_AGE_BOUND_MS.max(self.objective_ms * AGE_BOUND_FACTOR);
+        let finish_ms = self.waited_ms + self.remaining_ms;
+        if finish_ms * 100 <= self.objective_ms * TIMELY_PERCENT || self.waited_ms >= age_bound_ms {
+            Outlook::Timely
+        } else if finish_ms <= self.objective_ms {
+            Outlook::Tight
+        } else if finish_ms <= self.objective_ms * LATE_FACTOR {
+            Outlook::Late
+        } else {
+            Outlook::Overdue
+        }
+    }
+}
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -4,9 +4,11 @@
 
 use super::Planner;
 use super::message::{Decision, Output, PlannerTime, StartOrder, WorkerOrder};
+use super::overload::EvictionRight;
 use super::pool::{Allocation, Candidate, Horizon, PlacementRequest};
+use super::queue::ReadyStep;
 use super::scope::Scope;
-use super::state::{Job, Occurrence, Placement, StartPhase, Task};
+use super::state::{Job, Placement, StartPhase, Task};
 use crate::prelude::*;
 use crate::workflow::{Resources, TaskId, TaskPhase};
 
@@ -27,17 +29,6 @@
 /// Priority of jobs for which attempts of other jobs may be stopped.
 const URGENT_PRIORITY: u8 = 0;
 
-/// Step with tasks that can start. Steps are placed in the order of the derived `Ord`, field by field.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct ReadyStep {
-    priority: u8,
-    exceeds_guarantee: bool,
-    order: u64,
-    occurrence: u32,
-    step: usize,
-    job: JobId,
-}
-
 /// Requirements that alone determine whether a step without rack, data or spread constraints can be placed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct DemandShape {
@@ -48,9 +39,8 @@
 }
 
 impl Planner {
-    /// Starts as many ready tasks as possible, ordered by priority, then guarantee, then age.
+    /// Starts as many ready tasks as possible, in the order of [`ReadyStep`].
     pub(super) fn place_all(&mut self, now: PlannerTime, out: &mut Vec<Output>) {
-        self.create_due_occurrences(now);
         let ready = self.ready_steps(now);
         if ready.is_empty() {
             return;
@@ -58,8 +48,13 @@
         let mut pool = self.pool(now);
         let mut has_reservation = false;
         let mut unplaceable: HashSet<DemandShape> = HashSet::new();
+        let mut urgent_waits = false;
         for step in ready {
             let priority = step.priority;
+            let is_paused = priority != URGENT_PRIORITY && step.pauses_until_ms > now.steady_ms;
+            if urgent_waits && is_paused {
+                continue;
+            }
             let shape = self.demand_shape(&step);
             // Free resources only shrink during a pass, so a step of the same shape cannot be placed either.
             if shape.as_ref().is_some_and(|shape| unplaceable.contains(shape)) {
@@ -68,6 +63,7 @@
             let placed = self.place_step(now, &step, &mut pool, out);
             if !placed {
                 unplaceable.extend(shape);
+                urgent_waits |= priority == URGENT_PRIORITY;
             }
             if !placed && !has_reservation && priority <= 1 {
                 has_reservation = self.reserve(now, &step, &mut pool);
@@ -92,65 +88,6 @@
         })
     }
 
-    /// Creates the tasks of occurrences that are due.
-    fn create_due_occurrences(&mut self, now: PlannerTime) {
-        for job in self.jobs.values_mut().filter(|job| job.result.is_none()) {
-            let spec = &job.record.spec;
-            let next = job.occurrences.keys().next_back().map_or(0, |last| last + 1);
-            for number in next..spec.occurrences() {
-                if spec.due_ms(number) > now.wall_ms {
-                    break;
-                }
-                let tasks = vec![Task::default(); spec.tasks_per_occurrence()];
-                let occurrence = Occurrence { tasks, ..Occurrence::default() };
-                job.occurrences.insert(number, occurrence);
-            }
-        }
-    }
-
-    fn ready_steps(&mut self, now: PlannerTime) -> Vec<ReadyStep> {
-        let mut ready = Vec::new();
-        let over_guarantee = self.organisations_over_guarantee();
-        for (id, job) in &mut self.jobs {
-            if job.result.is_some() {
-                continue;
-            }
-            let steps = job.record.spec.steps.len();
-            let ranges: Vec<_> = (0..steps).map(|step| job.range(step)).collect();
-            for (number, occurrence) in &mut job.occurrences {
-                if occurrence.done || occurrence.tasks.is_empty() {
-                    continue;
-                }
-                for step in 0..steps {
-                    let spec = &job.record.spec.steps[step];
-                    let is_done = |other: &u16| {
-                        all_done(&occurrence.tasks[ranges[usize::from(*other)].clone()])
-                    };
-                    let tasks = &occurrence.tasks[ranges[step].clone()];
-                    let mut waiting = tasks.iter().filter(|task| task.is_waiting());
-                    let has_waiting = match spec.gang {
-                        true => waiting.count() == tasks.len(),
-                        false => waiting.next().is_some(),
-                    };
-                    if !has_waiting || !spec.after.iter().all(is_done) {
-                        continue;
-                    }
-                    occurrence.ready_ms.entry(step).or_insert(now.steady_ms);
-                    ready.push(ReadyStep {
-                        priority: job.record.priority,
-                        exceeds_guarantee: over_guarantee.contains(&job.record.organisation),
-                        order: job.order,
-                        occurrence: *number,
-                        step,
-                        job: id.clone(),
-                    });
-                }
-            }
-        }
-        ready.sort();
-        ready
-    }
-
     /// Places the waiting tasks of a step. Returns whether all of them were placed or wait for stops that are in
     /// progress.
     fn place_step(
@@ -222,7 +159,8 @@
                 claim_after_stops(pool, &request, &allocation);
                 return true;
             }
-            if has_settled && self.evict_for(now, ready, &scope, pool, out) {
+            let may_evict = has_settled && ready.eviction_right != EvictionRight::Wait;
+            if may_evict && self.evict_for(now, ready, &scope, pool, out) {
                 return true;
             }
         }
@@ -239,7 +177,7 @@
     ) -> bool {
         let job = &self.jobs[&ready.job];
         let request = placement_request(job, ready, pool);
-        let victims = self.victims(now, job, !ready.exceeds_guarantee);
+        let victims = self.victims(now, job, ready.eviction_right);
         let Some((allocation, chosen)) =
             super::evict::choose_victims(&request, scope, pool, &victims)
         else {
@@ -253,6 +191,7 @@
         for victim in chosen {
             let task = &victims[victim].task;
             for member in self.jobs[&task.job].members(task) {
+                self.record_eviction(now, &member);
                 self.stop_attempt(now, &member, &because, out);
             }
         }
@@ -361,8 +300,8 @@
                 attempt: Some((task, order.attempt)),
                 what: Decision::Placed,
                 because: format!(
-                    "worker {worker}, waited {waited_ms} ms, priority {}, directives {}",
-                    ready.priority, self.directives.as_of
+                    "worker {worker}, waited {waited_ms} ms, priority {}, {}, directives {}",
+                    ready.priority, ready.outlook, self.directives.as_of
                 ),
             });
             self.effects.push(Output::Order(WorkerOrder::Start(order)));
@@ -383,10 +322,6 @@
     }
 }
 
-fn all_done(tasks: &[Task]) -> bool {
-    tasks.iter().all(Task::is_done)
-}
-
 fn claim_after_stops(
     pool: &mut [Candidate],
     request: &PlacementRequest<'_>,
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -55,6 +55,10 @@
     pub failed_attempt: u32,
     /// Number of attempts that were stopped because they stalled or were too slow.
     pub stalls: u32,
+    /// Number of attempts that were stopped for urgent jobs.
+    pub evictions: u32,
+    /// Steady time of the last stop for an urgent job.
+    pub evicted_ms: u64,
 }
 
 impl Task {
@@ -101,6 +105,11 @@
         &self.record.spec.steps[step]
     }
 
+    pub fn is_placed(&self) -> bool {
+        let mut tasks = self.occurrences.values().flat_map(|occurrence| &occurrence.tasks);
+        tasks.any(|task| task.placement.is_some())
+    }
+
     /// Returns the range of the tasks of a step in [`Occurrence::tasks`].
     pub fn range(&self, step: usize) -> std::ops::Range<usize> {
         let steps = &self.record.spec.steps;
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -184,6 +184,19 @@
         })
     }
 
+    /// Returns the duration of the longest chain of dependent steps, from the duration of each step in milliseconds.
+    pub fn longest_chain_ms<F>(&self, duration_ms: F) -> u64
+    where
+        F: Fn(usize) -> u64,
+    {
+        let mut ends_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for (number, step) in self.steps.iter().enumerate() {
+            let begins_ms = step.after.iter().map(|earlier| ends_ms[usize::from(*earlier)]).max();
+            ends_ms.push(begins_ms.unwrap_or_default().saturating_add(duration_ms(number)));
+        }
+        ends_ms.into_iter().max().unwrap_or_default()
+    }
+
     /// Returns whether any task of the job runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.long_running)
