Request directives instead of sending them to all coordinators

A coordinator sent directives to all others whenever it applied some, and to each one whose gossip showed an older version. A listing of the store counts as newer, so each retry after an outage cost the square of the number of coordinators.

Change: coordinators watch the store, and a coordinator that has lagged for 0.3 s by the gossip of another one requests its directives, at most once in 0.3 s.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -7,6 +7,7 @@
 use tokio::sync::oneshot;
 
 use super::CoordinatorSettings;
+use super::directives_lag::DirectivesLag;
 use super::event::{Event, EventSender};
 use super::leader_state::LeaderState;
 use super::message::{AcceptorMessage, HostMessage, JobUpdate, LeaderMessage, PeerMessage};
@@ -42,6 +43,7 @@
     pub(super) events: EventSender,
     pub(super) election: LeaderElection,
     directives: Directives,
+    directives_lag: DirectivesLag,
     incarnation: Incarnation,
     /// The addresses to which connections are kept open, each with its coordinator once that is known.
     dialed: BTreeMap<SocketAddr, Option<ProcessId>>,
@@ -76,6 +78,7 @@
             events,
             election,
             directives: Directives::default(),
+            directives_lag: DirectivesLag::default(),
             incarnation: new_incarnation(),
             dialed: BTreeMap::new(),
             leader_state: None,
@@ -293,6 +296,9 @@
                 });
             }
             PeerMessage::Relayed { call, answer } => self.store().on_relayed_answer(call, answer),
+            PeerMessage::RequestDirectives => {
+                sender.send(PeerMessage::Directives(self.directives.clone()));
+            }
         }
     }
 
@@ -310,8 +316,9 @@
         if self.election.on_gossip(now_ms, gossip) {
             self.on_leadership_changed();
         }
-        if gossip.directives_as_of < self.directives.as_of {
-            sender.send(PeerMessage::Directives(self.directives.clone()));
+        let as_of = self.directives.as_of;
+        if self.directives_lag.should_request(now_ms, as_of, gossip.directives_as_of) {
+            sender.send(PeerMessage::RequestDirectives);
         }
         if !gossip.leads {
             self.check_election();
@@ -352,7 +359,6 @@
         );
         self.directives = directives.clone();
         self.service.shared.set_directives(directives.clone());
-        self.peers.send_to_all(&PeerMessage::Directives(directives.clone()));
         self.plan(&Input::Directives(directives));
     }
 
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -102,6 +102,8 @@
         /// The answer of the store, or the reason for which there is none.
         answer: Result<StoreAnswer, RowError>,
     },
+    /// A request for the receiver's directives, which are newer than those of the sender according to its gossip.
+    RequestDirectives,
 }
 
 /// The progress of a job.
@@ -163,6 +165,7 @@
             Self::Stored(_) => "peer_stored",
             Self::Relay { .. } => "peer_relay",
             Self::Relayed { .. } => "peer_relayed",
+            Self::RequestDirectives => "peer_request_directives",
         }
     }
 }
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -5,6 +5,7 @@
 //! docs/platform-deployment.md.
 
 mod actor;
+mod directives_lag;
 mod dump;
 mod event;
 mod job_rows;
@@ -41,6 +42,7 @@
 use crate::prelude::*;
 use crate::process::{self, BoottimeClock, Metrics, Readiness, run_with_inbox, send_at_intervals};
 use crate::store::RowStore;
+use crate::wire::Traffic;
 use event::Event;
 use peers::PeerSenders;
 use relay::RelayingStore;
@@ -77,6 +79,8 @@
     pub name: ProcessId,
     /// The address that accepts connections of other processes of the system.
     pub inner_address: std::net::SocketAddr,
+    /// Counts the messages sent to other processes.
+    pub traffic: Traffic,
     events: mpsc::Sender<Event>,
 }
 
@@ -119,10 +123,11 @@
     ));
     tokio::spawn(send_at_intervals(TICK, events.clone(), || Event::Tick));
     let (name, inner_address) = (settings.process.clone(), settings.inner_address);
+    let traffic = links.traffic.clone();
     let coordinator = Coordinator::new(settings, service.clone(), peers, links, events.clone());
     let (actor, mailbox) = Mailbox::unbounded();
     tokio::spawn(run_with_inbox(mailbox, coordinator, inbox));
-    Ok(CoordinatorHandle { service, actor, name, inner_address, events })
+    Ok(CoordinatorHandle { service, actor, name, inner_address, traffic, events })
 }
 
 impl<S> CoordinatorHandle<S>
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of coordinators with connections on loopback, a store in memory and an in-process worker that carries out all
 //! orders.
 
+mod directives_lag;
 mod slow_takeover;
 mod submissions;
 mod transaction_retry;
