Reject jobs at once that cannot end in time or that no workers can run

A job that no set of workers can run waits forever.

Change: src/admission decides by a load summary of the leader that is at most 3 s old. A job is rejected with 429 if it ends after three times its objective even if the work in front of it takes half as long as estimated, or if no workers can run one of its steps. Retry-After is the expected time until it would be accepted, spread by the identifier. Work within a guarantee, scheduled and long-running jobs are not rejected for load. An empty row under the key of the job makes a late write of an earlier request fail, so that the rejection is true.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -17,6 +17,7 @@
 use super::service::Service;
 use super::settings::MAX_RENEWAL_STORE_AGE_MS;
 use super::takeover::{Candidate, Claim, Takeover, TakeoverError};
+use crate::admission::LoadSummary;
 use crate::election::{ElectionRole, ElectionStep, Gossip, LeaderElection, Leadership};
 use crate::planner::{Input, PlannerTime};
 use crate::prelude::*;
@@ -27,6 +28,8 @@
 
 /// The number of ticks between two rounds of gossip.
 const TICKS_PER_GOSSIP: u64 = 2;
+/// The number of ticks between two summaries of the load, about 1 s.
+const TICKS_PER_LOAD: u64 = 7;
 /// The number of ticks between two reports of the sent messages, about 10 s.
 const TICKS_PER_TRAFFIC_REPORT: u64 = 64;
 /// The minimum age of the store's last answer at which a coordinator counts as cut off from the store. This coordinator
@@ -128,12 +131,32 @@
             self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
             self.update_readiness(now.steady_ms);
         }
+        if self.ticks.is_multiple_of(TICKS_PER_LOAD) {
+            self.publish_load();
+        }
         if self.ticks.is_multiple_of(TICKS_PER_TRAFFIC_REPORT) {
             self.report_traffic();
         }
         self.plan(&Input::Tick);
     }
 
+    /// Publishes the load of the deployment, if this coordinator leads.
+    fn publish_load(&mut self) {
+        let now = self.now();
+        if let Some(leader_state) = &self.leader_state {
+            let (epoch, load) = (leader_state.epoch(), leader_state.load(now));
+            self.peers.send_to_all(&PeerMessage::Load { epoch, load: load.clone() });
+            self.on_load(epoch, load);
+        }
+    }
+
+    fn on_load(&self, epoch: Epoch, load: LoadSummary) {
+        let is_current = self.election.leadership().is_none_or(|known| known.epoch <= epoch);
+        if is_current {
+            self.service.shared.set_load(self.service.clock.now_ms(), load);
+        }
+    }
+
     /// Publishes what was sent on connections to other processes, by kind of message.
     fn report_traffic(&self) {
         let mut kinds = Vec::new();
@@ -299,6 +322,7 @@
             PeerMessage::RequestDirectives => {
                 sender.send(PeerMessage::Directives(self.directives.clone()));
             }
+            PeerMessage::Load { epoch, load } => self.on_load(epoch, load),
         }
     }
 
--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -9,11 +9,13 @@
 use super::event::{Event, EventSender};
 use super::job_rows::{cancel_key, job_key};
 use super::message::{AcceptorMessage, JobUpdate, LeaderMessage, PeerMessage};
+use super::rejection::{is_rejection, remove_later};
 use super::relay::RelayingStore;
 use super::store_watch::watch_jobs;
 use super::takeover::{Head, Takeover, head_key};
 use super::transaction_retry::{TransactionOutcome, transact_with_retries};
 use super::{CANCEL_SUFFIX, PROGRESS_TABLE};
+use crate::admission::LoadSummary;
 use crate::election::Leadership;
 use crate::planner::{Batch, Input, JobProgress, Output, Planner, PlannerTime, RecordChange};
 use crate::prelude::*;
@@ -126,6 +128,11 @@
         }
     }
 
+    /// Returns the load of the deployment.
+    pub fn load(&self, now: PlannerTime) -> LoadSummary {
+        self.planner.load(now)
+    }
+
     /// Returns a message with the progress of all jobs.
     pub fn snapshot(&self) -> PeerMessage {
         PeerMessage::Progress { epoch: self.epoch(), is_snapshot: true, jobs: self.updates() }
@@ -167,6 +174,9 @@
             }
             planner.restore(now, &job.id, job.record, job.occurrences);
         }
+        for (key, version) in takeover.rejections {
+            tokio::spawn(remove_later(self.store().clone(), key, version));
+        }
         let watch =
             watch_jobs(self.store().clone(), epoch, takeover.jobs_version, self.events.clone());
         let leader_state = LeaderState {
@@ -321,7 +331,7 @@
 
     /// Passes a stored job or cancellation to the planner, if this coordinator leads. Repeated ones have no effect.
     pub(super) fn apply_stored_change(&mut self, change: &RowChange) {
-        let Some(content) = &change.content else {
+        let Some(content) = change.content.as_ref().filter(|content| !is_rejection(content)) else {
             return;
         };
         let key = change.key.key.as_str();
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admission::LoadSummary;
 use crate::election::{Gossip, Leadership};
 use crate::planner::{AttemptsReport, JobProgress, WorkerEvent, WorkerOrder};
 use crate::prelude::*;
@@ -104,6 +105,13 @@
     },
     /// A request for the receiver's directives, which are newer than those of the sender according to its gossip.
     RequestDirectives,
+    /// The load of the deployment, sent by the leader.
+    Load {
+        /// The leader's epoch.
+        epoch: Epoch,
+        /// The load.
+        load: LoadSummary,
+    },
 }
 
 /// The progress of a job.
@@ -166,6 +174,7 @@
             Self::Relay { .. } => "peer_relay",
             Self::Relayed { .. } => "peer_relayed",
             Self::RequestDirectives => "peer_request_directives",
+            Self::Load { .. } => "peer_load",
         }
     }
 }
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -13,6 +13,7 @@
 mod listener;
 pub mod message;
 mod peers;
+mod rejection;
 mod relay;
 mod restoring;
 mod service;
--- a/src/coordinator/restoring.rs
+++ b/src/coordinator/restoring.rs
@@ -7,7 +7,7 @@
 
 use super::event::{Event, EventSender};
 use super::message::{AcceptorMessage, LeaderMessage};
-use super::takeover::{Candidate, Takeover, claim_leadership, read_jobs};
+use super::takeover::{Candidate, claim_leadership, read_jobs};
 use crate::election::Leadership;
 use crate::prelude::*;
 use crate::store::RowStore;
@@ -89,9 +89,8 @@
     };
     let _ = events.send(Event::Claimed(Ok(claim.clone()))).await;
     loop {
-        match read_jobs(&store).await {
-            Ok((jobs, jobs_version)) => {
-                let takeover = Takeover { claim, jobs, jobs_version };
+        match read_jobs(&store, &claim).await {
+            Ok(takeover) => {
                 let _ = events.send(Event::TakenOver(Box::new(takeover))).await;
                 return;
             }
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -5,9 +5,11 @@
 
 use super::event::{Event, EventSender};
 use super::job_rows::{cancel_key, job_key};
+use super::rejection::{is_rejection, rejection_version};
 use super::relay::RelayingStore;
 use super::transaction_retry::{TransactionOutcome, transact_with_retries};
 use super::view::JobView;
+use crate::admission::{LoadSummary, MAX_LOAD_AGE_MS};
 use crate::planner::JobProgress;
 use crate::prelude::*;
 use crate::process::{BoottimeClock, Metrics, Readiness};
@@ -20,7 +22,7 @@
 const WRITE_LIMIT_MS: u64 = 1_500;
 
 /// The outcome of a submission.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Submission {
     /// The job is durable.
     Accepted,
@@ -30,6 +32,14 @@
     NotAccepted,
     /// The job may be stored already, or may still be.
     Unknown,
+    /// The job is rejected because of the load or because no workers can run it. It is not stored, and neither this
+    /// request nor an earlier one can store it later.
+    Rejected {
+        /// The reason, for the client.
+        reason: String,
+        /// The time after which the client may come back, in seconds.
+        retry_after_s: u64,
+    },
 }
 
 /// The outcome of a cancellation.
@@ -50,6 +60,8 @@
 pub struct SharedState {
     directives: RwLock<Directives>,
     view: Mutex<JobView>,
+    /// The load that the leader reported last, and the time of its arrival.
+    load: Mutex<Option<(u64, Arc<LoadSummary>)>>,
 }
 
 impl SharedState {
@@ -63,6 +75,19 @@
         *self.directives.write().unwrap_or_else(PoisonError::into_inner) = directives;
     }
 
+    /// Replaces the load of the deployment, which arrived at `now_ms`.
+    pub fn set_load(&self, now_ms: u64, load: LoadSummary) {
+        *self.load.lock().unwrap_or_else(PoisonError::into_inner) = Some((now_ms, Arc::new(load)));
+    }
+
+    /// Returns the load of the deployment with its age, unless it is too old to decide by.
+    pub(super) fn recent_load(&self, now_ms: u64) -> Option<(u64, Arc<LoadSummary>)> {
+        let load = self.load.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let (arrived_ms, load) = load?;
+        let age_ms = now_ms.saturating_sub(arrived_ms);
+        (age_ms <= MAX_LOAD_AGE_MS).then_some((age_ms, load))
+    }
+
     /// Calls `work` with the view of jobs while it is locked.
     pub fn with_view<T, F>(&self, work: F) -> T
     where
@@ -115,18 +140,25 @@
         record: &JobRecord,
         client_timeout_ms: u64,
     ) -> Submission {
-        let key = job_key(job.as_str());
-        let content = workflow::encode(record);
-        let transaction = Transaction {
-            conditions: vec![(key.clone(), 0)],
-            puts: vec![(key, content)],
-            removals: Vec::new(),
-        };
         let started_ms = self.clock.now_ms();
-        let limit_ms = WRITE_LIMIT_MS.min(client_timeout_ms / 2);
-        let attempt = || self.store.transact(&transaction);
-        let result = transact_with_retries(attempt, Duration::from_millis(limit_ms)).await;
-        let (outcome, reason) = match result {
+        let limit = Duration::from_millis(WRITE_LIMIT_MS.min(client_timeout_ms / 2));
+        let (outcome, reason) = match self.rejection(started_ms, job, record) {
+            Some(rejection) => (self.reject(job, record, rejection, limit).await, String::new()),
+            None => self.store_job(job, record, limit).await,
+        };
+        self.record_submission(job, record, &outcome, &reason, started_ms);
+        outcome
+    }
+
+    /// Writes the row of a job, and replaces the row of an earlier rejection. Returns the outcome and its reason.
+    async fn store_job(
+        &self,
+        job: &JobId,
+        record: &JobRecord,
+        limit: Duration,
+    ) -> (Submission, String) {
+        let (transaction, result) = self.write_job_row(job, workflow::encode(record), limit).await;
+        match result {
             TransactionOutcome::Applied(version) => {
                 self.report_durable_rows(&transaction, version);
                 (Submission::Accepted, String::new())
@@ -136,8 +168,42 @@
             }
             TransactionOutcome::NotApplied(error) => (Submission::NotAccepted, error.to_string()),
             TransactionOutcome::Unknown(reason) => (Submission::Unknown, reason),
+        }
+    }
+
+    /// Writes the row of a job, unless it is stored. The row of an earlier rejection is replaced. Returns the last
+    /// transaction that was tried.
+    pub(super) async fn write_job_row(
+        &self,
+        job: &JobId,
+        content: Vec<u8>,
+        limit: Duration,
+    ) -> (Transaction, TransactionOutcome) {
+        let key = job_key(job.as_str());
+        let mut transaction = Transaction {
+            conditions: vec![(key.clone(), 0)],
+            puts: vec![(key, content)],
+            removals: Vec::new(),
         };
-        if outcome == Submission::Accepted {
+        let mut result = transact_with_retries(|| self.store.transact(&transaction), limit).await;
+        if let TransactionOutcome::Conflict(current) = &result
+            && let Some(version) = rejection_version(current)
+        {
+            transaction.conditions[0].1 = version;
+            result = transact_with_retries(|| self.store.transact(&transaction), limit).await;
+        }
+        (transaction, result)
+    }
+
+    fn record_submission(
+        &self,
+        job: &JobId,
+        record: &JobRecord,
+        outcome: &Submission,
+        reason: &str,
+        started_ms: u64,
+    ) {
+        if *outcome == Submission::Accepted {
             self.shared.with_view(|view| view.add_accepted(job, &record.queue));
         }
         let took_ms = self.clock.now_ms().saturating_sub(started_ms);
@@ -146,10 +212,9 @@
         log::info!(
             job = job.as_str(), queue = record.queue.as_str(),
             organisation = record.organisation.as_str(), took_ms, outcome = outcome_name(outcome),
-            reason = reason.as_str();
+            reason;
             "submission of a job answered"
         );
-        outcome
     }
 
     /// Returns the progress of a job, or `None` if it does not exist.
@@ -162,7 +227,7 @@
             return Ok(Some(progress));
         }
         let row = self.store.read(&job_key(job.as_str())).await?;
-        let Some(row) = row else {
+        let Some(row) = row.filter(|row| !is_rejection(&row.content)) else {
             return Ok(None);
         };
         match workflow::decode::<JobRecord>(&row.content) {
@@ -250,7 +315,10 @@
 
 /// Compares the stored job with one that was submitted under the same identifier, regardless of their times of
 /// acceptance.
-fn compare_with_stored(current: &[crate::store::StoredRow], record: &JobRecord) -> Submission {
+pub(super) fn compare_with_stored(
+    current: &[crate::store::StoredRow],
+    record: &JobRecord,
+) -> Submission {
     let stored = current.first().map(|row| workflow::decode::<JobRecord>(&row.content));
     match stored {
         Some(Ok(stored)) if stored.spec == record.spec && stored.queue == record.queue => {
@@ -261,11 +329,12 @@
     }
 }
 
-fn outcome_name(outcome: Submission) -> &'static str {
+fn outcome_name(outcome: &Submission) -> &'static str {
     match outcome {
         Submission::Accepted => "accepted",
         Submission::DifferentJob => "different_job",
         Submission::NotAccepted => "not_accepted",
         Submission::Unknown => "unknown",
+        Submission::Rejected { .. } => "rejected",
     }
 }
--- a/src/coordinator/takeover.rs
+++ b/src/coordinator/takeover.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::job_rows::list_jobs;
+use super::rejection::is_rejection;
 use super::{CANCEL_SUFFIX, HEAD_KEY, HEAD_TABLE, LEAD_TABLE, LEADER_KEY, PROGRESS_TABLE};
 use crate::election::Leadership;
 use crate::prelude::*;
@@ -66,6 +67,8 @@
     pub claim: Claim,
     /// All stored jobs, in the order in which they were accepted.
     pub jobs: Vec<StoredJob>,
+    /// The rows of rejected submissions, with their versions.
+    pub rejections: Vec<(RowKey, u64)>,
     /// The version of the table of jobs from which on changes have to be watched.
     pub jobs_version: u64,
 }
@@ -138,22 +141,27 @@
     Ok(Claim { head, head_version })
 }
 
-/// Reads the stored jobs with their states, and the version from which on changes have to be watched.
+/// Reads what a new leader needs after its claim.
 ///
 /// # Errors
 ///
 /// [`RowError`] if the store does not answer.
-pub async fn read_jobs<S>(store: &S) -> RowResult<(Vec<StoredJob>, u64)>
+pub async fn read_jobs<S>(store: &S, claim: &Claim) -> RowResult<Takeover>
 where
     S: RowStore,
 {
     let listing = list_jobs(store).await?;
     let progress = store.list(PROGRESS_TABLE, 0).await?;
     let mut jobs: BTreeMap<String, StoredJob> = BTreeMap::new();
+    let mut rejections = Vec::new();
     for row in &listing.rows {
         if row.key.key.ends_with(CANCEL_SUFFIX) {
             continue;
         }
+        if is_rejection(&row.content) {
+            rejections.push((row.key.clone(), row.version));
+            continue;
+        }
         match workflow::decode::<JobRecord>(&row.content) {
             Ok(record) => {
                 let id = JobId::from(row.key.key.as_str());
@@ -192,5 +200,5 @@
     }
     let mut jobs: Vec<StoredJob> = jobs.into_values().collect();
     jobs.sort_by_key(|job| job.record.accepted_ms);
-    Ok((jobs, listing.version))
+    Ok(Takeover { claim: claim.clone(), jobs, rejections, jobs_version: listing.version })
 }
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -2,6 +2,7 @@
 //! orders.
 
 mod directives_lag;
+mod rejection;
 mod slow_takeover;
 mod submissions;
 mod transaction_retry;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! docs/design.md describes the modules and how they interact; docs/glossary.md maps the terms of the code to the
 //! standard terms of the field.
 
+pub mod admission;
 pub mod agent;
 pub mod api;
 pub mod bundle;
--- a/src/planner/evict.rs
+++ b/src/planner/evict.rs
@@ -35,7 +35,7 @@
         for job in self.jobs.values() {
             if job.record.priority == 0 && job.result.is_none() {
                 *needed.entry(&job.record.organisation).or_default() +=
-                    job.first_step_accelerators();
+                    job.record.first_step_accelerators();
             }
         }
         let guarantee = |organisation: &OrganisationId| {
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -7,6 +7,7 @@
 mod departure;
 mod end;
 mod evict;
+mod load;
 mod message;
 mod overload;
 mod place;
@@ -30,9 +31,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
-use crate::rules::{Directives, Queue};
+use crate::rules::{Directives, Objective};
 use crate::workflow::{JobRecord, JobResult, OccurrenceRecord, StepSpec, TaskId, TaskPhase};
-use overload::Objective;
 use state::{Job, Occurrence, Placement, StartPhase, Task, Worker};
 
 /// Maximum number of records in one batch. The platform allows at most 100 entries per transaction.
@@ -352,9 +352,7 @@
 
 fn objectives_of(directives: &Directives) -> BTreeMap<String, Objective> {
     let queues = directives.rules.iter().flat_map(|rules| &rules.queues);
-    let objective =
-        |queue: &Queue| Objective { stretch: queue.stretch, constant_ms: queue.objective_ms };
-    queues.map(|queue| (queue.name.clone(), objective(queue))).collect()
+    queues.map(|queue| (queue.name.clone(), queue.objective())).collect()
 }
 
 fn restored_task(now: PlannerTime, record: crate::workflow::TaskRecord) -> Task {
--- a/src/planner/overload/mod.rs
+++ b/src/planner/overload/mod.rs
@@ -10,4 +10,4 @@
 
 pub(super) use eviction::{EvictionRight, eviction_cost, restart_pause_ms};
 pub(super) use guarantee::{UrgentJob, within_guarantee};
-pub(super) use outlook::{JobTimes, Objective, Outlook};
+pub(super) use outlook::{JobTimes, Outlook};
--- a/src/planner/overload/outlook.rs
+++ b/src/planner/overload/outlook.rs
@@ -1,33 +1,13 @@
 //! Whether a waiting job can still be served in time.
 
-use serde::{Deserialize, Serialize};
-
 /// Part of the objective, in percent, within which a job has to finish to count as timely. Under lasting overload all jobs
 /// start at this limit; starts take up to 0.4 s, and estimates are inaccurate.
 const TIMELY_PERCENT: u64 = 75;
-/// Multiple of the objective after which the result of a job is of no more use to its client.
-const LATE_FACTOR: u64 = 3;
 /// Wait after which a job is placed before all others of its priority, so that none starves.
 const MIN_AGE_BOUND_MS: u64 = 60_000;
 /// Multiple of the objective that extends [`MIN_AGE_BOUND_MS`] for long jobs.
 const AGE_BOUND_FACTOR: u64 = 10;
 
-/// Latency objective of the jobs of a queue.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Objective {
-    /// Part that is a multiple of the longest chain of work of a job.
-    pub stretch: f64,
-    /// Constant part in milliseconds.
-    pub constant_ms: u64,
-}
-
-impl Objective {
-    /// Returns the objective of a job with this longest chain of work.
-    pub fn of_chain_ms(&self, chain_ms: u64) -> u64 {
-        (self.stretch * chain_ms as f64) as u64 + self.constant_ms
-    }
-}
-
 /// Prospect of a waiting job. The derived `Ord` puts the better prospect first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 pub enum Outlook {
@@ -54,6 +34,8 @@
     pub remaining_ms: u64,
     /// Objective of the job.
     pub objective_ms: u64,
+    /// Time after which its result is of no more use.
+    pub late_limit_ms: u64,
 }
 
 impl JobTimes {
@@ -68,7 +50,7 @@
             Outlook::Timely
         } else if finish_ms <= self.objective_ms {
             Outlook::Tight
-        } else if finish_ms <= self.objective_ms * LATE_FACTOR {
+        } else if finish_ms <= self.late_limit_ms {
             Outlook::Late
         } else {
             Outlook::Overdue
--- a/src/planner/overload/tests.rs
+++ b/src/planner/overload/tests.rs
@@ -6,7 +6,7 @@
 use crate::prelude::*;
 
 fn times(waited_ms: u64) -> JobTimes {
-    JobTimes { waited_ms, remaining_ms: 2_500, objective_ms: 4_000 }
+    JobTimes { waited_ms, remaining_ms: 2_500, objective_ms: 4_000, late_limit_ms: 12_000 }
 }
 
 /// Guards against work that can still be in time but waits behind work that cannot, and against jobs that are put off
@@ -22,14 +22,6 @@
     times(waited_ms).outlook()
 }
 
-/// Guards against an objective that ignores how long the work of a job takes.
-#[test]
-fn objective_grows_with_the_work() {
-    let objective = Objective { stretch: 1.5, constant_ms: 300 };
-
-    assert_eq!(objective.of_chain_ms(2_000), 3_300);
-}
-
 /// Guards against an organisation that loses its whole guarantee by asking for more, and against jobs that lose their
 /// guarantee to an older one that is still waiting.
 #[test]
--- a/src/planner/queue.rs
+++ b/src/planner/queue.rs
@@ -100,7 +100,7 @@
             .map(|(id, job)| UrgentJob {
                 id,
                 organisation: &job.record.organisation,
-                accelerators: job.first_step_accelerators(),
+                accelerators: job.record.first_step_accelerators(),
                 is_placed: job.is_placed(),
                 order: job.order,
             })
@@ -113,7 +113,7 @@
     }
 
     /// Returns the prospect of an occurrence of a job. Jobs without an objective always count as timely.
-    fn outlook(&self, now: PlannerTime, job: &Job, occurrence: u32) -> Outlook {
+    pub(super) fn outlook(&self, now: PlannerTime, job: &Job, occurrence: u32) -> Outlook {
         let spec = &job.record.spec;
         let objective = self.objectives.get(&job.record.queue).filter(|_| !spec.is_long_running());
         let Some(objective) = objective else {
@@ -127,10 +127,12 @@
             Some(_) => spec.due_ms(occurrence),
             None => job.record.accepted_ms,
         };
+        let chain_ms = spec.longest_chain_ms(estimate_ms);
         let times = JobTimes {
             waited_ms: now.wall_ms.saturating_sub(since_wall_ms),
             remaining_ms: spec.longest_chain_ms(remaining_ms),
-            objective_ms: objective.of_chain_ms(spec.longest_chain_ms(estimate_ms)),
+            objective_ms: objective.of_chain_ms(chain_ms),
+            late_limit_ms: objective.late_limit_ms(chain_ms),
         };
         times.outlook()
     }
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -117,12 +117,6 @@
         start..start + steps[step].tasks as usize
     }
 
-    /// Returns the number of accelerators that all tasks of the first step need together.
-    pub fn first_step_accelerators(&self) -> u32 {
-        let step = self.step(0);
-        step.tasks.saturating_mul(step.need.accelerators)
-    }
-
     /// Returns the index of a task in [`Occurrence::tasks`], if the job has such a task.
     pub fn position(&self, task: &TaskId) -> Option<usize> {
         let step = usize::from(task.step);
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -1,8 +1,11 @@
 //! Active rules: queues, services, organisations, and the data centres that are out of service.
 
+mod objective;
 #[cfg(test)]
 mod tests;
 
+pub use objective::Objective;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -34,6 +37,13 @@
     pub public: bool,
 }
 
+impl Queue {
+    /// Returns the latency objective of its jobs.
+    pub fn objective(&self) -> Objective {
+        Objective { stretch: self.stretch, constant_ms: self.objective_ms }
+    }
+}
+
 /// An organisation, its keys and its guarantee.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -80,3 +80,12 @@
 
     assert_eq!(merged, directives(11, 7, &[]));
 }
+
+/// Guards against an objective that ignores how long the work of a job takes.
+#[test]
+fn objective_grows_with_the_work() {
+    let objective = Objective { stretch: 1.5, constant_ms: 300 };
+
+    assert_eq!(objective.of_chain_ms(2_000), 3_300);
+    assert_eq!(objective.late_limit_ms(2_000), 9_900);
+}
--- a/src/workflow/record.rs
+++ b/src/workflow/record.rs
@@ -26,6 +26,14 @@
     pub spec: WorkflowSpec,
 }
 
+impl JobRecord {
+    /// Returns the number of accelerators that all tasks of the first step need together.
+    pub fn first_step_accelerators(&self) -> u32 {
+        let first = self.spec.steps.first();
+        first.map_or(0, |step| step.tasks.saturating_mul(step.need.accelerators))
+    }
+}
+
 /// Phase of a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskPhase {
