Choose the attempts to stop by their loss alone, three stops a task at most

Cause: with a higher cost for tasks that were stopped before, and two stops a task, other attempts with more work to lose were stopped instead.

Change: the cost of a stop is its loss again; a task may be stopped three times for urgent jobs that no guarantee covers.

--- a/src/planner/evict.rs
+++ b/src/planner/evict.rs
@@ -4,7 +4,7 @@
 
 use super::Planner;
 use super::message::PlannerTime;
-use super::overload::{EvictionRight, eviction_cost};
+use super::overload::EvictionRight;
 use super::pool::{Allocation, Candidate, Horizon, PlacementRequest};
 use super::scope::Scope;
 use super::state::Job;
@@ -95,7 +95,7 @@
 fn victim(now: PlannerTime, job: &Job, task: &TaskId) -> Option<Victim> {
     let step = job.step(task.step.into());
     let mut released: BTreeMap<WorkerId, Resources> = BTreeMap::new();
-    let (mut lost_ms, mut evictions) = (0, 0);
+    let mut lost_ms = 0;
     for member in job.members(task) {
         let state = job.task(&member)?;
         let Some(placement) = state.placement.as_ref() else {
@@ -112,14 +112,12 @@
             false => now.steady_ms.saturating_sub(placement.since_ms),
         };
         lost_ms += unsaved_ms + MIN_STOP_COST_MS;
-        evictions = evictions.max(state.evictions);
     }
     let weight = u64::from(step.need.cores_milli)
         + u64::from(step.need.accelerators) * ACCELERATOR_CORES_MILLI;
     // Urgent work costs more, so that it is stopped last.
     let priority_weight = if job.record.priority == 0 { 4 } else { 1 };
-    let cost = eviction_cost(lost_ms * weight * priority_weight, evictions);
-    Some(Victim { task: task.clone(), cost, released })
+    Some(Victim { task: task.clone(), cost: lost_ms * weight * priority_weight, released })
 }
 
 /// Chooses victims of low total cost whose stops make the step fit. Returns the allocation and the indices of the
--- a/src/planner/overload/eviction.rs
+++ b/src/planner/overload/eviction.rs
@@ -1,9 +1,9 @@
-//! Which attempts an urgent job may stop, and what a stop costs.
+//! Which attempts an urgent job may stop, and when a stopped task starts again.
 
 use super::Outlook;
 
 /// Number of times that a task may be stopped for urgent jobs that no guarantee covers.
-const MAX_EVICTIONS: u32 = 2;
+const MAX_EVICTIONS: u32 = 3;
 /// Time for which a task that was stopped once stays out of the room for which urgent jobs wait. It doubles with each
 /// further stop. Urgent jobs run for about 2.5 s.
 const RESTART_PAUSE_MS: u64 = 2_500;
@@ -45,11 +45,6 @@
     }
 }
 
-/// Returns the cost of stopping an attempt whose loss is `lost`, if its task was stopped before.
-pub fn eviction_cost(lost: u64, evictions: u32) -> u64 {
-    lost.saturating_mul(1 + u64::from(evictions))
-}
-
 /// Returns the time after its last stop for which a task is not placed while urgent jobs wait for room.
 ///
 /// Load pattern: a task that was stopped for an urgent job is placed into the next gap, which the next urgent gang needs
--- a/src/planner/overload/mod.rs
+++ b/src/planner/overload/mod.rs
@@ -8,6 +8,6 @@
 #[cfg(test)]
 mod tests;
 
-pub(super) use eviction::{EvictionRight, eviction_cost, restart_pause_ms};
+pub(super) use eviction::{EvictionRight, restart_pause_ms};
 pub(super) use guarantee::{UrgentJob, within_guarantee};
 pub(super) use outlook::{JobTimes, Outlook};
