Keep a damaged row from ending a takeover or running a job twice

Cause: a stored state with another number of tasks than its job, a stored job without steps, or one that depends on itself panics at an index in the planner. Each coordinator that takes over reads the same row and ends too. A state that cannot be decoded was ignored, and the job then ran again from the beginning, although its tasks may have run.

Change: stored jobs are checked like submitted ones. A job with a state that cannot be read or does not match starts no more tasks, and an error line names the row. Sums over values from clients and workers saturate.

Result: tests with five damaged rows at a takeover, and with a state of the wrong length.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -138,13 +138,13 @@
             return Admission::Accept;
         }
         let ahead = load.backlog_ms.iter().filter(|(priority, _)| *priority <= record.priority);
-        let wait_ms: u64 = ahead.map(|(_, backlog_ms)| backlog_ms).sum();
+        let wait_ms = ahead.fold(0, |sum: u64, (_, backlog_ms)| sum.saturating_add(*backlog_ms));
         let chain_ms = spec.longest_chain_ms(|step| spec.steps[step].estimate_ms);
         let limit_ms = objective.late_limit_ms(chain_ms);
-        if wait_ms / ESTIMATE_ERROR_FACTOR + chain_ms <= limit_ms {
+        if (wait_ms / ESTIMATE_ERROR_FACTOR).saturating_add(chain_ms) <= limit_ms {
             return Admission::Accept;
         }
-        let excess_ms = (wait_ms + chain_ms).saturating_sub(limit_ms);
+        let excess_ms = wait_ms.saturating_add(chain_ms).saturating_sub(limit_ms);
         Admission::Overload { wait_ms, retry_after_s: retry_after_s(job, excess_ms) }
     }
 
@@ -162,7 +162,7 @@
 /// depends on the job keeps clients that were rejected together from coming back together.
 fn retry_after_s(job: &JobId, excess_ms: u64) -> u64 {
     let hash = job.as_str().bytes().fold(0_u64, |hash, byte| hash * 31 % 1_009 + u64::from(byte));
-    let spread_ms = excess_ms / 2 * (hash % 101) / 100;
-    let wait_s = (excess_ms + spread_ms).div_ceil(1_000);
+    let spread_ms = excess_ms / 200 * (hash % 101);
+    let wait_s = excess_ms.saturating_add(spread_ms).div_ceil(1_000);
     wait_s.clamp(*RETRY_AFTER_S.start(), *RETRY_AFTER_S.end())
 }
--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -173,6 +173,9 @@
                 cancelled.push(job.id.clone());
             }
             planner.restore(now, &job.id, job.record, job.occurrences);
+            if job.has_damaged_state {
+                planner.hold(&job.id);
+            }
         }
         for (key, version) in takeover.rejections {
             tokio::spawn(remove_later(self.store().clone(), key, version));
@@ -339,7 +342,7 @@
             self.plan(&Input::Cancelled { job: JobId::from(job) });
             return;
         }
-        match workflow::decode::<JobRecord>(content) {
+        match JobRecord::decode(content) {
             Ok(record) => self.plan(&Input::Submitted { job: JobId::from(key), record }),
             Err(error) => {
                 log::error!(job = key; "stored job cannot be decoded and is ignored: {error}")
--- a/src/coordinator/takeover.rs
+++ b/src/coordinator/takeover.rs
@@ -49,6 +49,8 @@
     pub occurrences: Vec<(u32, OccurrenceRecord)>,
     /// Whether a client cancelled the job.
     pub is_cancelled: bool,
+    /// Whether the state of an occurrence cannot be read.
+    pub has_damaged_state: bool,
 }
 
 /// A leadership that is durable. From then on no transaction of an earlier leader is applied.
@@ -162,10 +164,16 @@
             rejections.push((row.key.clone(), row.version));
             continue;
         }
-        match workflow::decode::<JobRecord>(&row.content) {
+        match JobRecord::decode(&row.content) {
             Ok(record) => {
                 let id = JobId::from(row.key.key.as_str());
-                let job = StoredJob { id, record, occurrences: Vec::new(), is_cancelled: false };
+                let job = StoredJob {
+                    id,
+                    record,
+                    occurrences: Vec::new(),
+                    is_cancelled: false,
+                    has_damaged_state: false,
+                };
                 jobs.insert(row.key.key.clone(), job);
             }
             Err(error) => {
@@ -190,10 +198,11 @@
         match (jobs.get_mut(id), occurrence.parse(), record) {
             (Some(job), Ok(occurrence), Ok(record)) => job.occurrences.push((occurrence, record)),
             (None, ..) => {}
-            _ => {
+            (Some(job), ..) => {
+                job.has_damaged_state = true;
                 log::error!(
                     key = row.key.key.as_str();
-                    "stored state of an occurrence cannot be decoded and is ignored"
+                    "stored state of an occurrence cannot be decoded; the job starts no more tasks"
                 );
             }
         }
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of coordinators with connections on loopback, a store in memory and an in-process worker that carries out all
 //! orders.
 
+mod damaged_rows;
 mod directives_lag;
 mod rejection;
 mod slow_takeover;
--- a/src/planner/load.rs
+++ b/src/planner/load.rs
@@ -17,7 +17,7 @@
     pub fn load(&self, now: PlannerTime) -> LoadSummary {
         let mut services = self.service_groups();
         let mut urgent: BTreeMap<&OrganisationId, u32> = BTreeMap::new();
-        for job in self.jobs.values().filter(|job| job.result.is_none()) {
+        for job in self.jobs.values().filter(|job| job.may_start()) {
             if job.record.priority == 0 {
                 let entry = urgent.entry(&job.record.organisation).or_default();
                 *entry = entry.saturating_add(job.record.first_step_accelerators());
@@ -26,7 +26,7 @@
                 let work_ms = self.remaining_work_ms(now, job, load);
                 let priority = job.record.priority;
                 match load.backlog_ms.iter_mut().find(|(listed, _)| *listed == priority) {
-                    Some((_, backlog_ms)) => *backlog_ms += work_ms,
+                    Some((_, backlog_ms)) => *backlog_ms = backlog_ms.saturating_add(work_ms),
                     None => load.backlog_ms.push((priority, work_ms)),
                 }
             }
@@ -72,7 +72,7 @@
         if spec.is_long_running() {
             return 0;
         }
-        let mut work_ms = 0;
+        let mut work_ms: u64 = 0;
         for (number, occurrence) in &job.occurrences {
             if occurrence.done || self.outlook(now, job, *number) == Outlook::Overdue {
                 continue;
@@ -80,7 +80,8 @@
             for (number, step) in spec.steps.iter().enumerate() {
                 let tasks = occurrence.tasks.get(job.range(number)).unwrap_or_default();
                 let left_percent: u64 = tasks.iter().map(left_percent).sum();
-                work_ms += load.work_ms(step, left_percent, step.estimate_ms) / 100;
+                let step_ms = load.work_ms(step, left_percent, step.estimate_ms) / 100;
+                work_ms = work_ms.saturating_add(step_ms);
             }
         }
         work_ms
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -98,7 +98,8 @@
         }
     }
 
-    /// Restores a stored job after a takeover. Stored intents count as running until their workers report otherwise.
+    /// Restores a stored job after a takeover. Stored intents count as running until their workers report otherwise. A job
+    /// with an occurrence whose state does not match its specification is held.
     pub fn restore(
         &mut self,
         now: PlannerTime,
@@ -107,7 +108,12 @@
         occurrences: Vec<(u32, OccurrenceRecord)>,
     ) {
         let mut state = self.new_job(record);
+        let expected_tasks = state.record.spec.tasks_per_occurrence();
         for (number, stored) in occurrences {
+            if !stored.tasks.is_empty() && stored.tasks.len() != expected_tasks {
+                state.is_held = true;
+                continue;
+            }
             if let Some((result, ended_wall_ms)) = stored.job_result {
                 (state.result, state.ended_wall_ms) = (Some(result), ended_wall_ms);
             }
@@ -123,6 +129,14 @@
         self.jobs.insert(job.clone(), state);
     }
 
+    /// Keeps a job from starting any task, because part of its stored state cannot be read: what it has done is not known,
+    /// and a task that has run must not run again.
+    pub fn hold(&mut self, job: &JobId) {
+        if let Some(state) = self.jobs.get_mut(job) {
+            state.is_held = true;
+        }
+    }
+
     /// Returns whether the workers have had time to report to this leader.
     fn has_settled(&self, now: PlannerTime) -> bool {
         now.steady_ms >= self.settled_ms
@@ -163,6 +177,7 @@
             result: None,
             ended_wall_ms: 0,
             started: false,
+            is_held: false,
         }
     }
 
@@ -332,7 +347,8 @@
             .jobs
             .iter()
             .filter(|(_, job)| {
-                job.result.is_some() && now.wall_ms >= job.ended_wall_ms + ENDED_JOB_RETENTION_MS
+                job.result.is_some()
+                    && now.wall_ms >= job.ended_wall_ms.saturating_add(ENDED_JOB_RETENTION_MS)
             })
             .filter(|(_, job)| {
                 job.occurrences.values().all(|occurrence| occurrence.tasks.is_empty())
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -106,7 +106,10 @@
         if ready.priority == URGENT_PRIORITY {
             return self.place_urgent_step(now, ready, pool, waited_ms, out);
         }
-        let rack_wait_ms = (request.step.estimate_ms * SAME_RACK_WAIT_FACTOR)
+        let rack_wait_ms = request
+            .step
+            .estimate_ms
+            .saturating_mul(SAME_RACK_WAIT_FACTOR)
             .clamp(*SAME_RACK_WAIT_MS.start(), *SAME_RACK_WAIT_MS.end());
         let has_settled = self.has_settled(now);
         let scope = Scope {
--- a/src/planner/queue.rs
+++ b/src/planner/queue.rs
@@ -35,7 +35,7 @@
         let over_guarantee = self.organisations_over_guarantee();
         let covered = self.jobs_within_guarantee();
         let mut ready = Vec::new();
-        for (id, job) in self.jobs.iter().filter(|(_, job)| job.result.is_none()) {
+        for (id, job) in self.jobs.iter().filter(|(_, job)| job.may_start()) {
             let is_covered = covered.contains(id);
             for (number, occurrence) in &job.occurrences {
                 let steps = ready_steps_of(job, occurrence);
@@ -67,7 +67,7 @@
 
     /// Creates the tasks of occurrences that are due.
     fn create_due_occurrences(&mut self, now: PlannerTime) {
-        for job in self.jobs.values_mut().filter(|job| job.result.is_none()) {
+        for job in self.jobs.values_mut().filter(|job| job.may_start()) {
             let spec = &job.record.spec;
             let next = job.occurrences.keys().next_back().map_or(0, |last| last + 1);
             for number in next..spec.occurrences() {
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -48,7 +48,7 @@
             *worker = Worker { placed: std::mem::take(&mut worker.placed), ..Worker::default() };
         }
         worker.report = Some(report.clone());
-        worker.leaves_ms = report.leaves_in_ms.map(|in_ms| now.steady_ms + in_ms);
+        worker.leaves_ms = report.leaves_in_ms.map(|in_ms| now.steady_ms.saturating_add(in_ms));
         worker.connected = true;
         worker.last_contact_ms = worker.last_contact_ms.max(now.steady_ms);
         self.end_earlier_incarnations(now, &report.incarnation, out);
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -90,6 +90,8 @@
     /// Time at which the job finished, in milliseconds since 1970.
     pub ended_wall_ms: u64,
     pub started: bool,
+    /// Part of the stored state could not be read, so no task is started.
+    pub is_held: bool,
 }
 
 impl Job {
@@ -105,6 +107,11 @@
         &self.record.spec.steps[step]
     }
 
+    /// Returns whether tasks of the job may start.
+    pub fn may_start(&self) -> bool {
+        self.result.is_none() && !self.is_held
+    }
+
     pub fn is_placed(&self) -> bool {
         let mut tasks = self.occurrences.values().flat_map(|occurrence| &occurrence.tasks);
         tasks.any(|task| task.placement.is_some())
--- a/src/planner/tests/takeover.rs
+++ b/src/planner/tests/takeover.rs
@@ -168,3 +168,22 @@
     assert_eq!(racks.len(), 3);
     assert!(racks.iter().all(|rack| *rack == racks[0]));
 }
+
+/// Guards against a takeover that panics on a stored state of another length than the job, and against tasks that run
+/// again because their state cannot be read.
+#[test]
+fn job_whose_stored_state_does_not_match_starts_nothing() {
+    let mut world = World::new(2);
+    world.submit("damaged", job(1, vec![step(4, 1)]));
+    world.submit("sound", job(1, vec![step(2, 1)]));
+    let key = (id("damaged"), 0);
+    let stored = world.store.occurrences.get_mut(&key).expect("its intents are stored");
+    stored.tasks.truncate(3);
+    world.starts.clear();
+
+    world.take_over();
+    world.advance(30_000);
+
+    assert!(world.starts.iter().all(|start| start.task.job != id("damaged")));
+    assert_eq!(world.placements("sound").len(), 2);
+}
--- a/src/workflow/record.rs
+++ b/src/workflow/record.rs
@@ -2,9 +2,9 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 
-use super::{WorkerIncarnation, WorkflowSpec};
+use super::{SpecError, WorkerIncarnation, WorkflowSpec};
 use crate::prelude::*;
 
 /// A job as it was accepted, with the rules of its queue at that time.
@@ -27,6 +27,17 @@
 }
 
 impl JobRecord {
+    /// Decodes the stored row of a job, and checks the sizes and dependencies on which the planner relies.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError`] if the row is damaged, of another version, or not a valid job.
+    pub fn decode(content: &[u8]) -> Result<Self, RecordError> {
+        let record: Self = decode(content).context(DamagedSnafu)?;
+        record.spec.check().context(InvalidSnafu)?;
+        Ok(record)
+    }
+
     /// Returns the number of accelerators that all tasks of the first step need together.
     pub fn first_step_accelerators(&self) -> u32 {
         let first = self.spec.steps.first();
@@ -82,6 +93,23 @@
     pub job_result: Option<(JobResult, u64)>,
 }
 
+/// Reason for which the stored row of a job cannot be used.
+#[derive(Debug, Snafu)]
+pub enum RecordError {
+    /// The row cannot be decoded.
+    #[snafu(display("{source}"))]
+    Damaged {
+        /// Error of the decoder.
+        source: DecodeError,
+    },
+    /// The row holds a job that no client could have submitted.
+    #[snafu(display("the stored job is not valid: {source}"))]
+    Invalid {
+        /// The first size or dependency that is not valid.
+        source: SpecError,
+    },
+}
+
 /// Error of decoding a record.
 #[derive(Debug, Snafu)]
 #[snafu(display("cannot decode the record, which is damaged or of another version: {source}"))]
