Refuse requests after a pause until the directives are confirmed

Cause: a coordinator that was paused for some seconds, or whose machine was suspended, finds requests in its sockets when it continues and decides them by the directives from before: a key that was withdrawn meanwhile is accepted until the next watch answers, up to 2 s later.

Change: a gap of 2 s between ticks, by the clock that counts suspension, counts as a pause. Submissions and cancellations get 503 until another coordinator has answered a request for its directives, or a watch of the store that was sent after the pause has answered. Requests that are handled before the first tick are refused too.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -16,9 +16,7 @@
 use super::restoring::Restoring;
 use super::service::Service;
 use super::settings::MAX_RENEWAL_STORE_AGE_MS;
-use super::takeover::{Candidate, Claim, Takeover, TakeoverError};
-use crate::admission::LoadSummary;
-use crate::election::{ElectionRole, ElectionStep, Gossip, LeaderElection, Leadership};
+use crate::election::{ElectionRole, ElectionStep, Gossip, LeaderElection};
 use crate::planner::{Input, PlannerTime};
 use crate::prelude::*;
 use crate::process::{InboxActor, new_incarnation};
@@ -26,6 +24,8 @@
 use crate::store::{RowChange, RowStore};
 use crate::wire::{LinkSender, LinkSettings};
 
+/// The time after which another coordinator is asked to confirm the directives.
+const CONFIRMATION_TIMEOUT_MS: u64 = 600;
 /// The number of ticks between two rounds of gossip.
 const TICKS_PER_GOSSIP: u64 = 2;
 /// The number of ticks between two summaries of the load, about 1 s.
@@ -39,24 +39,26 @@
 /// The actor of a coordinator.
 #[derive(xtra::Actor)]
 pub struct Coordinator<S: 'static> {
-    settings: Arc<CoordinatorSettings>,
-    links: LinkSettings,
+    pub(super) settings: Arc<CoordinatorSettings>,
+    pub(super) links: LinkSettings,
     pub(super) service: Service<S>,
     pub(super) peers: PeerSenders,
     pub(super) events: EventSender,
     pub(super) election: LeaderElection,
     directives: Directives,
     directives_lag: DirectivesLag,
-    incarnation: Incarnation,
+    /// The time of the request for directives that confirms them after a pause, if its answer is outstanding.
+    confirmation_requested_ms: Option<u64>,
+    pub(super) incarnation: Incarnation,
     /// The addresses to which connections are kept open, each with its coordinator once that is known.
     dialed: BTreeMap<SocketAddr, Option<ProcessId>>,
     pub(super) leader_state: Option<LeaderState>,
     /// The restoration of the leader's state, from the attempt to claim the leadership until the state is complete.
-    restoring: Option<Restoring>,
+    pub(super) restoring: Option<Restoring>,
     /// The worker of each host connection, by the number of the connection.
-    host_workers: HashMap<u64, WorkerId>,
+    pub(super) host_workers: HashMap<u64, WorkerId>,
     ticks: u64,
-    ending: Option<oneshot::Sender<()>>,
+    pub(super) ending: Option<oneshot::Sender<()>>,
 }
 
 impl<S> Coordinator<S>
@@ -82,6 +84,7 @@
             election,
             directives: Directives::default(),
             directives_lag: DirectivesLag::default(),
+            confirmation_requested_ms: None,
             incarnation: new_incarnation(),
             dialed: BTreeMap::new(),
             leader_state: None,
@@ -118,6 +121,13 @@
     fn on_tick(&mut self) {
         self.ticks += 1;
         let now = self.now();
+        if let Some(pause_ms) = self.service.shared.pause.tick(now.steady_ms) {
+            log::warn!(pause_ms; "this process was paused; requests are refused until its directives are confirmed");
+            self.service.metrics.count("process", "paused");
+        }
+        if self.service.shared.pause.needs_confirmation() {
+            self.request_confirmation(now.steady_ms);
+        }
         if let Some(answered_ms) = self.store().answered_ms() {
             self.election.store_answered(answered_ms);
         }
@@ -140,34 +150,16 @@
         self.plan(&Input::Tick);
     }
 
-    /// Publishes the load of the deployment, if this coordinator leads.
-    fn publish_load(&mut self) {
-        let now = self.now();
-        if let Some(leader_state) = &self.leader_state {
-            let (epoch, load) = (leader_state.epoch(), leader_state.load(now));
-            self.peers.send_to_all(&PeerMessage::Load { epoch, load: load.clone() });
-            self.on_load(epoch, load);
-        }
-    }
-
-    fn on_load(&self, epoch: Epoch, load: LoadSummary) {
-        let is_current = self.election.leadership().is_none_or(|known| known.epoch <= epoch);
-        if is_current {
-            self.service.shared.set_load(self.service.clock.now_ms(), load);
+    /// Requests the directives of another coordinator, which answers sooner than the next watch of the store.
+    fn request_confirmation(&mut self, now_ms: u64) {
+        let is_outstanding = self
+            .confirmation_requested_ms
+            .is_some_and(|requested_ms| now_ms < requested_ms + CONFIRMATION_TIMEOUT_MS);
+        if !is_outstanding && self.peers.send_to_best(PeerMessage::RequestDirectives) {
+            self.confirmation_requested_ms = Some(now_ms);
         }
     }
 
-    /// Publishes what was sent on connections to other processes, by kind of message.
-    fn report_traffic(&self) {
-        let mut kinds = Vec::new();
-        for (kind, sent) in self.links.traffic.totals() {
-            let size_bytes = i64::try_from(sent.size_bytes).unwrap_or(i64::MAX);
-            self.service.metrics.set("sent_bytes", kind, size_bytes);
-            kinds.push(format!("{kind} {} in {}", sent.size_bytes, sent.count));
-        }
-        log::info!(kinds = kinds.join(", "); "bytes and messages sent since the start");
-    }
-
     fn update_readiness(&self, now_ms: u64) {
         let can_store = self.election.store_age_ms(now_ms) < READY_STORE_AGE_MS
             || self.peers.best_store_age_ms() < READY_STORE_AGE_MS;
@@ -182,7 +174,7 @@
         }
     }
 
-    fn gossip(&self) -> Gossip {
+    pub(super) fn gossip(&self) -> Gossip {
         let now_ms = self.service.clock.now_ms();
         let (leader_contact_age_ms, leader_store_age_ms) = self.election.leader_ages_ms(now_ms);
         Gossip {
@@ -199,113 +191,14 @@
         }
     }
 
-    fn begin_takeover(&mut self) {
-        let last_leadership = self.election.leadership().cloned();
-        log::info!(
-            known_epoch = last_leadership.as_ref().map_or(0, |known| known.epoch.0);
-            "trying to take over the leadership"
-        );
-        let candidate = Candidate {
-            process: self.settings.process.clone(),
-            address: self.settings.inner_address,
-            incarnation: self.incarnation,
-        };
-        self.restoring = Some(Restoring::begin(
-            self.store().direct().clone(),
-            candidate,
-            last_leadership,
-            self.events.clone(),
-        ));
-    }
-
-    /// Announces a leadership that is durable before the stored jobs are read: reading them takes longer than the
-    /// silence after which other coordinators would replace a leader.
-    fn on_claimed(&mut self, result: Result<Claim, TakeoverError>) {
-        let now = self.now();
-        let leadership = match result {
-            Ok(claim) => claim.head.leadership,
-            Err(TakeoverError::Lost(current)) => {
-                log::info!(
-                    epoch = current.as_ref().map_or(0, |current| current.epoch.0);
-                    "takeover failed: another coordinator leads"
-                );
-                self.abandon_takeover(current.as_ref());
-                return;
-            }
-            Err(TakeoverError::Store(error)) => {
-                log::warn!(
-                    "takeover failed; retried after a pause if no leader is observed: {error}"
-                );
-                self.abandon_takeover(None);
-                return;
-            }
-        };
-        let is_outdated =
-            self.election.leadership().is_some_and(|known| known.epoch > leadership.epoch);
-        if is_outdated || self.ending.is_some() {
-            self.abandon_takeover(None);
-            return;
-        }
-        log::info!(epoch = leadership.epoch.0; "leadership claimed; reading the stored jobs");
-        self.election.on_elected(now.steady_ms, leadership);
-        self.election.store_answered(now.steady_ms);
-        self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
-    }
-
-    fn abandon_takeover(&mut self, current: Option<&Leadership>) {
-        self.restoring = None;
-        self.election.on_takeover_failed(self.service.clock.now_ms(), current);
-    }
-
-    fn on_taken_over(&mut self, takeover: Takeover) {
-        let epoch = takeover.claim.head.leadership.epoch;
-        let is_current = self.election.role() == ElectionRole::Leader
-            && self.election.leadership().is_some_and(|known| known.epoch == epoch);
-        let Some(restoring) = self.restoring.take_if(|_| is_current) else {
-            return;
-        };
-        self.service.metrics.count("leadership", "taken");
-        log::info!(
-            epoch = epoch.0, jobs = takeover.jobs.len(), jobs_version = takeover.jobs_version;
-            "this coordinator leads now"
-        );
-        self.lead(self.now(), takeover);
-        for (connection, (worker, sender)) in restoring.into_hosts() {
-            self.on_host_connected(connection, worker, sender);
-        }
-    }
-
-    pub(super) fn step_down(&mut self, reason: &str) {
-        let now_ms = self.service.clock.now_ms();
-        if let Some(leader_state) = self.leader_state.take() {
-            leader_state.redirect_hosts(self.election.leadership().cloned());
-            log::warn!(reason; "this coordinator no longer leads");
-            self.service.metrics.count("leadership", "given_up");
-        }
-        if self.restoring.take().is_some() {
-            log::warn!(reason; "takeover abandoned before the stored jobs were read");
-        }
-        self.host_workers.clear();
-        if self.election.role() == ElectionRole::Leader {
-            self.election.step_down(now_ms);
-            // The gossip lets the other coordinators elect a leader without waiting for the silence limit.
-            self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
-        }
-    }
-
-    /// Steps down if the election has observed a newer leadership.
-    fn on_leadership_changed(&mut self) {
-        let has_led = self.leader_state.is_some() || self.restoring.is_some();
-        if has_led && self.election.role() == ElectionRole::Follower {
-            self.step_down("another coordinator leads");
-        }
-    }
-
     fn on_peer(&mut self, sender: PeerSender, message: PeerMessage) {
         match message {
             PeerMessage::Gossip(gossip) => self.on_gossip(sender, &gossip),
             PeerMessage::Directives(directives) => {
-                self.apply_directives(directives, "a coordinator")
+                self.apply_directives(directives, "a coordinator");
+                if let Some(requested_ms) = self.confirmation_requested_ms.take() {
+                    self.service.shared.pause.confirm(requested_ms);
+                }
             }
             PeerMessage::Progress { epoch, is_snapshot, jobs } => {
                 self.service.shared.with_view(|view| view.update(epoch, is_snapshot, &jobs));
@@ -320,7 +213,9 @@
             }
             PeerMessage::Relayed { call, answer } => self.store().on_relayed_answer(call, answer),
             PeerMessage::RequestDirectives => {
-                sender.send(PeerMessage::Directives(self.directives.clone()));
+                if !self.service.shared.pause.needs_confirmation() {
+                    sender.send(PeerMessage::Directives(self.directives.clone()));
+                }
             }
             PeerMessage::Load { epoch, load } => self.on_load(epoch, load),
         }
@@ -396,7 +291,7 @@
         }
     }
 
-    fn on_host_connected(
+    pub(super) fn on_host_connected(
         &mut self,
         connection: u64,
         worker: WorkerId,
@@ -539,6 +434,9 @@
             Event::Host { connection, message } => self.on_host(connection, message),
             Event::HostLost { connection } => self.on_host_lost(connection),
             Event::Directives(directives) => self.apply_directives(directives, "the store"),
+            Event::DirectivesConfirmed { requested_ms } => {
+                self.service.shared.pause.confirm(requested_ms);
+            }
             Event::Leadership(leadership) => {
                 if self.election.observe_leadership(self.service.clock.now_ms(), &leadership) {
                     self.on_leadership_changed();
--- a/src/coordinator/event.rs
+++ b/src/coordinator/event.rs
@@ -39,6 +39,8 @@
     HostLost { connection: u64 },
     /// Directives were read from the store.
     Directives(Directives),
+    /// The directives were current when the store answered a call that was sent at this steady time in milliseconds.
+    DirectivesConfirmed { requested_ms: u64 },
     /// The leadership row was read from the store.
     Leadership(Leadership),
     /// A claim of the leadership by this coordinator has succeeded or failed.
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -10,11 +10,14 @@
 mod event;
 mod job_rows;
 mod leader_state;
+mod leadership;
 mod listener;
 pub mod message;
+mod pause;
 mod peers;
 mod rejection;
 mod relay;
+mod reports;
 mod restoring;
 mod service;
 mod settings;
@@ -114,7 +117,7 @@
     let links = settings.links();
     listener::spawn(settings.inner_address, links.clone(), events.clone()).await?;
     let store = service.store.clone();
-    tokio::spawn(store_watch::watch_directives(store.clone(), directives, events.clone()));
+    tokio::spawn(store_watch::watch_directives(store.clone(), directives, clock, events.clone()));
     tokio::spawn(store_watch::watch_leadership(store, events.clone()));
     tokio::spawn(store_watch::register(
         service.store.direct().clone(),
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -5,6 +5,7 @@
 
 use super::event::{Event, EventSender};
 use super::job_rows::{cancel_key, job_key};
+use super::pause::PauseDetector;
 use super::rejection::{is_rejection, rejection_version};
 use super::relay::RelayingStore;
 use super::transaction_retry::{TransactionOutcome, transact_with_retries};
@@ -21,6 +22,9 @@
 /// after a definite answer.
 const WRITE_LIMIT_MS: u64 = 1_500;
 
+/// The reason for which requests are refused after a pause of the process.
+const PAUSED: &str = "this process was paused, and its configuration is not confirmed yet";
+
 /// The outcome of a submission.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Submission {
@@ -62,6 +66,7 @@
     view: Mutex<JobView>,
     /// The load that the leader reported last, and the time of its arrival.
     load: Mutex<Option<(u64, Arc<LoadSummary>)>>,
+    pub(super) pause: PauseDetector,
 }
 
 impl SharedState {
@@ -142,9 +147,15 @@
     ) -> Submission {
         let started_ms = self.clock.now_ms();
         let limit = Duration::from_millis(WRITE_LIMIT_MS.min(client_timeout_ms / 2));
-        let (outcome, reason) = match self.rejection(started_ms, job, record) {
-            Some(rejection) => (self.reject(job, record, rejection, limit).await, String::new()),
-            None => self.store_job(job, record, limit).await,
+        let (outcome, reason) = if !self.shared.pause.may_decide(started_ms) {
+            (Submission::NotAccepted, PAUSED.to_owned())
+        } else {
+            match self.rejection(started_ms, job, record) {
+                Some(rejection) => {
+                    (self.reject(job, record, rejection, limit).await, String::new())
+                }
+                None => self.store_job(job, record, limit).await,
+            }
         };
         self.record_submission(job, record, &outcome, &reason, started_ms);
         outcome
@@ -247,7 +258,10 @@
     pub async fn cancel(&self, job: &JobId, client_timeout_ms: u64) -> Cancellation {
         let started_ms = self.clock.now_ms();
         let limit = Duration::from_millis(WRITE_LIMIT_MS.min(client_timeout_ms / 2));
-        let (outcome, reason) = self.try_cancel(job, limit).await;
+        let (outcome, reason) = match self.shared.pause.may_decide(started_ms) {
+            true => self.try_cancel(job, limit).await,
+            false => (Cancellation::NotAccepted, PAUSED.to_owned()),
+        };
         let name = match outcome {
             Cancellation::Accepted => "accepted",
             Cancellation::NoSuchJob => "no_such_job",
--- a/src/coordinator/store_watch.rs
+++ b/src/coordinator/store_watch.rs
@@ -11,6 +11,7 @@
 use super::{JOB_TABLE, LEAD_TABLE, LEADER_KEY, MEMBER_PREFIX};
 use crate::election::Leadership;
 use crate::prelude::*;
+use crate::process::BoottimeClock;
 use crate::rules::{Directives, Rules};
 use crate::store::{
     Changes, Listing, RowChange, RowError, RowKey, RowResult, RowStore, Transaction,
@@ -54,6 +55,7 @@
 pub async fn watch_directives<S>(
     store: RelayingStore<S>,
     source: DirectiveSource,
+    clock: BoottimeClock,
     events: EventSender,
 ) where
     S: RowStore,
@@ -77,6 +79,7 @@
             }
         };
         loop {
+            let requested_ms = clock.now_ms();
             let answer = watch(&store, source.table, version, DIRECTIVES_WAIT).await;
             store.record_answer(&answer);
             match answer {
@@ -89,6 +92,8 @@
                     if is_changed && send_directives(&events, &directives).await.is_err() {
                         return;
                     }
+                    // The receiver only ends with the process.
+                    let _ = events.send(Event::DirectivesConfirmed { requested_ms }).await;
                 }
                 Err(error) => {
                     log::warn!(
