Let the worker's list decide on starts whose answer was lost

The answer to a start was lost, the attempt was done after 0.4 s, and the start that was repeated after 0.56 s was refused because the attempt had ended. The host reported the refusal, which counts as never run, and the task was started again 0.19 s after its end. Ruled out: a new leader, a stop for an urgent job and a lost worker; none is near.

Change: after a call without an answer, or when the worker says that it has stopped or ended the attempt, the host reports the attempt as stopped instead of refused, and the next list of ends decides. The planner keeps the worker's backoff.

--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -10,6 +10,7 @@
 use super::lease::LeaseClock;
 use super::link::LeaderAddresses;
 use super::listing::ListingInterval;
+use super::orders::StartResult;
 use super::{Renewal, RenewalAnswer, WorkerError, WorkerHeartbeat, WorkerPort, orders};
 use crate::coordinator::message::{DialerMessage, HostMessage, LeaderMessage};
 use crate::planner::{AttemptsReport, StartOrder, StartRefusal, WorkerEvent, WorkerOrder};
@@ -409,7 +410,7 @@
         &mut self,
         incarnation: WorkerIncarnation,
         key: AttemptKey,
-        result: Result<(), StartRefusal>,
+        result: StartResult,
     ) {
         if self.starts.remove(&key).is_none() || !self.is_current(&incarnation) {
             return;
@@ -420,11 +421,21 @@
             epoch = self.highest_epoch.0, outcome:debug = result;
             "start of an attempt was answered by the worker, or abandoned without an answer"
         );
-        self.metrics.count("host", if result.is_ok() { "started" } else { "start_refused" });
-        self.send_event(match result {
-            Ok(()) => WorkerEvent::Started { incarnation, task, attempt },
-            Err(refusal) => WorkerEvent::Refused { incarnation, task, attempt, refusal },
-        });
+        let name = match result {
+            StartResult::Started => {
+                self.send_event(WorkerEvent::Started { incarnation, task, attempt });
+                "started"
+            }
+            StartResult::Refused(refusal) => {
+                self.send_event(WorkerEvent::Refused { incarnation, task, attempt, refusal });
+                "start_refused"
+            }
+            StartResult::Stopped => {
+                self.stopped.insert((task, attempt));
+                "start_stopped"
+            }
+        };
+        self.metrics.count("host", name);
     }
 
     fn on_stop(&mut self, incarnation: &WorkerIncarnation, task: TaskId, attempt: u32) {
--- a/src/host/event.rs
+++ b/src/host/event.rs
@@ -2,9 +2,9 @@
 
 use tokio::sync::mpsc;
 
+use super::orders::StartResult;
 use super::{RenewalAnswer, WorkerError, WorkerHeartbeat};
 use crate::coordinator::message::{DialerMessage, LeaderMessage};
-use crate::planner::StartRefusal;
 use crate::prelude::*;
 use crate::wire::LinkSender;
 use crate::workflow::{TaskId, WorkerIncarnation};
@@ -33,7 +33,7 @@
     /// The call of the worker for the renewal with this number has ended.
     RenewalEnded { renewal: u64, result: Result<RenewalAnswer, WorkerError> },
     /// A start has a definite result.
-    StartEnded { incarnation: WorkerIncarnation, key: AttemptKey, result: Result<(), StartRefusal> },
+    StartEnded { incarnation: WorkerIncarnation, key: AttemptKey, result: StartResult },
     /// A stop is confirmed, or no longer needed.
     StopEnded { incarnation: WorkerIncarnation, key: AttemptKey },
 }
--- a/src/host/orders.rs
+++ b/src/host/orders.rs
@@ -14,29 +14,46 @@
 /// The pause before a stop without a definite result is repeated.
 const STOP_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Result of the start of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartResult {
+    /// The attempt exists on the worker.
+    Started,
+    /// The attempt has never run and will not start.
+    Refused(StartRefusal),
+    /// The attempt does not run and will not start any more, but it may have run and ended. The worker's next list of
+    /// ends tells.
+    Stopped,
+}
+
 /// Starts an attempt. A call without an answer is repeated, since a second start of the same attempt has no effect.
 ///
-/// Before a start is reported as refused after a call without an answer, the attempt is stopped, because that call
-/// could otherwise still start it later.
+/// After a call without an answer a refusal does not prove that the attempt has not run: the call may have started it, and
+/// it may have ended since. The attempt is then stopped, because that call could otherwise still start it later.
 pub async fn start<P>(
     port: &P,
     target: &WorkerTarget,
     order: &StartOrder,
     fence: Epoch,
     deadline_ms: u64,
-) -> Result<(), StartRefusal>
+) -> StartResult
 where
     P: WorkerPort,
 {
     let mut maybe_started = false;
     for _ in 0..MAX_START_CALLS {
         match port.start(target, order, fence, deadline_ms).await {
-            StartAnswer::Started => return Ok(()),
+            StartAnswer::Started => return StartResult::Started,
+            // The worker has stopped or ended this attempt or a later one, possibly after an earlier order to start it.
+            StartAnswer::Refused(StartRefusal::Superseded) if !maybe_started => {
+                return StartResult::Stopped;
+            }
             StartAnswer::Refused(refusal) => {
-                if maybe_started {
-                    stop(port, target, &order.task, order.attempt, fence).await;
+                if !maybe_started {
+                    return StartResult::Refused(refusal);
                 }
-                return Err(refusal);
+                stop(port, target, &order.task, order.attempt, fence).await;
+                return StartResult::Stopped;
             }
             StartAnswer::Unknown(reason) => {
                 log::warn!(
@@ -50,7 +67,7 @@
         }
     }
     stop(port, target, &order.task, order.attempt, fence).await;
-    Err(StartRefusal::Unhealthy)
+    StartResult::Stopped
 }
 
 /// Stops an attempt. Returns once the worker has confirmed the stop, its incarnation has ended, or it has received a
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -266,6 +266,9 @@
                     );
                 }
                 StartPhase::Ordered(_) if stop_confirmed => {
+                    if placement.stopping_ms.is_none() {
+                        self.back_off_after_refusal(now, &report.incarnation.worker);
+                    }
                     self.attempt_ended(
                         now,
                         &report.incarnation,
@@ -366,11 +369,16 @@
             what: Decision::StartRefused,
             because: format!("the start on worker {} was refused: {refusal:?}", incarnation.worker),
         });
-        if let Some(worker) = self.workers.get_mut(&incarnation.worker) {
+        self.back_off_after_refusal(now, &incarnation.worker);
+        self.attempt_ended(now, incarnation, (task, attempt), AttemptEnd::Stopped, None, out);
+    }
+
+    /// Sets a backoff for a worker that refused a start, or on which a start had no answer.
+    fn back_off_after_refusal(&mut self, now: PlannerTime, worker: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(worker) {
             worker.backoff_until_ms =
                 worker.backoff_until_ms.max(now.steady_ms + REFUSAL_BACKOFF_MS);
         }
-        self.attempt_ended(now, incarnation, (task, attempt), AttemptEnd::Stopped, None, out);
     }
 
     /// Ends the attempts of workers whose leases are guaranteed to have expired.
