Review case 1: hosts lose all coordinators when the fronts are replaced

A host learns addresses of coordinators only when it connects to a leader. When all of these have been replaced since and the leader is replaced too, the host never connects again, and no task starts any more.

--- /dev/null
+++ b/review/stand_in/cases.rs
@@ -0,0 +1,307 @@
+//! The cases of the review. Each is described in `review/N/claim.txt`.
+
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::deploy::{Deployment, Queue};
+use crate::json::{Json, number, object, text};
+use crate::record::Record;
+use crate::runner::Placing;
+use crate::store::Mode;
+use crate::{CaseResult, Outcome};
+
+/// `finish_s` of the site: the time after the end of the traffic from which jobs are asked for.
+const FINISH: Duration = Duration::from_secs(14);
+/// Time for which a job has nothing running until the rule LOST is broken.
+const LOST_AFTER: Duration = Duration::from_secs(3);
+
+pub fn play(
+    case: &str,
+    root: &Path,
+    folder: &Path,
+    record: &Record,
+    has_trouble: bool,
+) -> CaseResult {
+    record.add(&format!("case {case}, trouble {has_trouble}"));
+    let play = match case {
+        "fronts-replaced" => fronts_replaced,
+        "occurrence-lost" => occurrence_lost,
+        "many-ends" => many_ends,
+        "gang-failure" => gang_failure,
+        _ => return Err(format!("no case {case}")),
+    };
+    play(root, folder, record, has_trouble).map_err(|error| error.to_string())
+}
+
+type Played = std::io::Result<Outcome>;
+
+const QUEUES: [Queue; 2] = [
+    Queue { name: "prerun", priority: 1, attempts: 3, stretch: 3, slo_ms: 1_000 },
+    Queue { name: "drift", priority: 2, attempts: 2, stretch: 3, slo_ms: 3_000 },
+];
+
+fn runners(count: usize) -> Vec<Placing> {
+    let zones = ["amman-north", "amman-east", "amman-south"];
+    (0..count)
+        .map(|index| Placing {
+            name: format!("runner-{}", index + 1),
+            zone: zones[index % zones.len()].to_owned(),
+            labels: vec!["a".to_owned(), format!("r1-{}", index / 3)],
+            cpu: 32_000,
+            mem_mb: 131_072,
+            gpu: 8,
+        })
+        .collect()
+}
+
+fn id(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+fn job(spec: &str, step: Json) -> Json {
+    object([("spec", text(spec)), ("steps", Json::List(vec![step]))])
+}
+
+fn failed(reason: &str) -> std::io::Error {
+    std::io::Error::other(reason.to_owned())
+}
+
+fn is_over(state: &str) -> bool {
+    matches!(state, "done" | "failed" | "canceled")
+}
+
+/// Waits until the fronts are ready and one of them leads.
+fn wait_for_leader(deployment: &Deployment) -> std::io::Result<usize> {
+    if !deployment.wait_until_ready(Duration::from_secs(10)) {
+        return Err(failed("the fronts are not ready"));
+    }
+    for _ in 0..100 {
+        if let Some(leader) = deployment.leader() {
+            return Ok(leader);
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    Err(failed("no front leads"))
+}
+
+/// Checks from `finish_s` after the end of the traffic that the job is not left alone: it breaks the rule LOST if, for
+/// 3 s, it is not over and has nothing running while its turn has come. `is_free` says whether there is capacity for it
+/// twice over and under half of the capacity is in use.
+fn check_lost<F>(
+    deployment: &Deployment,
+    queue: &str,
+    job: &str,
+    traffic_ended: Instant,
+    limit: Duration,
+    is_free: F,
+) -> Outcome
+where
+    F: Fn() -> bool,
+{
+    let begin = traffic_ended + FINISH;
+    thread::sleep(begin.saturating_duration_since(Instant::now()));
+    let until = Instant::now() + limit;
+    let mut idle_since: Option<Instant> = None;
+    let mut last = String::new();
+    while Instant::now() < until {
+        let state = deployment.state(queue, job);
+        if state != last {
+            deployment.record.add(&format!("job {job} is shown as {state}"));
+            last.clone_from(&state);
+        }
+        if is_over(&state) {
+            return Outcome::Held;
+        }
+        let is_left_alone = deployment.runners.running(job) == 0 && is_free();
+        if !is_left_alone {
+            idle_since = None;
+        } else if idle_since.get_or_insert_with(Instant::now).elapsed() >= LOST_AFTER {
+            deployment.record.broken(&format!(
+                "LOST: job {job} is {state} and has had nothing running for 3 s, {} s after the end of the traffic, while the runners are idle",
+                traffic_ended.elapsed().as_secs()
+            ));
+            return Outcome::Broken;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    deployment.record.add(&format!("the check of job {job} ended after its limit"));
+    Outcome::Held
+}
+
+/// All fronts are replaced one after the other, the leader last.
+fn fronts_replaced(root: &Path, folder: &Path, record: &Record, has_trouble: bool) -> Played {
+    let mut deployment = Deployment::start(root, folder, record, &QUEUES, 3, &runners(2))?;
+    let leader = wait_for_leader(&deployment)?;
+    let task = || object([("count", number(2)), ("cpu", number(4_000)), ("estMs", number(1_000))]);
+    if !deployment.submit("prerun", &id(1), &job("ms=1000", task())) {
+        return Err(failed("the first job is not accepted"));
+    }
+    let state = deployment.wait_for("prerun", &id(1), &["done"], Duration::from_secs(10));
+    if state != "done" {
+        return Err(failed("the first job is not done"));
+    }
+    if has_trouble {
+        let followers: Vec<usize> = (0..3).filter(|index| *index != leader).collect();
+        for index in followers.into_iter().chain([leader]) {
+            record.add(&format!("leader is {:?}", deployment.leader()));
+            deployment.replace_front(index, Duration::from_secs(2))?;
+            thread::sleep(Duration::from_secs(6));
+        }
+    }
+    if !deployment.submit("prerun", &id(2), &job("ms=1000", task())) {
+        return Err(failed("the second job is not accepted"));
+    }
+    let traffic_ended = Instant::now();
+    let runners = deployment.runners.clone();
+    let limit = Duration::from_secs(25);
+    Ok(check_lost(&deployment, "prerun", &id(2), traffic_ended, limit, || {
+        runners.running_in_all() == 0
+    }))
+}
+
+/// The leader is killed while the second time of a scheduled job works and the first one still waits.
+fn occurrence_lost(root: &Path, folder: &Path, record: &Record, has_trouble: bool) -> Played {
+    let mut deployment = Deployment::start(root, folder, record, &QUEUES, 3, &runners(2))?;
+    wait_for_leader(&deployment)?;
+    let step = |estimate_ms| {
+        object([
+            ("count", number(1)),
+            ("cpu", number(8_000)),
+            ("gpu", number(8)),
+            ("estMs", number(estimate_ms)),
+        ])
+    };
+    // Two jobs that occupy all accelerators of a runner each, as in a burst.
+    for (number, spec, estimate_ms) in [(1, "ms=15000", 15_000), (2, "ms=26000", 26_000)] {
+        if !deployment.submit("prerun", &id(number), &job(spec, step(estimate_ms))) {
+            return Err(failed("a job is not accepted"));
+        }
+        deployment.wait_for("prerun", &id(number), &["running"], Duration::from_secs(5));
+    }
+    let began = Instant::now();
+    let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |now| now.as_millis());
+    let scheduled = object([
+        ("spec", text("ms=4000")),
+        ("steps", Json::List(vec![step(4_000)])),
+        ("times", number(2)),
+        ("initialDelayMs", number(now_ms as u64 + 500)),
+        ("intervalMs", number(10_000)),
+    ]);
+    if !deployment.submit("prerun", &id(3), &scheduled) {
+        return Err(failed("the scheduled job is not accepted"));
+    }
+    let traffic_ended = Instant::now();
+    // The second time is due at 10.5 s; the first runner is free at 15 s.
+    let second = format!("{}.1.", id(3));
+    while deployment.runners.running(&second) == 0 {
+        if began.elapsed() > Duration::from_secs(30) {
+            break;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    thread::sleep(Duration::from_millis(1_000));
+    if has_trouble {
+        let leader = deployment.leader().ok_or_else(|| failed("no front leads"))?;
+        Deployment::kill(record, &mut deployment.fronts[leader]);
+        thread::sleep(Duration::from_millis(3_500));
+        deployment.restart_front(leader)?;
+    }
+    let runners = deployment.runners.clone();
+    let limit = Duration::from_secs(30);
+    Ok(check_lost(&deployment, "prerun", &id(3), traffic_ended, limit, || {
+        runners.running_in_all() == 0
+    }))
+}
+
+/// The store is down while many tasks of one runner end.
+fn many_ends(root: &Path, folder: &Path, record: &Record, has_trouble: bool) -> Played {
+    let deployment = Deployment::start(root, folder, record, &QUEUES, 3, &runners(2))?;
+    wait_for_leader(&deployment)?;
+    let step = object([
+        ("count", number(1_000)),
+        ("cpu", number(30)),
+        ("memMb", number(100)),
+        ("estMs", number(6_000)),
+    ]);
+    if !deployment.submit("drift", &id(1), &job("ms=6000 step=4", step)) {
+        return Err(failed("the job is not accepted"));
+    }
+    let began = Instant::now();
+    while deployment.runners.running(&id(1)) < 1_000 {
+        if began.elapsed() > Duration::from_secs(5) {
+            return Err(failed("the tasks do not start"));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    record.add("all 1000 tasks run");
+    thread::sleep(Duration::from_millis(6_200));
+    if has_trouble {
+        deployment.store.set_mode(Mode::Busy);
+    }
+    for _ in 0..35 {
+        thread::sleep(Duration::from_millis(100));
+        record.add(&format!(
+            "{} tasks run, {} ends of a runner are not taken note of",
+            deployment.runners.running(&id(1)),
+            deployment.runners.most_unnoted_ends()
+        ));
+    }
+    if has_trouble {
+        deployment.store.set_mode(Mode::Up);
+    }
+    deployment.wait_for("drift", &id(1), &["done", "failed"], Duration::from_secs(60));
+    let starts = deployment.runners.starts_and_failures(&id(1));
+    let repeated = starts.values().filter(|(starts, _)| *starts > 1).count();
+    record.add(&format!("{repeated} of {} tasks were started more than once", starts.len()));
+    // The ends of the last runs have to be taken note of.
+    thread::sleep(Duration::from_secs(2));
+    Ok(match record.violations().is_empty() {
+        true => Outcome::Held,
+        false => Outcome::Broken,
+    })
+}
+
+/// Both members of a gang fail; one end is reported to the leader, the other one to its successor.
+fn gang_failure(root: &Path, folder: &Path, record: &Record, has_trouble: bool) -> Played {
+    let mut deployment = Deployment::start(root, folder, record, &QUEUES, 3, &runners(2))?;
+    wait_for_leader(&deployment)?;
+    let step = object([
+        ("count", number(2)),
+        ("cpu", number(8_000)),
+        ("gpu", number(8)),
+        ("estMs", number(4_000)),
+        ("gang", Json::Bool(true)),
+    ]);
+    // The first run of the gang fails on both runners after 4 s.
+    deployment.runners.fail_once(&id(1), Duration::from_millis(4_000));
+    if !deployment.submit("drift", &id(1), &job("ms=6000 gang=2", step)) {
+        return Err(failed("the job is not accepted"));
+    }
+    let began = Instant::now();
+    while deployment.runners.running(&id(1)) < 2 && began.elapsed() < Duration::from_secs(5) {
+        thread::sleep(Duration::from_millis(20));
+    }
+    thread::sleep(Duration::from_millis(3_000));
+    if has_trouble {
+        Deployment::kill(record, &mut deployment.sides[1]);
+        thread::sleep(Duration::from_millis(1_500));
+        let leader = deployment.leader().ok_or_else(|| failed("no front leads"))?;
+        Deployment::kill(record, &mut deployment.fronts[leader]);
+        thread::sleep(Duration::from_millis(1_500));
+        deployment.restart_side(1)?;
+        deployment.restart_front(leader)?;
+    }
+    let state = deployment.wait_for("drift", &id(1), &["done", "failed"], Duration::from_secs(40));
+    let starts = deployment.runners.starts_and_failures(&id(1));
+    record.add(&format!("starts and failed runs of each task: {starts:?}"));
+    let most_failed = starts.values().map(|(_, failed)| *failed).max().unwrap_or(0);
+    if state == "failed" && most_failed < 2 {
+        record.broken(&format!(
+            "LOST: job {} is shown as failed, but no task has failed more than {most_failed} times, and `attempts` is 2",
+            id(1)
+        ));
+        return Ok(Outcome::Broken);
+    }
+    Ok(Outcome::Held)
+}
