--- a/review/stand_in/cases.rs
+++ b/review/stand_in/cases.rs
@@ -29,6 +29,8 @@
         "occurrence-lost" => occurrence_lost,
         "many-ends" => many_ends,
         "gang-failure" => gang_failure,
+        "large-schedule" => large_schedule,
+        "reserved-runners" => reserved_runners,
         _ => return Err(format!("no case {case}")),
     };
     play(root, folder, record, has_trouble).map_err(|error| error.to_string())
@@ -305,3 +307,154 @@
     }
     Ok(Outcome::Held)
 }
+
+/// Memory of a front, from the site's page.
+const FRONT_MEMORY_KB: u64 = 260 * 1_000;
+/// Time after which the platform starts a process again.
+const RESTART: Duration = Duration::from_millis(1_000);
+
+/// Kills fronts that exceed their memory and starts them again, as the platform does.
+struct MemoryLimit {
+    down_since: [Option<Instant>; 3],
+    kills: usize,
+}
+
+impl MemoryLimit {
+    fn enforce(&mut self, deployment: &mut Deployment) -> std::io::Result<()> {
+        for index in 0..self.down_since.len() {
+            match self.down_since[index] {
+                Some(since) if since.elapsed() >= RESTART => {
+                    deployment.restart_front(index)?;
+                    self.down_since[index] = None;
+                }
+                Some(_) => {}
+                None => {
+                    let used_kb = deployment.fronts[index].memory_kb().unwrap_or(0);
+                    if used_kb > FRONT_MEMORY_KB {
+                        let name = deployment.fronts[index].name.clone();
+                        deployment.record.add(&format!(
+                            "{name} uses {used_kb} kB of memory, over its limit of {FRONT_MEMORY_KB} kB"
+                        ));
+                        let record = deployment.record.clone();
+                        Deployment::kill(&record, &mut deployment.fronts[index]);
+                        self.down_since[index] = Some(Instant::now());
+                        self.kills += 1;
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A client submits a job with many times that are all due.
+fn large_schedule(root: &Path, folder: &Path, record: &Record, has_trouble: bool) -> Played {
+    let mut deployment = Deployment::start(root, folder, record, &QUEUES, 3, &runners(2))?;
+    wait_for_leader(&deployment)?;
+    let mut limit = MemoryLimit { down_since: [None; 3], kills: 0 };
+    if has_trouble {
+        let step = object([
+            ("count", number(200)),
+            ("cpu", number(2_800)),
+            ("gpu", number(1)),
+            ("estMs", number(6_000)),
+        ]);
+        let scheduled = object([
+            ("spec", text("ms=6000")),
+            ("steps", Json::List(vec![step])),
+            ("times", number(10_000)),
+            ("intervalMs", number(60_000)),
+        ]);
+        if !deployment.submit("drift", &id(1), &scheduled) {
+            return Err(failed("the scheduled job is not accepted"));
+        }
+    }
+    let step = object([("count", number(2)), ("cpu", number(4_000)), ("estMs", number(1_000))]);
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(3) {
+        limit.enforce(&mut deployment)?;
+        thread::sleep(Duration::from_millis(20));
+    }
+    let mut is_accepted = false;
+    while !is_accepted && began.elapsed() < Duration::from_secs(15) {
+        limit.enforce(&mut deployment)?;
+        is_accepted = deployment.submit("prerun", &id(2), &job("ms=1000", step.clone()));
+    }
+    if !is_accepted {
+        return Err(failed("the second job is not accepted"));
+    }
+    let traffic_ended = Instant::now();
+    let mut idle_since: Option<Instant> = None;
+    while traffic_ended.elapsed() < FINISH + Duration::from_secs(20) {
+        limit.enforce(&mut deployment)?;
+        thread::sleep(Duration::from_millis(20));
+        if deployment.runners.started(&id(2)) {
+            deployment.wait_for("prerun", &id(2), &["done"], Duration::from_secs(10));
+            return Ok(Outcome::Held);
+        }
+        let is_left_alone = deployment.runners.running_in_all() == 0;
+        if !is_left_alone || traffic_ended.elapsed() < FINISH {
+            idle_since = None;
+        } else if idle_since.get_or_insert_with(Instant::now).elapsed() >= LOST_AFTER {
+            record.broken(&format!(
+                "LOST: job {} has had nothing running for 3 s, {} s after the end of the traffic, while the runners are idle; fronts were killed {} times for their memory",
+                id(2),
+                traffic_ended.elapsed().as_secs(),
+                limit.kills
+            ));
+            return Ok(Outcome::Broken);
+        }
+    }
+    Ok(Outcome::Held)
+}
+
+/// Time for which the gang has waited when the small job comes.
+const GANG_WAITS: Duration = Duration::from_secs(62);
+
+/// A gang that can't be placed waits, and a small job comes after it.
+fn reserved_runners(root: &Path, folder: &Path, record: &Record, has_trouble: bool) -> Played {
+    let deployment = Deployment::start(root, folder, record, &QUEUES, 3, &runners(2))?;
+    wait_for_leader(&deployment)?;
+    // One lasting task on each runner.
+    let lasting = object([
+        ("count", number(2)),
+        ("cpu", number(1_000)),
+        ("gpu", number(1)),
+        ("antiAffinity", number(1)),
+        ("longRunning", Json::Bool(true)),
+    ]);
+    if !deployment.submit("drift", &id(1), &job("ms=100000000", lasting)) {
+        return Err(failed("the lasting job is not accepted"));
+    }
+    let began = Instant::now();
+    while deployment.runners.running(&id(1)) < 2 {
+        if began.elapsed() > Duration::from_secs(10) {
+            return Err(failed("the lasting tasks do not start"));
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    if has_trouble {
+        let gang = object([
+            ("count", number(2)),
+            ("cpu", number(13_000)),
+            ("gpu", number(8)),
+            ("estMs", number(1_000)),
+            ("gang", Json::Bool(true)),
+        ]);
+        if !deployment.submit("prerun", &id(2), &job("ms=1000 gang=2", gang)) {
+            return Err(failed("the gang is not accepted"));
+        }
+    }
+    thread::sleep(GANG_WAITS);
+    let step = object([("count", number(1)), ("cpu", number(2_800)), ("estMs", number(6_000))]);
+    if !deployment.submit("drift", &id(3), &job("ms=6000", step)) {
+        return Err(failed("the small job is not accepted"));
+    }
+    let traffic_ended = Instant::now();
+    let runners = deployment.runners.clone();
+    let limit = Duration::from_secs(20);
+    Ok(check_lost(&deployment, "drift", &id(3), traffic_ended, limit, || {
+        // Only the two lasting tasks run, which take an eighth of the accelerators.
+        runners.running_in_all() <= 2
+    }))
+}
--- a/review/stand_in/deploy.rs
+++ b/review/stand_in/deploy.rs
@@ -46,6 +46,14 @@
     pub fn is_up(&self) -> bool {
         self.child.is_some()
     }
+
+    /// Memory in use, in kB.
+    pub fn memory_kb(&self) -> Option<u64> {
+        let process = self.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
 }
 
 pub struct Deployment {
--- a/review/stand_in/runner.rs
+++ b/review/stand_in/runner.rs
@@ -477,6 +477,11 @@
         lives.flat_map(|life| life.running.keys()).filter(|task| task.starts_with(job)).count()
     }
 
+    /// Whether a task of a job has started.
+    pub fn started(&self, job: &str) -> bool {
+        self.world.0.lock().unwrap().judge.starts.keys().any(|task| task.starts_with(job))
+    }
+
     /// Number of all tasks that are running now.
     pub fn running_in_all(&self) -> usize {
         self.running("")
