--- a/review/stand_in/deploy.rs
+++ b/review/stand_in/deploy.rs
@@ -343,7 +343,7 @@
 
 /// Sends a signal to a process that this deployment started.
 pub fn signal(process: u32, name: &str) -> io::Result<()> {
-    let status = Command::new("kill").arg(format!("-{name}")).arg(process.to_string()).status()?;
+    let status = Command::new("sh").arg("-c").arg(format!("kill -{name} {process}")).status()?;
     status.success().then_some(()).ok_or_else(|| io::Error::other("signal was not sent"))
 }
 
