--- a/review/stand_in/cases.rs
+++ b/review/stand_in/cases.rs
@@ -30,6 +30,7 @@
         "many-ends" => many_ends,
         "gang-failure" => gang_failure,
         "large-schedule" => large_schedule,
+        "new-life" => new_life,
         "reserved-runners" => reserved_runners,
         _ => return Err(format!("no case {case}")),
     };
@@ -458,3 +459,49 @@
         runners.running_in_all() <= 2
     }))
 }
+
+/// Time for which the crashed runner is down.
+const RUNNER_DOWN: Duration = Duration::from_millis(100);
+/// Time after its start at which the runner first reports itself; it serves calls before.
+const FIRST_REPORT: Duration = Duration::from_millis(100);
+
+/// A runner crashes and starts again under the same id, and a job comes before the first report of its new life.
+fn new_life(root: &Path, folder: &Path, record: &Record, has_trouble: bool) -> Played {
+    let deployment = Deployment::start(root, folder, record, &QUEUES, 3, &runners(2))?;
+    wait_for_leader(&deployment)?;
+    let step = |count| {
+        object([
+            ("count", number(count)),
+            ("cpu", number(2_800)),
+            ("gpu", number(1)),
+            ("estMs", number(6_000)),
+        ])
+    };
+    if !deployment.submit("drift", &id(1), &job("ms=20000", step(1))) {
+        return Err(failed("the first job is not accepted"));
+    }
+    let began = Instant::now();
+    let busy = loop {
+        match deployment.runners.runner_of(&id(1)) {
+            Some(runner) => break runner,
+            None if began.elapsed() > Duration::from_secs(10) => {
+                return Err(failed("the first job does not start"));
+            }
+            None => thread::sleep(Duration::from_millis(20)),
+        }
+    };
+    thread::sleep(Duration::from_secs(3));
+    if has_trouble {
+        deployment.runners.crash(busy);
+        thread::sleep(RUNNER_DOWN);
+        deployment.runners.begin_life(busy, FIRST_REPORT)?;
+    }
+    if !deployment.submit("drift", &id(2), &job("ms=6000", step(4))) {
+        return Err(failed("the second job is not accepted"));
+    }
+    for job in [2, 1] {
+        deployment.wait_for("drift", &id(job), &["done", "failed"], Duration::from_secs(40));
+    }
+    thread::sleep(Duration::from_secs(1));
+    Ok(Outcome::Held)
+}
--- a/review/stand_in/http.rs
+++ b/review/stand_in/http.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -25,23 +26,49 @@
 
 type Handler = dyn Fn(&Request) -> Reply + Send + Sync;
 
-/// Serves calls at an address until the process ends.
-pub fn listen<F>(address: SocketAddr, handler: F) -> io::Result<()>
-where
-    F: Fn(&Request) -> Reply + Send + Sync + 'static,
-{
-    let listener = TcpListener::bind(address)?;
-    let handler: Arc<Handler> = Arc::new(handler);
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let _ = stream.set_nodelay(true);
-            let handler = handler.clone();
-            thread::spawn(move || {
-                let _ = serve(stream, &*handler);
-            });
+/// Serves calls at an address until it is closed, which also closes its connections.
+#[derive(Clone)]
+pub struct Listener {
+    is_closed: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Listener {
+    pub fn start<F>(address: SocketAddr, handler: F) -> io::Result<Self>
+    where
+        F: Fn(&Request) -> Reply + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let handler: Arc<Handler> = Arc::new(handler);
+        let this = Self { is_closed: Arc::default(), streams: Arc::default() };
+        let (is_closed, streams) = (this.is_closed.clone(), this.streams.clone());
+        thread::spawn(move || {
+            while !is_closed.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let _ = stream.set_nodelay(true);
+                if let Ok(copy) = stream.try_clone() {
+                    streams.lock().unwrap().push(copy);
+                }
+                let handler = handler.clone();
+                thread::spawn(move || {
+                    let _ = serve(stream, &*handler);
+                });
+            }
+        });
+        Ok(this)
+    }
+
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
         }
-    });
-    Ok(())
+    }
 }
 
 fn serve(stream: TcpStream, handler: &Handler) -> io::Result<()> {
--- a/review/stand_in/runner.rs
+++ b/review/stand_in/runner.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{self, Reply, Request, listen};
+use crate::http::{self, Listener, Reply, Request};
 use crate::json::{Json, number, object, text};
 use crate::record::Record;
 
@@ -75,16 +75,20 @@
 struct RunnerState {
     placing: Placing,
     life: Option<Life>,
+    app: SocketAddr,
+    listener: Option<Listener>,
+    /// No liveness report is sent before.
+    reports_from: Instant,
 }
 
 #[derive(Default)]
 struct Judge {
-    /// Tasks with a run that ended as done, by task: runner, number of the run.
-    done: HashMap<String, (String, u32)>,
-    /// Tasks whose end was taken note of.
-    noted: BTreeSet<String>,
-    /// Runs that started after a run of the task had ended as done.
-    after_done: HashMap<String, Vec<String>>,
+    /// Runs that ended as done, by task: runner, number of the run.
+    done: HashMap<String, Vec<(String, u32)>>,
+    /// Tasks and runs whose end as done was taken note of.
+    noted: BTreeSet<(String, u32)>,
+    /// Starts after a run had ended as done, by the task and that run.
+    after_done: HashMap<(String, u32), Vec<String>>,
     /// Runs that ended as failed, by task.
     failed: HashMap<String, u32>,
     starts: HashMap<String, u32>,
@@ -128,21 +132,32 @@
     ) -> io::Result<usize> {
         let index = {
             let mut world = self.world.0.lock().unwrap();
-            world.runners.push(RunnerState { placing, life: None });
+            let reports_from = Instant::now();
+            world.runners.push(RunnerState {
+                placing,
+                life: None,
+                app,
+                listener: None,
+                reports_from,
+            });
             world.runners.len() - 1
         };
-        self.begin_life(index);
-        let served = self.clone();
-        listen(app, move |request| served.handle(index, request))?;
+        self.begin_life(index, Duration::ZERO)?;
         let (beating, service) = (self.clone(), service.to_owned());
         thread::spawn(move || beating.send_heartbeats(index, &service, app, control));
         Ok(index)
     }
 
-    fn begin_life(&self, index: usize) {
+    /// Starts a life of a runner, which serves calls at once and reports itself after a pause.
+    pub fn begin_life(&self, index: usize, report_after: Duration) -> io::Result<()> {
         let born_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let mut world = self.world.0.lock().unwrap();
         let runner = &mut world.runners[index];
+        let served = self.clone();
+        let handle = move |request: &Request| served.handle(index, request);
+        runner.listener = Some(Listener::start(runner.app, handle)?);
+        runner.reports_from = Instant::now() + report_after;
+        self.record.add(&format!("{} begins a life, born {born_ms}", runner.placing.name));
         runner.life = Some(Life {
             instance: format!("i-{}", runner.placing.name),
             born_ms,
@@ -155,6 +170,29 @@
             ended: Vec::new(),
             ends: 0,
         });
+        Ok(())
+    }
+
+    /// Ends the life of a runner: what runs there is gone, and nothing listens any more.
+    pub fn crash(&self, index: usize) {
+        let mut world = self.world.0.lock().unwrap();
+        let runner = &mut world.runners[index];
+        runner.life = None;
+        if let Some(listener) = runner.listener.take() {
+            listener.close();
+        }
+        self.record.add(&format!("{} crashes", runner.placing.name));
+        drop(world);
+        self.world.1.notify_all();
+    }
+
+    /// Index of a runner on which a task of a job runs.
+    pub fn runner_of(&self, job: &str) -> Option<usize> {
+        let world = self.world.0.lock().unwrap();
+        world.runners.iter().position(|runner| {
+            let life = runner.life.as_ref();
+            life.is_some_and(|life| life.running.keys().any(|task| task.starts_with(job)))
+        })
     }
 
     /// The first run of each task whose name begins so fails after this time of work.
@@ -164,10 +202,11 @@
 
     fn send_heartbeats(&self, index: usize, service: &str, app: SocketAddr, control: SocketAddr) {
         loop {
+            let born = self.born(index);
             let call = {
                 let mut world = self.world.0.lock().unwrap();
-                let RunnerState { placing, life } = &mut world.runners[index];
-                life.as_mut().map(|life| {
+                let RunnerState { placing, life, reports_from, .. } = &mut world.runners[index];
+                life.as_mut().filter(|_| Instant::now() >= *reports_from).map(|life| {
                     life.seq += 1;
                     let room = object([
                         ("cpu", number(placing.cpu)),
@@ -202,12 +241,20 @@
                         _ => Duration::from_millis(300),
                     }
                 }
-                None => Duration::from_millis(100),
+                None => Duration::from_millis(10),
             };
-            thread::sleep(pause);
+            // A new life doesn't wait for the interval of the one before.
+            let until = Instant::now() + pause;
+            while Instant::now() < until && self.born(index) == born {
+                thread::sleep(Duration::from_millis(10));
+            }
         }
     }
 
+    fn born(&self, index: usize) -> Option<u64> {
+        self.world.0.lock().unwrap().runners[index].life.as_ref().map(|life| life.born_ms)
+    }
+
     fn handle(&self, index: usize, request: &Request) -> Reply {
         let Some(body) = Json::parse(&request.body) else {
             return Reply::Answer(400, object([]));
@@ -299,14 +346,17 @@
             ));
         }
         *world.judge.starts.entry(task.to_owned()).or_default() += 1;
-        if let Some((done_on, done_run)) = world.judge.done.get(task) {
+        let World { judge, runners, .. } = world;
+        let name = &runners[index].placing.name;
+        for (done_on, done_run) in judge.done.get(task).into_iter().flatten() {
             let line = format!(
                 "TWICE: run {run} of {task} started on {name} after run {done_run} ended as done on {done_on}"
             );
-            match world.judge.noted.contains(task) {
+            let key = (task.to_owned(), *done_run);
+            match judge.noted.contains(&key) {
                 true => self.record.broken(&line),
                 // It counts once that end is taken note of.
-                false => world.judge.after_done.entry(task.to_owned()).or_default().push(line),
+                false => judge.after_done.entry(key).or_default().push(line),
             }
         }
     }
@@ -358,8 +408,9 @@
             };
             for end in life.ended.iter().filter(|end| end.number <= acked) {
                 if end.how == "done" && !end.is_void {
-                    judge.noted.insert(end.task.clone());
-                    broken.extend(judge.after_done.remove(&end.task).unwrap_or_default());
+                    let key = (end.task.clone(), end.run);
+                    broken.extend(judge.after_done.remove(&key).unwrap_or_default());
+                    judge.noted.insert(key);
                 }
             }
             life.ended.retain(|end| end.number > acked);
@@ -459,7 +510,7 @@
         });
         match how {
             "done" => {
-                judge.done.entry(task.to_owned()).or_insert((name.clone(), attempt.run));
+                judge.done.entry(task.to_owned()).or_default().push((name.clone(), attempt.run));
             }
             "failed" => *judge.failed.entry(task.to_owned()).or_default() += 1,
             _ => {}
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::http::{Reply, Request, listen};
+use crate::http::{Listener, Reply, Request};
 use crate::json::{Json, number, object, text};
 use crate::record::Record;
 
@@ -52,7 +52,7 @@
             started: Instant::now(),
         };
         let served = store.clone();
-        listen(address, move |request| served.handle(request))?;
+        Listener::start(address, move |request| served.handle(request))?;
         Ok(store)
     }
 
