Let hosts find coordinators that joined after they connected

Cause: a host knew the addresses of its settings and those of the Welcome that the leader sent once. While one leader stayed, it learned nothing of the coordinators that joined, and when that leader went, each address was dead.

With the announcement and the read of the store disabled, both new tests fail after 20 s ("the job is finished within 20s"): host_finds_coordinators_that_joined_while_its_leader_stayed, host_reads_coordinators_from_the_store_if_it_finds_no_leader.

Coordinators learn of each other from the watch of the leadership table and go on connecting, rarely, after a long partition.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -28,8 +28,11 @@
 const CONFIRMATION_TIMEOUT_MS: u64 = 600;
 /// The number of ticks between two rounds of gossip.
 const TICKS_PER_GOSSIP: u64 = 2;
-/// The number of ticks between two summaries of the load, about 1 s.
+/// The number of ticks between two summaries of the load, and between two comparisons of the coordinators with those that
+/// hosts know; about 1 s.
 const TICKS_PER_LOAD: u64 = 7;
+/// The maximum number of addresses of coordinators that hosts receive.
+const MAX_HOST_ADDRESSES: usize = 64;
 /// The number of ticks between two reports of the sent messages, about 10 s.
 const TICKS_PER_TRAFFIC_REPORT: u64 = 64;
 /// The minimum age of the store's last answer at which a coordinator counts as cut off from the store. This coordinator
@@ -143,6 +146,7 @@
         }
         if self.ticks.is_multiple_of(TICKS_PER_LOAD) {
             self.publish_load();
+            self.announce_coordinators();
         }
         if self.ticks.is_multiple_of(TICKS_PER_TRAFFIC_REPORT) {
             self.report_traffic();
@@ -297,7 +301,6 @@
         worker: WorkerId,
         sender: LinkSender<AcceptorMessage>,
     ) {
-        let coordinators = self.coordinators();
         if let Some(restoring) = &mut self.restoring
             && self.election.role() == ElectionRole::Leader
         {
@@ -313,18 +316,32 @@
         };
         let epoch = leader_state.epoch();
         leader_state.connect_host(connection, &worker, sender);
-        leader_state.send(&worker, LeaderMessage::Welcome { epoch, coordinators });
+        leader_state.welcome(&worker);
         log::info!(worker = worker.as_str(), connection, epoch = epoch.0; "host connected");
         self.host_workers.insert(connection, worker);
     }
 
-    fn coordinators(&self) -> Vec<SocketAddr> {
+    pub(super) fn coordinators(&self) -> Vec<SocketAddr> {
         let mut coordinators = vec![self.settings.inner_address];
         let identified = self.dialed.iter().filter(|(_, process)| process.is_some());
-        coordinators.extend(identified.map(|(address, _)| *address));
+        coordinators.extend(identified.map(|(address, _)| *address).take(MAX_HOST_ADDRESSES - 1));
         coordinators
     }
 
+    /// Sends the addresses of the coordinators to all hosts again if they have changed. All those that a host knows may
+    /// be replaced while one leader stays.
+    fn announce_coordinators(&mut self) {
+        let coordinators = self.coordinators();
+        if let Some(leader_state) = &mut self.leader_state
+            && leader_state.set_coordinators(&coordinators)
+        {
+            log::info!(
+                epoch = leader_state.epoch().0, coordinators = coordinators.len();
+                "coordinators have changed; hosts are informed"
+            );
+        }
+    }
+
     fn on_host(&mut self, connection: u64, message: HostMessage) {
         let Some(worker) = self.host_workers.get(&connection).cloned() else {
             return;
@@ -422,6 +439,13 @@
             Event::Peer { sender, message } => self.on_peer(sender, message),
             Event::PeerLost(address) => self.on_peer_lost(address),
             Event::PeerUnreachable(address) => {
+                log::info!(
+                    address = address.to_string();
+                    "coordinator could not be reached; attempts to connect become rare"
+                );
+                self.dialed.insert(address, None);
+            }
+            Event::PeerForgotten(address) => {
                 log::info!(
                     address = address.to_string();
                     "coordinator could not be reached; no more attempts to connect"
--- a/src/coordinator/event.rs
+++ b/src/coordinator/event.rs
@@ -29,8 +29,10 @@
     Peer { sender: PeerSender, message: PeerMessage },
     /// The connection to the coordinator at this address is lost.
     PeerLost(SocketAddr),
-    /// The limit of failed attempts in a row to connect to this address is reached; no more are made.
+    /// Many attempts in a row to connect to this address have failed; from now on they are rare.
     PeerUnreachable(SocketAddr),
+    /// The limit of failed attempts in a row to connect to this address is reached; no more are made.
+    PeerForgotten(SocketAddr),
     /// A host has connected and sent its `Hello`.
     HostConnected { connection: u64, worker: WorkerId, sender: LinkSender<AcceptorMessage> },
     /// A host sent a message.
--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -1,6 +1,7 @@
 //! The state and work of the leader: it runs the planner and writes the planner's decisions to the store.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::task::JoinHandle;
@@ -42,6 +43,8 @@
     commit: Option<JoinHandle<()>>,
     jobs_watch: JoinHandle<()>,
     hosts: HashMap<WorkerId, (u64, LinkSender<AcceptorMessage>)>,
+    /// The addresses of coordinators that all connected hosts have received.
+    coordinators: Vec<SocketAddr>,
     /// The time at which the planner reported each job as pending, by the steady clock, until the job is finished.
     first_seen_ms: HashMap<JobId, u64>,
     commit_began_ms: u64,
@@ -92,6 +95,25 @@
         }
     }
 
+    /// Sends the addresses of coordinators to all hosts if they differ from those that the hosts have received. Returns
+    /// whether they were sent.
+    pub fn set_coordinators(&mut self, coordinators: &[SocketAddr]) -> bool {
+        if self.coordinators == coordinators {
+            return false;
+        }
+        self.coordinators = coordinators.to_vec();
+        for worker in self.hosts.keys() {
+            self.welcome(worker);
+        }
+        true
+    }
+
+    /// Sends a host the epoch and the addresses of coordinators.
+    pub fn welcome(&self, worker: &WorkerId) {
+        let coordinators = self.coordinators.clone();
+        self.send(worker, LeaderMessage::Welcome { epoch: self.epoch(), coordinators });
+    }
+
     /// Sends all hosts a redirect, which names the new leader if `leadership` is newer than this leader's own.
     pub fn redirect_hosts(&self, leadership: Option<Leadership>) {
         let successor = leadership.filter(|known| known.epoch > self.epoch());
@@ -190,6 +212,7 @@
             commit: None,
             jobs_watch: tokio::spawn(watch),
             hosts: HashMap::new(),
+            coordinators: self.coordinators(),
             first_seen_ms: HashMap::new(),
             commit_began_ms: 0,
         };
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -52,7 +52,7 @@
 /// A message of the leader, or of a coordinator that does not lead, to a host.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum LeaderMessage {
-    /// The answer to `Hello` of a coordinator that leads.
+    /// The answer to `Hello` of a coordinator that leads; sent again when the addresses of coordinators change.
     Welcome {
         /// The epoch of the leader, which is the fencing token of its orders.
         epoch: Epoch,
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -15,6 +15,7 @@
 pub mod message;
 mod pause;
 mod peers;
+mod register;
 mod rejection;
 mod relay;
 mod reports;
@@ -30,6 +31,7 @@
 
 pub use actor::Coordinator;
 pub use dump::Dump;
+pub use register::list_registered;
 pub use service::{Cancellation, Service, Submission};
 pub use settings::{
     CoordinatorSettings, MAX_WORKER_LEASE_MS, MIN_WORKER_LEASE_MS, worker_lease_ms,
@@ -37,6 +39,7 @@
 pub use store_watch::{DirectiveChange, DirectiveSource};
 pub use view::JobView;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -82,7 +85,7 @@
     /// The name of the process.
     pub name: ProcessId,
     /// The address that accepts connections of other processes of the system.
-    pub inner_address: std::net::SocketAddr,
+    pub inner_address: SocketAddr,
     /// Counts the messages sent to other processes.
     pub traffic: Traffic,
     events: mpsc::Sender<Event>,
@@ -119,7 +122,7 @@
     let store = service.store.clone();
     tokio::spawn(store_watch::watch_directives(store.clone(), directives, clock, events.clone()));
     tokio::spawn(store_watch::watch_leadership(store, events.clone()));
-    tokio::spawn(store_watch::register(
+    tokio::spawn(register::register(
         service.store.direct().clone(),
         settings.process.clone(),
         settings.inner_address,
@@ -138,6 +141,14 @@
 where
     S: RowStore,
 {
+    /// Connects to coordinators at addresses that were added to the settings.
+    pub async fn add_seeds(&self, seeds: Vec<SocketAddr>) {
+        for seed in seeds {
+            // The actor only ends with the process.
+            let _ = self.events.send(Event::PeerAddress(seed)).await;
+        }
+    }
+
     /// Stops accepting requests and gives up the leadership. Returns once the actor has announced that to the other
     /// coordinators.
     pub async fn shut_down(&self) {
--- a/src/coordinator/peers.rs
+++ b/src/coordinator/peers.rs
@@ -14,9 +14,15 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The pause before the next attempt to connect.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(400);
-/// The number of failed attempts in a row after which no more are made to an address. They begin again once its
-/// coordinator connects to this one.
-const MAX_FAILED_ATTEMPTS: u32 = 60;
+/// The number of failed attempts in a row after which the pause is [`RARE_RECONNECT_PAUSE`], since the coordinator was
+/// probably replaced.
+const MAX_FREQUENT_ATTEMPTS: u32 = 60;
+/// The pause between rare attempts. A partition may last longer than the frequent attempts, and then separates both
+/// coordinators from each other.
+const RARE_RECONNECT_PAUSE: Duration = Duration::from_secs(10);
+/// The number of failed attempts in a row, about a day of rare ones, after which no more are made to an address. They
+/// begin again once its coordinator connects to this one or registers again.
+const MAX_FAILED_ATTEMPTS: u32 = 8_700;
 
 /// The sender of messages to another coordinator.
 #[derive(Clone, Debug)]
@@ -119,10 +125,14 @@
             }
             None => failures += 1,
         }
-        tokio::time::sleep(RECONNECT_PAUSE).await;
+        if failures == MAX_FREQUENT_ATTEMPTS {
+            // The actor only ends with the process.
+            let _ = events.send(Event::PeerUnreachable(address)).await;
+        }
+        let is_rare = failures >= MAX_FREQUENT_ATTEMPTS;
+        tokio::time::sleep(if is_rare { RARE_RECONNECT_PAUSE } else { RECONNECT_PAUSE }).await;
     }
-    // The actor only ends with the process.
-    let _ = events.send(Event::PeerUnreachable(address)).await;
+    let _ = events.send(Event::PeerForgotten(address)).await;
 }
 
 async fn serve_dialed(
--- a/src/coordinator/store_watch.rs
+++ b/src/coordinator/store_watch.rs
@@ -1,22 +1,18 @@
-//! Watches the tables of directives, leadership and jobs in the store, and registers the coordinator's address.
+//! Watches the tables of directives, leadership and jobs in the store.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::event::{Event, EventSender};
 use super::job_rows::list_jobs;
+use super::register::{decode_leadership, member_address};
 use super::relay::RelayingStore;
-use super::{JOB_TABLE, LEAD_TABLE, LEADER_KEY, MEMBER_PREFIX};
-use crate::election::Leadership;
+use super::{JOB_TABLE, LEAD_TABLE, LEADER_KEY};
 use crate::prelude::*;
 use crate::process::BoottimeClock;
 use crate::rules::{Directives, Rules};
-use crate::store::{
-    Changes, Listing, RowChange, RowError, RowKey, RowResult, RowStore, Transaction,
-};
-use crate::workflow;
+use crate::store::{Changes, Listing, RowChange, RowError, RowKey, RowResult, RowStore};
 
 /// The time for which one watch call waits for changes of the directives. A connection may stop delivering data without
 /// being closed. A change has to be applied within 2 s after the end of such a disruption, which counts as 3 s long.
@@ -29,7 +25,7 @@
 /// The time after the end of its wait at which a watch call without an answer counts as lost.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// The pause before a failed call is retried.
-const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+pub(super) const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
 /// A decision of operators, as decoded from a row of the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -184,7 +180,8 @@
     }
 }
 
-/// Watches the leadership row and sends each change to the actor until the process ends.
+/// Watches the table of the leadership and of coordinators' addresses, and sends each change to the actor until the
+/// process ends.
 pub async fn watch_leadership<S>(store: RelayingStore<S>, events: EventSender)
 where
     S: RowStore,
@@ -192,29 +189,31 @@
     let key = RowKey::new(LEAD_TABLE, LEADER_KEY);
     let mut after = None;
     loop {
-        // After a failure the row is listed, because a listing shows sooner than a watch that the store answers again.
+        // After a failure the table is listed, because a listing shows sooner than a watch that the store answers again.
         let answer = match after {
             None => store.direct().list(LEAD_TABLE, 0).await.map(|listing| {
-                let row = listing.rows.into_iter().find(|row| row.key == key);
-                (row.map(|row| row.content), listing.version)
+                let changes = listing.rows.into_iter().map(row_as_change).collect();
+                Changes { changes, version: listing.version }
             }),
-            Some(version) => {
-                let changes = watch(&store, LEAD_TABLE, version, LEADERSHIP_WAIT).await;
-                changes.map(|changes| {
-                    let change = changes.changes.into_iter().rfind(|change| change.key == key);
-                    (change.and_then(|change| change.content), changes.version)
-                })
-            }
+            Some(version) => watch(&store, LEAD_TABLE, version, LEADERSHIP_WAIT).await,
         };
         store.record_answer(&answer);
         match answer {
-            Ok((content, version)) => {
-                after = Some(version);
-                let leadership = content.and_then(|content| decode_leadership(&content));
-                if let Some(leadership) = leadership
-                    && events.send(Event::Leadership(leadership)).await.is_err()
-                {
-                    return;
+            Ok(changes) => {
+                after = Some(changes.version);
+                let mut leadership = None;
+                for change in changes.changes {
+                    let Some(content) = change.content else {
+                        continue;
+                    };
+                    if change.key == key {
+                        leadership = decode_leadership(&content);
+                    } else if let Some(address) = member_address(&change.key, &content) {
+                        let _ = events.send(Event::PeerAddress(address)).await;
+                    }
+                }
+                if let Some(leadership) = leadership {
+                    let _ = events.send(Event::Leadership(leadership)).await;
                 }
             }
             Err(error) => {
@@ -229,16 +228,6 @@
     }
 }
 
-pub(super) fn decode_leadership(content: &[u8]) -> Option<Leadership> {
-    match workflow::decode(content) {
-        Ok(leadership) => Some(leadership),
-        Err(error) => {
-            log::error!("leadership row cannot be decoded and is ignored: {error}");
-            None
-        }
-    }
-}
-
 /// Watches the stored jobs for the leader of an epoch, and sends the changes after `version` to the actor.
 pub async fn watch_jobs<S>(
     store: RelayingStore<S>,
@@ -282,43 +271,3 @@
 fn row_as_change(row: crate::store::StoredRow) -> RowChange {
     RowChange { key: row.key, content: Some(row.content), version: row.version }
 }
-
-/// Writes the address of this coordinator to the store and sends the addresses of all coordinators to the actor.
-/// Retries until both calls succeed.
-pub async fn register<S>(store: S, process: ProcessId, address: SocketAddr, events: EventSender)
-where
-    S: RowStore,
-{
-    let key = RowKey::new(LEAD_TABLE, &format!("{MEMBER_PREFIX}{process}"));
-    let transaction =
-        Transaction { puts: vec![(key, workflow::encode(&address))], ..Transaction::default() };
-    loop {
-        let listing = match store.transact(&transaction).await {
-            Ok(_) => store.list(LEAD_TABLE, 0).await,
-            Err(error) => Err(error),
-        };
-        match listing {
-            Ok(listing) => {
-                for row in listing.rows.iter().filter(|row| row.key.key.starts_with(MEMBER_PREFIX))
-                {
-                    match workflow::decode::<SocketAddr>(&row.content) {
-                        Ok(address) => {
-                            let _ = events.send(Event::PeerAddress(address)).await;
-                        }
-                        Err(error) => log::error!(
-                            key = row.key.key.as_str();
-                            "address of a coordinator cannot be decoded and is ignored: {error}"
-                        ),
-                    }
-                }
-                return;
-            }
-            Err(error) => {
-                log::warn!(
-                    "address of this coordinator could not be registered; retried after a pause: {error}"
-                );
-                tokio::time::sleep(FAILURE_PAUSE * 4).await;
-            }
-        }
-    }
-}
--- a/src/coordinator/tests/damaged_rows.rs
+++ b/src/coordinator/tests/damaged_rows.rs
@@ -22,7 +22,7 @@
     put(&store, job_key("held"), workflow::encode(&record())).await;
     put(&store, RowKey::new(PROGRESS_TABLE, "held.0"), vec![0xff; 40]).await;
     let members = members(2, &store);
-    let worker = start_worker(&addresses(&members), 100).await;
+    let worker = start_worker(&addresses(&members), &store, 100).await;
     wait_until_ready(&members).await;
 
     let job = JobId::from("job");
--- a/src/coordinator/tests/lost_answers.rs
+++ b/src/coordinator/tests/lost_answers.rs
@@ -9,7 +9,7 @@
     let store = MemoryRowStore::default();
     publish_rules(&store, &rules(1)).await;
     let members = members(1, &store);
-    let worker = start_worker(&addresses(&members), 100).await;
+    let worker = start_worker(&addresses(&members), &store, 100).await;
     worker.with(|state| state.loses_start_answers = true);
     wait_until_ready(&members).await;
 
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -6,6 +6,7 @@
 mod lost_answers;
 mod pause;
 mod rejection;
+mod replaced_coordinators;
 mod slow_takeover;
 mod submissions;
 mod transaction_retry;
@@ -19,7 +20,7 @@
 use super::message::JobUpdate;
 use super::takeover::{Candidate, Head, TakeoverError, claim_leadership, head_key};
 use super::*;
-use crate::host::{self, HostSettings, WorkerHeartbeat, WorkerTarget};
+use crate::host::{self, HostHandle, HostSettings, WorkerHeartbeat, WorkerTarget};
 use crate::planner::{JobProgress, WorkerReport};
 use crate::prelude::*;
 use crate::rules::{Organisation, Rules};
@@ -156,7 +157,24 @@
 }
 
 /// Starts a host and its worker in this process.
-async fn start_worker(seeds: &[SocketAddr], task_duration_ms: u64) -> InProcessWorker {
+async fn start_worker(
+    seeds: &[SocketAddr],
+    store: &MemoryRowStore,
+    task_duration_ms: u64,
+) -> InProcessWorker {
+    let (port, host) = start_host(seeds, store, task_duration_ms).await;
+    tokio::spawn(async move {
+        let _host = host;
+        std::future::pending::<()>().await;
+    });
+    port
+}
+
+async fn start_host(
+    seeds: &[SocketAddr],
+    store: &MemoryRowStore,
+    task_duration_ms: u64,
+) -> (InProcessWorker, HostHandle<InProcessWorker>) {
     let port = InProcessWorker::default();
     port.with(|state| state.task_duration_ms = task_duration_ms);
     let settings = HostSettings {
@@ -165,7 +183,13 @@
         frame_key: [7; 32],
         worker_lease_ms: MAX_WORKER_LEASE_MS,
     };
-    let host = host::start(settings, port.clone(), Metrics::default());
+    let host = host::start(settings, port.clone(), store.new_client(), Metrics::default());
+    assert!(host.heartbeat(heartbeat(1)).await);
+    (port, host)
+}
+
+/// Returns a heartbeat of the worker.
+fn heartbeat(sequence: u64) -> WorkerHeartbeat {
     let report = WorkerReport {
         incarnation: WorkerIncarnation { worker: WorkerId::from("w"), born_ms: 1 },
         service: "service".to_owned(),
@@ -177,12 +201,7 @@
         leaves_in_ms: None,
     };
     let target = WorkerTarget { address: "w".to_owned(), instance: "i".to_owned() };
-    assert!(host.heartbeat(WorkerHeartbeat { report, target, sequence: 1 }).await);
-    tokio::spawn(async move {
-        let _host = host;
-        std::future::pending::<()>().await;
-    });
-    port
+    WorkerHeartbeat { report, target, sequence }
 }
 
 fn addresses(members: &[Member]) -> Vec<SocketAddr> {
@@ -207,7 +226,7 @@
     let store = MemoryRowStore::default();
     publish_rules(&store, &rules(1)).await;
     let members = members(3, &store);
-    let worker = start_worker(&addresses(&members), 100).await;
+    let worker = start_worker(&addresses(&members), &store, 100).await;
     wait_until_ready(&members).await;
 
     for (index, member) in members.iter().enumerate() {
@@ -226,7 +245,7 @@
     let store = MemoryRowStore::default();
     publish_rules(&store, &rules(1)).await;
     let mut members = members(3, &store);
-    let worker = start_worker(&addresses(&members), 4_000).await;
+    let worker = start_worker(&addresses(&members), &store, 4_000).await;
     wait_until_ready(&members).await;
     let job = JobId::from("job");
     assert_eq!(members[0].service().submit(&job, &record(), 3_000).await, Submission::Accepted);
@@ -256,7 +275,7 @@
     let store = MemoryRowStore::default();
     publish_rules(&store, &rules(1)).await;
     let members = members(3, &store);
-    let _worker = start_worker(&addresses(&members), 100).await;
+    let _worker = start_worker(&addresses(&members), &store, 100).await;
     wait_until_ready(&members).await;
     let leader = leader_of(&store).await;
     let cut_off = members
@@ -311,7 +330,7 @@
     let store = MemoryRowStore::default();
     publish_rules(&store, &rules(1)).await;
     let members = members(1, &store);
-    let _worker = start_worker(&addresses(&members), 100).await;
+    let _worker = start_worker(&addresses(&members), &store, 100).await;
     wait_until_ready(&members).await;
 
     store.stall_watches();
--- a/src/coordinator/tests/slow_takeover.rs
+++ b/src/coordinator/tests/slow_takeover.rs
@@ -13,7 +13,7 @@
     publish_rules(&store, &rules(1)).await;
     store.slow_lists_of_table(PROGRESS_TABLE, READ_DURATION);
     let members = members(3, &store);
-    let worker = start_worker(&addresses(&members), 100).await;
+    let worker = start_worker(&addresses(&members), &store, 100).await;
     wait_until_ready(&members).await;
 
     let job = JobId::from("job");
@@ -32,7 +32,7 @@
     publish_rules(&store, &rules(1)).await;
     store.fail_lists_of_table(PROGRESS_TABLE, 5);
     let members = members(1, &store);
-    let worker = start_worker(&addresses(&members), 100).await;
+    let worker = start_worker(&addresses(&members), &store, 100).await;
     wait_until_ready(&members).await;
 
     let job = JobId::from("job");
--- a/src/coordinator/tests/submissions.rs
+++ b/src/coordinator/tests/submissions.rs
@@ -84,7 +84,7 @@
     store.stall_watches_of_table(JOB_TABLE);
     publish_rules(&store, &rules(1)).await;
     let members = members(2, &store);
-    let _worker = start_worker(&addresses(&members), 100).await;
+    let _worker = start_worker(&addresses(&members), &store, 100).await;
     wait_until_ready(&members).await;
 
     for (index, member) in members.iter().enumerate() {
--- a/src/host/link.rs
+++ b/src/host/link.rs
@@ -1,14 +1,22 @@
 //! Finds the leader among the coordinators and keeps a connection to it.
+//!
+//! The addresses come from the settings and from the leader, which sends them again when they change. Coordinators may
+//! all be replaced while a host is disconnected, so a host that finds no leader reads the registered addresses from the
+//! store (docs/incidents/2026-12-05-replaced-coordinators.md).
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use super::event::{Event, EventSender};
+use super::register_reads::RegisterReads;
+use crate::coordinator::list_registered;
 use crate::coordinator::message::{AcceptorMessage, DialerMessage, HostMessage, LeaderMessage};
 use crate::prelude::*;
+use crate::store::RowStore;
 use crate::wire::{Link, LinkSettings, connect_with_timeout};
 
 /// The time limit for opening a connection.
@@ -50,7 +58,12 @@
         work(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Replaces the addresses of coordinators by those that the leader sent.
+    /// Replaces the addresses of the settings.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.with_state(|state| state.seeds = seeds);
+    }
+
+    /// Replaces the addresses of coordinators by those that the leader sent or that are registered in the store.
     pub fn set_coordinators(&self, mut addresses: Vec<SocketAddr>) {
         addresses.truncate(MAX_ADDRESSES);
         self.with_state(|state| state.coordinators = addresses);
@@ -83,35 +96,72 @@
 }
 
 /// Keeps a connection to the leader open until the process ends.
-pub async fn keep_connected(
+pub async fn keep_connected<S>(
     worker: WorkerId,
     addresses: LeaderAddresses,
     links: LinkSettings,
+    store: S,
     events: EventSender,
-) {
+) where
+    S: RowStore,
+{
+    let mut reads = RegisterReads::new(&worker, Instant::now());
     loop {
         if let Some(address) = addresses.next()
             && let Some(link) = connect_with_timeout(address, &links, CONNECT_TIMEOUT).await
+            && serve(&worker, address, link, &addresses, &events).await
         {
-            serve(&worker, address, link, &addresses, &events).await;
+            reads.record_leader(Instant::now());
         }
         if events.is_closed() {
             return;
         }
+        if reads.is_due(Instant::now()) {
+            read_register(&store, &addresses).await;
+            reads.record_read(Instant::now());
+        }
         tokio::time::sleep(ATTEMPT_PAUSE).await;
     }
 }
 
+/// Replaces the addresses of coordinators by the registered ones.
+async fn read_register<S>(store: &S, addresses: &LeaderAddresses)
+where
+    S: RowStore,
+{
+    match list_registered(store).await {
+        Ok(registered) => {
+            log::info!(
+                coordinators = registered.coordinators.len(),
+                leader = registered.leader.map(|address| address.to_string()).unwrap_or_default();
+                "no leader was found; addresses of coordinators read from the store"
+            );
+            if !registered.coordinators.is_empty() {
+                addresses.set_coordinators(registered.coordinators);
+            }
+            if let Some(leader) = registered.leader {
+                addresses.set_leader_hint(leader);
+            }
+        }
+        Err(error) => {
+            log::warn!(
+                "no leader was found, and the addresses of coordinators could not be read: {error}"
+            );
+        }
+    }
+}
+
+/// Serves a connection until it is lost. Returns whether the coordinator was the leader.
 async fn serve(
     worker: &WorkerId,
     address: SocketAddr,
     mut link: Link<DialerMessage, AcceptorMessage>,
     addresses: &LeaderAddresses,
     events: &EventSender,
-) {
+) -> bool {
     let hello = DialerMessage::Host(HostMessage::Hello { worker: worker.clone() });
     if link.sender.send(hello).await.is_err() {
-        return;
+        return false;
     }
     let mut is_welcome = false;
     loop {
@@ -145,20 +195,23 @@
                 break;
             }
             LeaderMessage::Welcome { epoch, coordinators } => {
-                is_welcome = true;
                 addresses.set_coordinators(coordinators);
-                let event = Event::Connected { epoch, sender: link.sender.clone() };
-                let _ = events.send(event).await;
+                if !is_welcome {
+                    let event = Event::Connected { epoch, sender: link.sender.clone() };
+                    let _ = events.send(event).await;
+                }
+                is_welcome = true;
             }
             message => {
                 let _ = events.send(Event::Leader(message)).await;
             }
         }
         if events.is_closed() {
-            return;
+            break;
         }
     }
     if is_welcome {
         let _ = events.send(Event::Disconnected).await;
     }
+    is_welcome
 }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -7,6 +7,7 @@
 mod link;
 mod listing;
 mod orders;
+mod register_reads;
 #[cfg(test)]
 mod tests;
 
@@ -23,6 +24,7 @@
 use crate::planner::{EndedAttempt, RunningAttempt, StartOrder, StartRefusal, WorkerReport};
 use crate::prelude::*;
 use crate::process::{BoottimeClock, Metrics, run_with_inbox, send_at_intervals};
+use crate::store::RowStore;
 use crate::wire::{FrameKey, LinkSettings};
 use crate::workflow::TaskId;
 use event::Event;
@@ -155,12 +157,14 @@
     /// The address of the actor, for dumps.
     pub actor: Address<Host<P>>,
     events: mpsc::Sender<Event>,
+    leaders: link::LeaderAddresses,
 }
 
-/// Starts a host.
-pub fn start<P>(settings: HostSettings, port: P, metrics: Metrics) -> HostHandle<P>
+/// Starts a host. It reads the addresses of coordinators from `store` only while it finds no leader.
+pub fn start<P, S>(settings: HostSettings, port: P, store: S, metrics: Metrics) -> HostHandle<P>
 where
     P: WorkerPort,
+    S: RowStore,
 {
     let (events, inbox) = mpsc::channel(EVENT_QUEUE);
     let links = LinkSettings {
@@ -172,15 +176,23 @@
         settings.worker.clone(),
         leaders.clone(),
         links,
+        store,
         events.clone(),
     ));
     tokio::spawn(send_at_intervals(TICK, events.clone(), || Event::Tick));
     let lease = LeaseClock::new(settings.worker_lease_ms);
-    let host =
-        Host::new(settings.worker, lease, port, leaders, BoottimeClock, metrics, events.clone());
+    let host = Host::new(
+        settings.worker,
+        lease,
+        port,
+        leaders.clone(),
+        BoottimeClock,
+        metrics,
+        events.clone(),
+    );
     let (actor, mailbox) = Mailbox::unbounded();
     tokio::spawn(run_with_inbox(mailbox, host, inbox));
-    HostHandle { actor, events }
+    HostHandle { actor, events, leaders }
 }
 
 impl<P> HostHandle<P>
@@ -192,6 +204,11 @@
         self.events.send(Event::Heartbeat(Box::new(heartbeat))).await.is_ok()
     }
 
+    /// Replaces the addresses at which coordinators may be reached according to the settings.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.leaders.set_seeds(seeds);
+    }
+
     /// Reports to the actor that the worker's incarnation `instance` has ended. Returns false if the host is ending.
     pub async fn worker_terminated(&self, instance: &str) -> bool {
         self.events.send(Event::WorkerTerminated(instance.to_owned())).await.is_ok()
