Resolve attempts of a restarted worker from its first list

Cause: a start names its worker by the identifier, which both incarnations share. The new one carried out starts that were meant for the earlier one before it had reported itself, and its report was taken as proof that none of them ran.

Change: the planner ends, continues or stops these attempts by the first list of the new incarnation, which the host now requests at once. A host sends no orders to an incarnation that has not reported itself, and keeps starts without an answer in mind until the next incarnation has confirmed their stops.

new_incarnation_ends_attempts_of_earlier_ones reports twice now: an attempt that was never listed is stopped by the first list and placed again after the second; its assertions are the same, and listed_attempt_ends_with_its_incarnation checks that a listed one still ends with the first list.

--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -7,6 +7,7 @@
 mod pause;
 mod rejection;
 mod replaced_coordinators;
+mod restarted_worker;
 mod slow_takeover;
 mod submissions;
 mod transaction_retry;
@@ -184,14 +185,15 @@
         worker_lease_ms: MAX_WORKER_LEASE_MS,
     };
     let host = host::start(settings, port.clone(), store.new_client(), Metrics::default());
-    assert!(host.heartbeat(heartbeat(1)).await);
+    assert!(host.heartbeat(heartbeat(&port, 1)).await);
     (port, host)
 }
 
-/// Returns a heartbeat of the worker.
-fn heartbeat(sequence: u64) -> WorkerHeartbeat {
+/// Returns a heartbeat of the worker's current incarnation.
+fn heartbeat(port: &InProcessWorker, sequence: u64) -> WorkerHeartbeat {
+    let born_ms = port.with(|state| state.born_ms());
     let report = WorkerReport {
-        incarnation: WorkerIncarnation { worker: WorkerId::from("w"), born_ms: 1 },
+        incarnation: WorkerIncarnation { worker: WorkerId::from("w"), born_ms },
         service: "service".to_owned(),
         data_centre: DataCentreId::from("dc"),
         rack: None,
--- a/src/coordinator/tests/worker.rs
+++ b/src/coordinator/tests/worker.rs
@@ -19,6 +19,8 @@
 #[derive(Default)]
 pub struct WorkerState {
     pub fence: Epoch,
+    /// Number of restarts; the first incarnation was born at 1 ms.
+    restarts: u64,
     pub running: BTreeMap<TaskId, (u32, Instant)>,
     ended: Vec<EndedAttempt>,
     last_end_number: u64,
@@ -38,6 +40,20 @@
 }
 
 impl WorkerState {
+    /// Restarts the worker under the same name; the new incarnation knows nothing of the earlier one.
+    pub fn restart(&mut self) {
+        self.restarts += 1;
+        self.fence = Epoch(0);
+        self.running.clear();
+        self.ended.clear();
+        self.last_end_number = 0;
+    }
+
+    /// Returns the start of the current incarnation.
+    pub fn born_ms(&self) -> u64 {
+        1 + self.restarts
+    }
+
     fn end(&mut self, task: &TaskId, kind: AttemptEnd) {
         let Some((attempt, _)) = self.running.remove(task) else {
             return;
@@ -126,7 +142,7 @@
             });
             Ok(RenewalAnswer {
                 clock_ms: 1_000,
-                born_ms: 1,
+                born_ms: state.born_ms(),
                 running: running.collect(),
                 ended: state.ended.clone(),
             })
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -11,7 +11,9 @@
 use super::link::LeaderAddresses;
 use super::listing::ListingInterval;
 use super::orders::StartResult;
-use super::{Renewal, RenewalAnswer, WorkerError, WorkerHeartbeat, WorkerPort, orders};
+use super::{
+    Renewal, RenewalAnswer, WorkerError, WorkerHeartbeat, WorkerPort, WorkerTarget, orders,
+};
 use crate::coordinator::message::{DialerMessage, HostMessage, LeaderMessage};
 use crate::planner::{AttemptsReport, StartOrder, StartRefusal, WorkerEvent, WorkerOrder};
 use crate::prelude::*;
@@ -69,7 +71,15 @@
     starts: BTreeMap<AttemptKey, JoinHandle<()>>,
     stops: BTreeMap<AttemptKey, JoinHandle<()>>,
     stopped: BTreeSet<AttemptKey>,
+    /// The attempts with a start call that was not answered when an incarnation ended. The call may still reach a later
+    /// incarnation, so they count as starting until that one has confirmed their stops.
+    unresolved: BTreeSet<AttemptKey>,
     refused_connections: u32,
+    /// The worker's current incarnation has listed its attempts.
+    has_listed: bool,
+    /// An answer came from a later incarnation, which has not sent a heartbeat yet. Orders may only be sent to an
+    /// incarnation that is known.
+    is_superseded: bool,
     listing: ListingInterval,
 }
 
@@ -106,7 +116,10 @@
             starts: BTreeMap::new(),
             stops: BTreeMap::new(),
             stopped: BTreeSet::new(),
+            unresolved: BTreeSet::new(),
             refused_connections: 0,
+            has_listed: false,
+            is_superseded: false,
             listing: ListingInterval::default(),
         }
     }
@@ -159,18 +172,26 @@
         self.renew();
     }
 
-    /// Resets the state that belongs to the earlier incarnation. Start calls that the earlier incarnation has not
-    /// answered may still reach the new one, so their attempts are stopped at the new one.
+    /// Resets the state that belongs to the earlier incarnation. Start calls that were not answered may still reach the
+    /// new one, so their attempts are stopped there.
     fn begin_incarnation(&mut self, heartbeat: &WorkerHeartbeat) {
-        let unanswered_starts: Vec<AttemptKey> = self.starts.keys().cloned().collect();
+        self.abort_starts();
         self.abort_orders();
         self.pending_renewal = None;
         (self.acknowledged, self.last_ended, self.refused_connections) = (0, 0, 0);
+        (self.has_listed, self.is_superseded, self.renew_after_ms) = (false, false, 0);
         self.lease.reset_reference();
-        for (task, attempt) in unanswered_starts {
-            let (port, target) = (self.port.clone(), heartbeat.target.clone());
-            let fence = self.highest_epoch;
-            tokio::spawn(async move { orders::stop(&port, &target, &task, attempt, fence).await });
+        let incarnation = &heartbeat.report.incarnation;
+        for key in self.unresolved.clone() {
+            self.spawn_stop(incarnation.clone(), heartbeat.target.clone(), key);
+        }
+    }
+
+    /// Aborts the start calls without an answer and records their attempts as unresolved.
+    fn abort_starts(&mut self) {
+        for (key, start) in std::mem::take(&mut self.starts) {
+            start.abort();
+            self.unresolved.insert(key);
         }
     }
 
@@ -194,13 +215,19 @@
         let Some(last) = self.last_heartbeat.take() else {
             return;
         };
+        self.abort_starts();
+        self.abort_orders();
+        self.pending_renewal = None;
         log::info!(
-            instance = last.target.instance.as_str(), reason;
+            instance = last.target.instance.as_str(), born_ms = last.report.incarnation.born_ms,
+            unanswered_starts = self.unresolved.len(), reason;
             "incarnation of the worker has ended"
         );
-        self.abort_orders();
-        self.pending_renewal = None;
-        self.send_event(WorkerEvent::Left(last.report.incarnation));
+        // An unanswered start may be carried out by the next incarnation. Its attempt must not start elsewhere before
+        // that one has confirmed the stop, or the lease has expired.
+        if self.unresolved.is_empty() {
+            self.send_event(WorkerEvent::Left(last.report.incarnation));
+        }
     }
 
     fn on_connected(&mut self, epoch: Epoch, sender: LinkSender<DialerMessage>) {
@@ -216,6 +243,7 @@
         if epoch > self.highest_epoch {
             // The worker rejects orders of an earlier leader once it has received the new fencing token.
             self.abort_orders();
+            self.unresolved.clear();
         }
         self.highest_epoch = epoch;
         self.leader = Some(Leader { epoch, sender, since_ms: self.clock.now_ms() });
@@ -232,7 +260,7 @@
     fn renew(&mut self) {
         let now_ms = self.clock.now_ms();
         if self.pending_renewal.is_none() && now_ms >= self.renew_after_ms {
-            let is_first = self.lease.renewed_ms().is_none();
+            let is_first = !self.has_listed || self.lease.renewed_ms().is_none();
             self.begin_renewal(if is_first { 0 } else { self.listing.wait_ms(now_ms) });
         }
     }
@@ -241,6 +269,9 @@
         let (Some(heartbeat), Some(leader)) = (&self.last_heartbeat, &self.leader) else {
             return;
         };
+        if self.is_superseded {
+            return;
+        }
         self.last_renewal_number += 1;
         let renewal = Renewal {
             fence: leader.epoch,
@@ -251,7 +282,7 @@
         self.pending_renewal = Some(PendingRenewal {
             number: self.last_renewal_number,
             epoch: leader.epoch,
-            starting: self.starts.keys().cloned().collect(),
+            starting: self.starts.keys().chain(&self.unresolved).cloned().collect(),
             stopped: self.stopped.clone(),
         });
         let (port, target) = (self.port.clone(), heartbeat.target.clone());
@@ -302,12 +333,17 @@
         if answer.born_ms != incarnation.born_ms {
             log::info!(
                 born_ms = answer.born_ms, known = incarnation.born_ms;
-                "list of attempts of another incarnation is ignored"
+                "list of attempts of another incarnation; no orders until that one sends a heartbeat"
             );
+            if answer.born_ms > incarnation.born_ms {
+                self.is_superseded = true;
+                self.abort_starts();
+            }
             self.renew_after_ms = now_ms + RENEWAL_RETRY_PAUSE_MS;
             self.renew_later(RENEWAL_RETRY_PAUSE_MS);
             return;
         }
+        self.has_listed = true;
         self.lease.record_worker_clock(answer.clock_ms, now_ms);
         self.listing.record_listing(now_ms, &answer.running);
         self.stopped.retain(|key| !pending.stopped.contains(key));
@@ -387,7 +423,8 @@
             return;
         };
         let deadline_ms = self.lease.deadline_ms(self.clock.now_ms());
-        let (true, Some(deadline_ms)) = (self.is_current(&order.incarnation), deadline_ms) else {
+        let is_current = self.is_current(&order.incarnation) && !self.is_superseded;
+        let (true, Some(deadline_ms)) = (is_current, deadline_ms) else {
             let refusal = StartRefusal::Lapsed;
             let StartOrder { incarnation, task, attempt, .. } = order;
             self.send_event(WorkerEvent::Refused { incarnation, task, attempt, refusal });
@@ -453,9 +490,19 @@
             job = task.job.as_str(), task = task.to_string(), run = attempt, epoch = leader.epoch.0;
             "stopping an attempt"
         );
-        let (port, target, fence) = (self.port.clone(), heartbeat.target.clone(), leader.epoch);
-        let (events, incarnation, ended_key) =
-            (self.events.clone(), incarnation.clone(), key.clone());
+        let target = heartbeat.target.clone();
+        self.spawn_stop(incarnation.clone(), target, key);
+    }
+
+    fn spawn_stop(
+        &mut self,
+        incarnation: WorkerIncarnation,
+        target: WorkerTarget,
+        key: AttemptKey,
+    ) {
+        let (port, events, fence) = (self.port.clone(), self.events.clone(), self.highest_epoch);
+        let (task, attempt) = key.clone();
+        let ended_key = key.clone();
         let stop = tokio::spawn(async move {
             orders::stop(&port, &target, &task, attempt, fence).await;
             let _ = events.send(Event::StopEnded { incarnation, key: ended_key }).await;
@@ -465,6 +512,7 @@
 
     fn on_stop_ended(&mut self, incarnation: &WorkerIncarnation, key: AttemptKey) {
         if self.stops.remove(&key).is_some() && self.is_current(incarnation) {
+            self.unresolved.remove(&key);
             self.stopped.insert(key);
         }
     }
@@ -536,6 +584,8 @@
             "last_end": self.last_ended,
             "starts_under_way": self.starts.len(),
             "stops_under_way": self.stops.len(),
+            "unresolved_starts": self.unresolved.len(),
+            "is_superseded": self.is_superseded,
         })
     }
 }
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -7,6 +7,7 @@
 mod departure;
 mod end;
 mod evict;
+mod incarnation;
 mod load;
 mod message;
 mod overload;
@@ -377,6 +378,7 @@
             incarnation: incarnation.clone(),
             attempt: record.attempt,
             phase: StartPhase::Running,
+            is_start_settled: true,
             since_ms: now.steady_ms,
             stopping_ms: None,
             percent: 0,
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -273,6 +273,7 @@
                     incarnation: incarnation.clone(),
                     attempt: state.record.attempt,
                     phase: StartPhase::Intended,
+                    is_start_settled: false,
                     since_ms: now.steady_ms,
                     stopping_ms: None,
                     percent: 0,
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -1,4 +1,5 @@
-//! Handles the events and reports of workers, and expires their leases.
+//! Handles the events and reports of workers, and expires their leases. [`super::incarnation`] handles restarts of
+//! workers.
 
 use std::collections::BTreeSet;
 
@@ -44,43 +45,16 @@
             return;
         }
         if last_born_ms < report.incarnation.born_ms {
-            // A new incarnation proves that no attempt of an earlier one is running.
+            // Attempts of the earlier incarnation are resolved by the first list of the new one.
             *worker = Worker { placed: std::mem::take(&mut worker.placed), ..Worker::default() };
         }
         worker.report = Some(report.clone());
         worker.leaves_ms = report.leaves_in_ms.map(|in_ms| now.steady_ms.saturating_add(in_ms));
         worker.connected = true;
         worker.last_contact_ms = worker.last_contact_ms.max(now.steady_ms);
-        self.end_earlier_incarnations(now, &report.incarnation, out);
         self.stop_attempts_outlasting_worker(now, &report.incarnation, out);
     }
 
-    fn end_earlier_incarnations(
-        &mut self,
-        now: PlannerTime,
-        incarnation: &WorkerIncarnation,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(worker) = self.workers.get(&incarnation.worker) else {
-            return;
-        };
-        for task in worker.placed.clone() {
-            let Some((placed_on, attempt)) = self.placement_of(&task) else {
-                continue;
-            };
-            if placed_on.born_ms < incarnation.born_ms {
-                self.attempt_ended(
-                    now,
-                    &placed_on,
-                    (&task, attempt),
-                    AttemptEnd::Lapsed,
-                    None,
-                    out,
-                );
-            }
-        }
-    }
-
     fn worker_left(
         &mut self,
         now: PlannerTime,
@@ -94,11 +68,7 @@
             worker.report = None;
             worker.synced = false;
         }
-        let next_incarnation = WorkerIncarnation {
-            worker: incarnation.worker.clone(),
-            born_ms: incarnation.born_ms + 1,
-        };
-        self.end_earlier_incarnations(now, &next_incarnation, out);
+        self.end_ended_incarnations(now, incarnation, out);
     }
 
     pub(super) fn placement_of(&self, task: &TaskId) -> Option<(WorkerIncarnation, u32)> {
@@ -125,6 +95,7 @@
         worker.last_contact_ms = worker.last_contact_ms.max(now.steady_ms);
         worker.synced = true;
         worker.foreign.clear();
+        self.resolve_earlier_incarnations(now, report, out);
         self.process_ended(now, report, out);
         self.process_running(now, report, out);
         self.check_missing(now, report, out);
@@ -180,6 +151,7 @@
             if placement.percent != entry.percent {
                 (placement.percent, placement.progress_ms) = (entry.percent, now.steady_ms);
             }
+            placement.is_start_settled = true;
             let is_new = placement.phase != StartPhase::Running;
             if is_new {
                 (placement.started_ms, placement.progress_ms) = (now.steady_ms, now.steady_ms);
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -33,6 +33,10 @@
     pub phase: StartPhase,
     /// Steady time at which the attempt was placed.
     pub since_ms: u64,
+    /// No order to start it can still be carried out: the incarnation has listed it, or an earlier leader ordered it,
+    /// whose fencing token is outdated.
+    #[serde(default)]
+    pub is_start_settled: bool,
     /// Steady time at which its stop was last ordered, if it has to stop.
     pub stopping_ms: Option<u64>,
     pub percent: u8,
--- a/src/planner/tests/mod.rs
+++ b/src/planner/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod campaign;
 mod gangs;
+mod incarnation;
 mod overload;
 mod rules;
 mod straggler;
--- a/src/planner/tests/rules.rs
+++ b/src/planner/tests/rules.rs
@@ -259,7 +259,8 @@
     assert_ne!(world.placements("j")[0].1, place);
 }
 
-/// Guards against waiting for a lease although a new incarnation proves that no attempt of the old one is running.
+/// Guards against waiting for a lease although the first lists of a new incarnation prove that no attempt of the old one
+/// is running. The first list orders the stop of an attempt that the old one had not listed, the second one confirms it.
 #[test]
 fn new_incarnation_ends_attempts_of_earlier_ones() {
     let mut world = World::new(1);
@@ -267,6 +268,7 @@
 
     world.restart(0);
     world.report_all();
+    world.report_all();
 
     assert_eq!(world.placements("j").len(), 1);
     assert_eq!(world.record(&task("j", 0, 0)).attempt, 2);
--- a/src/planner/tests/world.rs
+++ b/src/planner/tests/world.rs
@@ -21,12 +21,15 @@
     pub incarnation: WorkerIncarnation,
     pub data_centre: String,
     pub rack: String,
+    pub labels: Vec<String>,
     pub attempts: BTreeMap<TaskId, FakeAttempt>,
     pub ended: Vec<EndedAttempt>,
     pub end_count: u64,
     /// Highest number of an attempt that was stopped or ended, by task.
     pub closed: BTreeMap<TaskId, u32>,
     pub is_connected: bool,
+    /// The worker has restarted, and its host does not know that yet: orders for the earlier incarnation reach this one.
+    pub is_restart_unknown: bool,
     pub draining: bool,
     pub leaves_in_ms: Option<u64>,
 }
@@ -94,11 +97,13 @@
                 incarnation: WorkerIncarnation { worker: worker.clone(), born_ms: 1 },
                 data_centre: format!("dc{}", number / 3),
                 rack: format!("rack{}", number / 3),
+                labels: vec!["a".to_owned(), format!("rack{}", number / 3)],
                 attempts: BTreeMap::new(),
                 ended: Vec::new(),
                 end_count: 0,
                 closed: BTreeMap::new(),
                 is_connected: true,
+                is_restart_unknown: false,
                 draining: false,
                 leaves_in_ms: None,
             };
@@ -177,7 +182,8 @@
         assert!(!self.done.contains(&order.task), "{}: started after it was done", order.task);
         self.starts.push(order.clone());
         let worker = self.workers.get_mut(&order.incarnation.worker).expect("the worker exists");
-        if !worker.is_connected || worker.incarnation != order.incarnation {
+        let is_target = worker.incarnation == order.incarnation || worker.is_restart_unknown;
+        if !worker.is_connected || !is_target {
             return;
         }
         assert!(!worker.draining, "{}: started on a draining worker", order.task);
@@ -297,7 +303,7 @@
     /// Sends the description and the attempts of a worker to the planner, if the worker is connected.
     pub fn report(&mut self, worker: &WorkerId) {
         let fake = &self.workers[worker];
-        if !fake.is_connected {
+        if !fake.is_connected || fake.is_restart_unknown {
             return;
         }
         let report = WorkerReport {
@@ -305,7 +311,7 @@
             service: SERVICE.to_owned(),
             data_centre: DataCentreId::from(fake.data_centre.as_str()),
             rack: Some(RackId::from(fake.rack.as_str())),
-            labels: vec!["a".to_owned(), fake.rack.clone()],
+            labels: fake.labels.clone(),
             room: worker_resources(),
             draining: fake.draining,
             leaves_in_ms: fake.leaves_in_ms,
