Create all due occurrences after a takeover

Cause: an occurrence has a stored row only from its first placement on, and a new leader created occurrences from the number after the last row.

Change: each due occurrence that does not exist is created, counted from the first.

--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -10,6 +10,7 @@
 mod incarnation;
 mod load;
 mod message;
+mod occurrences;
 mod overload;
 mod place;
 mod pool;
@@ -175,6 +176,7 @@
             record,
             order: self.next_order,
             occurrences: BTreeMap::new(),
+            next_occurrence: 0,
             result: None,
             ended_wall_ms: 0,
             started: false,
--- a/src/planner/queue.rs
+++ b/src/planner/queue.rs
@@ -31,7 +31,9 @@
 impl Planner {
     /// Returns the steps with tasks that can start, in the order in which they are placed.
     pub(super) fn ready_steps(&mut self, now: PlannerTime) -> Vec<ReadyStep> {
-        self.create_due_occurrences(now);
+        for job in self.jobs.values_mut().filter(|job| job.may_start()) {
+            job.create_due_occurrences(now.wall_ms);
+        }
         let over_guarantee = self.organisations_over_guarantee();
         let covered = self.jobs_within_guarantee();
         let mut ready = Vec::new();
@@ -65,22 +67,6 @@
         ready
     }
 
-    /// Creates the tasks of occurrences that are due.
-    fn create_due_occurrences(&mut self, now: PlannerTime) {
-        for job in self.jobs.values_mut().filter(|job| job.may_start()) {
-            let spec = &job.record.spec;
-            let next = job.occurrences.keys().next_back().map_or(0, |last| last + 1);
-            for number in next..spec.occurrences() {
-                if spec.due_ms(number) > now.wall_ms {
-                    break;
-                }
-                let tasks = vec![Task::default(); spec.tasks_per_occurrence()];
-                let occurrence = Occurrence { tasks, ..Occurrence::default() };
-                job.occurrences.insert(number, occurrence);
-            }
-        }
-    }
-
     fn record_ready_times(&mut self, now: PlannerTime, ready: &[ReadyStep]) {
         for step in ready {
             let job = self.jobs.get_mut(&step.job);
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -90,6 +90,9 @@
     /// Order in which jobs of one priority are placed.
     pub order: u64,
     pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Number below which all occurrences have been created or restored.
+    #[serde(default)]
+    pub next_occurrence: u32,
     pub result: Option<JobResult>,
     /// Time at which the job finished, in milliseconds since 1970.
     pub ended_wall_ms: u64,
--- a/src/planner/tests/takeover.rs
+++ b/src/planner/tests/takeover.rs
@@ -2,6 +2,7 @@
 
 use super::world::{World, id, task};
 use super::*;
+use crate::workflow::{Schedule, TaskRecord};
 
 /// Guards against a second attempt of a task whose first attempt keeps running during a takeover.
 #[test]
@@ -187,3 +188,26 @@
     assert!(world.starts.iter().all(|start| start.task.job != id("damaged")));
     assert_eq!(world.placements("sound").len(), 2);
 }
+
+/// Guards against an occurrence that is lost because a later one had begun, and it had not, when the leader was replaced.
+#[test]
+fn takeover_creates_occurrences_that_had_not_begun() {
+    let mut world = World::new(1);
+    let mut record = job(1, vec![step(1, 8)]);
+    record.spec.schedule =
+        Some(Schedule { first_due_ms: BEGIN_WALL_MS, interval_ms: 1_000, occurrences: 3 });
+    world.store.jobs.insert(id("j"), record);
+    let begun =
+        OccurrenceRecord { tasks: vec![TaskRecord::default()], ..OccurrenceRecord::default() };
+    world.store.occurrences.insert((id("j"), 1), begun);
+
+    world.take_over();
+    world.report_all();
+    for _ in 0..3 {
+        world.advance(1_500);
+        let running = world.placements("j");
+        world.end(&running[0].0, AttemptEnd::Done);
+    }
+
+    assert_eq!(world.progress[&id("j")], JobProgress::Finished(JobResult::Done));
+}
