--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -400,16 +400,13 @@
             let key = RowKey::new(PROGRESS_TABLE, &format!("{job}.{occurrence}"));
             transaction.puts.push((key, workflow::encode(record.as_ref())));
         }
-        RecordChange::Remove { job, occurrences } => {
-            transaction.removals.push(job_key(job.as_str()));
-            transaction.removals.push(cancel_key(job.as_str()));
-            // Rows of later occurrences stay in the store, since removing them too could exceed the size of a
-            // transaction.
-            const MAX_REMOVED_OCCURRENCES: u32 = 80;
-            for occurrence in 0..(*occurrences).min(MAX_REMOVED_OCCURRENCES) {
-                let key = RowKey::new(PROGRESS_TABLE, &format!("{job}.{occurrence}"));
-                transaction.removals.push(key);
+        RecordChange::Remove { job, occurrences, is_complete } => {
+            if *is_complete {
+                transaction.removals.push(job_key(job.as_str()));
+                transaction.removals.push(cancel_key(job.as_str()));
             }
+            let key = |occurrence| RowKey::new(PROGRESS_TABLE, &format!("{job}.{occurrence}"));
+            transaction.removals.extend(occurrences.clone().map(key));
         }
     }
 }
--- a/src/planner/end.rs
+++ b/src/planner/end.rs
@@ -1,7 +1,7 @@
 //! Handles the ends of attempts and of jobs.
 
 use super::message::{AttemptEnd, Decision, Output, PlannerTime, WorkerOrder};
-use super::state::Job;
+use super::state::{Job, Occurrence};
 use super::{JobProgress, Planner};
 use crate::prelude::*;
 use crate::workflow::{JobResult, TaskId, TaskPhase, WorkerIncarnation};
@@ -288,7 +288,8 @@
 /// Returns the tasks of a job that have a placement.
 pub(super) fn placed_tasks(id: &JobId, job: &Job) -> Vec<TaskId> {
     let mut placed = Vec::new();
-    for (number, occurrence) in &job.occurrences {
+    let with_tasks = |(_, occurrence): &(&u32, &Occurrence)| !occurrence.tasks.is_empty();
+    for (number, occurrence) in job.occurrences.iter().filter(with_tasks) {
         for step in 0..job.record.spec.steps.len() {
             for (index, position) in job.range(step).enumerate() {
                 if occurrence.tasks.get(position).is_some_and(|task| task.placement.is_some()) {
--- a/src/planner/message.rs
+++ b/src/planner/message.rs
@@ -309,12 +309,14 @@
         /// State of the occurrence.
         record: Box<OccurrenceRecord>,
     },
-    /// Remove all records of a job.
+    /// Remove records of a job that is no longer kept.
     Remove {
         /// Id of the job.
         job: JobId,
-        /// Number of occurrences that may have a record.
-        occurrences: u32,
+        /// Numbers of occurrences that may have a record.
+        occurrences: std::ops::Range<u32>,
+        /// Remove the record of the job too, since no other occurrences are left.
+        is_complete: bool,
     },
 }
 
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -39,6 +39,8 @@
 
 /// Maximum number of records in one batch. The platform allows at most 100 entries per transaction.
 const MAX_BATCH_CHANGES: usize = 80;
+/// Maximum number of occurrences whose records one batch removes.
+const MAX_REMOVED_OCCURRENCES: u32 = 80;
 /// Time for which the state of a finished job is kept. Clients may query it for 120 s.
 const ENDED_JOB_RETENTION_MS: u64 = 150_000;
 
@@ -69,7 +71,7 @@
     workers: BTreeMap<WorkerId, Worker>,
     /// Occurrences whose durable records have to be written again.
     changed: BTreeSet<(JobId, u32)>,
-    /// Jobs whose records have to be removed, with their numbers of occurrences.
+    /// Jobs whose records have to be removed, with the number below which those of occurrences remain.
     forgotten: BTreeMap<JobId, u32>,
     /// Outputs that are released once the changes are durable.
     effects: Vec<Output>,
@@ -272,7 +274,14 @@
         if batch.changes.is_empty()
             && let Some((job, occurrences)) = self.forgotten.pop_first()
         {
-            batch.changes.push(RecordChange::Remove { job, occurrences });
+            // The rows of the job and of its result are removed last, so that a new leader repeats an interrupted removal.
+            let first = occurrences.saturating_sub(MAX_REMOVED_OCCURRENCES);
+            let is_complete = first == 0;
+            if !is_complete {
+                self.forgotten.insert(job.clone(), first);
+            }
+            let occurrences = first..occurrences;
+            batch.changes.push(RecordChange::Remove { job, occurrences, is_complete });
         }
         if self.changed.is_empty() {
             batch.effects = std::mem::take(&mut self.effects);
--- a/src/planner/tests/mod.rs
+++ b/src/planner/tests/mod.rs
@@ -5,6 +5,7 @@
 mod incarnation;
 mod overload;
 mod rules;
+mod schedules;
 mod straggler;
 mod takeover;
 mod world;
--- a/src/planner/tests/world.rs
+++ b/src/planner/tests/world.rs
@@ -406,10 +406,13 @@
                     crate::workflow::decode(&bytes).expect("encoded record can be decoded");
                 self.occurrences.insert((job.clone(), *occurrence), record);
             }
-            RecordChange::Remove { job, .. } => {
-                self.jobs.remove(job);
-                self.cancelled.remove(job);
-                self.occurrences.retain(|(stored_job, _), _| stored_job != job);
+            RecordChange::Remove { job, occurrences, is_complete } => {
+                if *is_complete {
+                    self.jobs.remove(job);
+                    self.cancelled.remove(job);
+                }
+                let is_removed = |key: &(JobId, u32)| key.0 == *job && occurrences.contains(&key.1);
+                self.occurrences.retain(|key, _| !is_removed(key));
             }
         }
     }
