Do not take refused connections for the end of a worker

Cause: after two refused connections, or when the worker's program announced its end, the host reported the incarnation as ended and its tasks were started elsewhere at once. A firewall that rejects connections has the same effect while the worker runs on, and a program runs its tasks until it has ended.

Change: attempts end with a new incarnation's list, with the lease, or once the worker has announced its end and refuses connections. Stops are repeated while connections are refused. A worker without a list for 3 s gets no work.

--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -11,6 +11,7 @@
 mod slow_takeover;
 mod submissions;
 mod transaction_retry;
+mod unreachable_worker;
 mod worker;
 
 use std::net::SocketAddr;
--- a/src/coordinator/tests/worker.rs
+++ b/src/coordinator/tests/worker.rs
@@ -26,6 +26,8 @@
     last_end_number: u64,
     pub starts: Vec<(TaskId, u32)>,
     pub task_duration_ms: u64,
+    /// Connections are refused, as by a firewall; the attempts run on.
+    pub refuses_connections: bool,
     /// Starts are carried out and end as done at once, but their answers are lost, and lists take long.
     pub loses_start_answers: bool,
 }
@@ -86,6 +88,9 @@
         _deadline_ms: u64,
     ) -> StartAnswer {
         self.with(|state| {
+            if state.refuses_connections {
+                return StartAnswer::Refused(StartRefusal::Lapsed);
+            }
             if fence < state.fence {
                 return StartAnswer::Refused(StartRefusal::Fenced);
             }
@@ -114,8 +119,13 @@
         _attempt: u32,
         _fence: Epoch,
     ) -> Result<(), WorkerError> {
-        self.with(|state| state.end(task, AttemptEnd::Stopped));
-        Ok(())
+        self.with(|state| {
+            if state.refuses_connections {
+                return Err(WorkerError::ConnectionRefused);
+            }
+            state.end(task, AttemptEnd::Stopped);
+            Ok(())
+        })
     }
 
     async fn renew_lease(
@@ -127,6 +137,9 @@
         let wait_ms = if is_slow { SLOW_LIST_MS } else { renewal.wait_ms.min(50) };
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         self.with(|state| {
+            if state.refuses_connections {
+                return Err(WorkerError::ConnectionRefused);
+            }
             if renewal.fence < state.fence {
                 return Err(WorkerError::Fenced);
             }
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -23,11 +23,15 @@
 
 /// The pause before a failed renewal is repeated.
 const RENEWAL_RETRY_PAUSE_MS: u64 = 200;
+/// The pause while connections are refused time after time, so that a worker that is gone is not called too often.
+const REFUSED_RETRY_PAUSE_MS: u64 = 1_000;
+/// The pause while the worker's program is ending, so that its end is noticed soon.
+const TERMINATION_RETRY_PAUSE_MS: u64 = 50;
 /// The pause before the next renewal while the leader has not acknowledged all listed ends or not yet renewed the
 /// lease. Its acknowledgement ends the pause early.
 const UNACKNOWLEDGED_PAUSE_MS: u64 = 250;
-/// The number of refused connections in a row after which the worker's incarnation counts as ended.
-const MAX_REFUSED_CONNECTIONS: u32 = 2;
+/// The number of refused connections in a row from which on the pause is [`REFUSED_RETRY_PAUSE_MS`].
+const FREQUENT_REFUSED_RETRIES: u32 = 5;
 /// The time without a renewal by the leader after which the host connects to another coordinator.
 const RENEWAL_TIMEOUT_MS: u64 = 5_000;
 
@@ -75,6 +79,8 @@
     /// incarnation, so they count as starting until that one has confirmed their stops.
     unresolved: BTreeSet<AttemptKey>,
     refused_connections: u32,
+    /// The worker's program has announced its end. It may run its attempts until it ends.
+    is_terminating: bool,
     /// The worker's current incarnation has listed its attempts.
     has_listed: bool,
     /// An answer came from a later incarnation, which has not sent a heartbeat yet. Orders may only be sent to an
@@ -118,6 +124,7 @@
             stopped: BTreeSet::new(),
             unresolved: BTreeSet::new(),
             refused_connections: 0,
+            is_terminating: false,
             has_listed: false,
             is_superseded: false,
             listing: ListingInterval::default(),
@@ -179,7 +186,8 @@
         self.abort_orders();
         self.pending_renewal = None;
         (self.acknowledged, self.last_ended, self.refused_connections) = (0, 0, 0);
-        (self.has_listed, self.is_superseded, self.renew_after_ms) = (false, false, 0);
+        (self.has_listed, self.is_superseded, self.is_terminating) = (false, false, false);
+        self.renew_after_ms = 0;
         self.lease.reset_reference();
         let incarnation = &heartbeat.report.incarnation;
         for key in self.unresolved.clone() {
@@ -205,10 +213,23 @@
         self.listing.clear();
     }
 
+    /// Handles the announcement that the worker's program ends. The attempts run until it has ended, so they are only
+    /// reported as ended once connections are refused, or when their lease expires.
     fn on_worker_terminated(&mut self, instance: &str) {
-        if self.last_heartbeat.as_ref().is_some_and(|last| last.target.instance == instance) {
-            self.incarnation_ended("the worker's program reported its termination");
+        let Some(last) =
+            self.last_heartbeat.as_mut().filter(|last| last.target.instance == instance)
+        else {
+            return;
+        };
+        log::info!(instance; "program of the worker is ending");
+        self.is_terminating = true;
+        if !last.report.draining {
+            last.report.draining = true;
+            let report = last.report.clone();
+            self.send_event(WorkerEvent::Reported(report));
         }
+        self.renew_after_ms = 0;
+        self.renew();
     }
 
     fn incarnation_ended(&mut self, reason: &str) {
@@ -304,25 +325,29 @@
                 log::warn!(
                     "lease of the worker could not be renewed; retried after a pause: {error}"
                 );
-                self.renew_after_ms = now_ms + RENEWAL_RETRY_PAUSE_MS;
-                match error {
-                    WorkerError::ConnectionRefused => {
-                        self.refused_connections += 1;
-                        if self.refused_connections >= MAX_REFUSED_CONNECTIONS {
-                            self.incarnation_ended(
-                                "connections to the worker's address are refused",
-                            );
-                        }
-                    }
-                    WorkerError::OtherIncarnation
-                    | WorkerError::Fenced
-                    | WorkerError::Unknown(_) => {}
-                }
-                self.renew_later(RENEWAL_RETRY_PAUSE_MS);
+                self.on_renewal_failed(now_ms, &error);
             }
         }
     }
 
+    /// Repeats a renewal after a pause. A refused connection does not prove that the worker has ended: a firewall may
+    /// refuse connections to a worker that goes on running its attempts.
+    fn on_renewal_failed(&mut self, now_ms: u64, error: &WorkerError) {
+        let is_refused = *error == WorkerError::ConnectionRefused;
+        self.refused_connections = if is_refused { self.refused_connections + 1 } else { 0 };
+        if is_refused && self.is_terminating {
+            self.incarnation_ended("its program announced its end, and connections are refused");
+            return;
+        }
+        let pause_ms = match self.is_terminating {
+            true => TERMINATION_RETRY_PAUSE_MS,
+            false if self.refused_connections > FREQUENT_REFUSED_RETRIES => REFUSED_RETRY_PAUSE_MS,
+            false => RENEWAL_RETRY_PAUSE_MS,
+        };
+        self.renew_after_ms = now_ms + pause_ms;
+        self.renew_later(pause_ms);
+    }
+
     fn on_renewed(&mut self, now_ms: u64, pending: PendingRenewal, answer: RenewalAnswer) {
         self.refused_connections = 0;
         let Some(incarnation) =
@@ -423,7 +448,8 @@
             return;
         };
         let deadline_ms = self.lease.deadline_ms(self.clock.now_ms());
-        let is_current = self.is_current(&order.incarnation) && !self.is_superseded;
+        let is_current =
+            self.is_current(&order.incarnation) && !self.is_superseded && !self.is_terminating;
         let (true, Some(deadline_ms)) = (is_current, deadline_ms) else {
             let refusal = StartRefusal::Lapsed;
             let StartOrder { incarnation, task, attempt, .. } = order;
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -72,7 +72,8 @@
 /// The reason for which a call of a worker failed.
 #[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum WorkerError {
-    /// The connection to the worker's address was refused: the incarnation has ended.
+    /// The connection to the worker's address was refused, so the call was not carried out. The incarnation has ended, or
+    /// a firewall refuses connections to it.
     #[display("the connection to the worker's address was refused")]
     ConnectionRefused,
     /// Another incarnation of the worker answers at the address.
--- a/src/host/orders.rs
+++ b/src/host/orders.rs
@@ -70,8 +70,8 @@
     StartResult::Stopped
 }
 
-/// Stops an attempt. Returns once the worker has confirmed the stop, its incarnation has ended, or it has received a
-/// higher fencing token.
+/// Stops an attempt. Returns once the worker has confirmed the stop, another incarnation has answered, or it has received
+/// a higher fencing token. A refused connection proves none of that.
 pub async fn stop<P>(port: &P, target: &WorkerTarget, task: &TaskId, attempt: u32, fence: Epoch)
 where
     P: WorkerPort,
@@ -79,18 +79,14 @@
     loop {
         match port.stop(target, task, attempt, fence).await {
             Ok(()) => return,
-            Err(
-                error @ (WorkerError::ConnectionRefused
-                | WorkerError::OtherIncarnation
-                | WorkerError::Fenced),
-            ) => {
+            Err(error @ (WorkerError::OtherIncarnation | WorkerError::Fenced)) => {
                 log::info!(
                     job = task.job.as_str(), task = task.to_string(), run = attempt;
                     "stop is no longer needed: {error}"
                 );
                 return;
             }
-            Err(error @ WorkerError::Unknown(_)) => {
+            Err(error @ (WorkerError::ConnectionRefused | WorkerError::Unknown(_))) => {
                 log::warn!(
                     job = task.job.as_str(), task = task.to_string(), run = attempt;
                     "stop has no definite result; repeated after a pause: {error}"
--- a/src/host/tests.rs
+++ b/src/host/tests.rs
@@ -137,10 +137,10 @@
     assert_eq!(port.calls()[6..], ["stop"; 3]);
 }
 
-/// Guards against stops that are repeated without end after the worker's incarnation has ended.
+/// Guards against stops that are repeated without end after another incarnation has answered.
 #[tokio::test(start_paused = true)]
 async fn stop_is_not_repeated_after_the_incarnation_ended() {
-    let port = ScriptedPort::new(vec![], vec![Err(WorkerError::ConnectionRefused)]);
+    let port = ScriptedPort::new(vec![], vec![Err(WorkerError::OtherIncarnation)]);
     let target = WorkerTarget { address: String::new(), instance: String::new() };
 
     orders::stop(&port, &target, &order().task, 1, Epoch(1)).await;
@@ -148,6 +148,19 @@
     assert_eq!(port.calls(), ["stop"]);
 }
 
+/// Guards against a stop that counts as confirmed although a firewall refused the connection to the worker, which goes on
+/// running the attempt.
+#[tokio::test(start_paused = true)]
+async fn stop_is_repeated_while_connections_are_refused() {
+    let stops = vec![Err(WorkerError::ConnectionRefused), Ok(())];
+    let port = ScriptedPort::new(vec![], stops);
+    let target = WorkerTarget { address: String::new(), instance: String::new() };
+
+    orders::stop(&port, &target, &order().task, 1, Epoch(1)).await;
+
+    assert_eq!(port.calls(), ["stop", "stop"]);
+}
+
 /// Guards against a lease that lasts longer on the worker's clock than the leader granted.
 #[test]
 fn lease_deadline_counts_from_the_time_of_the_request() {
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -191,10 +191,11 @@
     pub fn handle(&mut self, now: PlannerTime, input: &Input) -> Vec<Output> {
         let mut out = Vec::new();
         let was_unavailable = match input {
-            Input::Runs(report) => self
-                .workers
-                .get(&report.incarnation.worker)
-                .is_none_or(|worker| !worker.synced || !worker.foreign.is_empty()),
+            Input::Runs(report) => {
+                self.workers.get(&report.incarnation.worker).is_none_or(|worker| {
+                    !worker.has_recent_list(now.steady_ms) || !worker.foreign.is_empty()
+                })
+            }
             _ => false,
         };
         match input {
--- a/src/planner/pool.rs
+++ b/src/planner/pool.rs
@@ -158,7 +158,7 @@
                 continue;
             };
             let is_usable = worker.connected
-                && worker.synced
+                && worker.has_recent_list(now.steady_ms)
                 && worker.foreign.is_empty()
                 && self.accepts_starts(&report.incarnation.worker)
                 && now.steady_ms >= worker.backoff_until_ms;
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -94,6 +94,7 @@
         }
         worker.last_contact_ms = worker.last_contact_ms.max(now.steady_ms);
         worker.synced = true;
+        worker.listed_ms = now.steady_ms;
         worker.foreign.clear();
         self.resolve_earlier_incarnations(now, report, out);
         self.process_ended(now, report, out);
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -12,6 +12,10 @@
     WorkerIncarnation,
 };
 
+/// Age of a worker's last list above which the worker gets no work. Workers list their attempts at least each second; one
+/// that does not may have ended.
+const MAX_LIST_AGE_MS: u64 = 3_000;
+
 /// Phase of the start of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum StartPhase {
@@ -176,6 +180,9 @@
     pub connected: bool,
     /// The worker has listed its attempts to this leader.
     pub synced: bool,
+    /// Steady time of its last list.
+    #[serde(default)]
+    pub listed_ms: u64,
     /// Steady time of the last contact with the worker. After a takeover it may lie in the future, which extends the
     /// lease.
     #[serde(rename = "heard_ms")]
@@ -202,3 +209,10 @@
     /// Earliest steady time at which the worker leaves, if it has announced that.
     pub leaves_ms: Option<u64>,
 }
+
+impl Worker {
+    /// Returns whether the worker has listed its attempts recently enough to get work.
+    pub fn has_recent_list(&self, now_ms: u64) -> bool {
+        self.synced && now_ms <= self.listed_ms + MAX_LIST_AGE_MS
+    }
+}
--- a/src/planner/tests/rules.rs
+++ b/src/planner/tests/rules.rs
@@ -290,6 +290,19 @@
     assert_eq!(world.placements("j").len(), 1);
 }
 
+/// Guards against work that is placed on a worker whose lists have ceased to arrive.
+#[test]
+fn worker_without_recent_list_gets_no_work() {
+    let mut world = World::new(1);
+    world.now.steady_ms += 4_000;
+    world.submit("j", job(1, vec![step(1, 1)]));
+    assert!(world.starts.is_empty());
+
+    world.report_all();
+
+    assert_eq!(world.starts.len(), 1);
+}
+
 /// Guards against a task that never starts because its start order was lost in transit.
 #[test]
 fn lost_start_order_is_repeated() {
