Ignore messages of earlier connections of a host

Cause: the leader handled messages of any open connection of a host. A list that arrives late on an earlier connection lacks attempts that have started since over the current one, and the planner gave these up and started them again.

Change: only messages of the connection that last sent a Hello for the worker count. Within one connection the order is kept, so a list is newer than the starts that were confirmed before it.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -342,19 +342,28 @@
         }
     }
 
+    /// Handles a message of a host. Messages of an earlier connection of the host are ignored: they may arrive after
+    /// those of the current one, and an outdated list lacks attempts that have started since.
     fn on_host(&mut self, connection: u64, message: HostMessage) {
-        let Some(worker) = self.host_workers.get(&connection).cloned() else {
+        let (Some(worker), Some(leader_state)) =
+            (self.host_workers.get(&connection), &self.leader_state)
+        else {
             return;
         };
+        if !leader_state.is_current_host(connection, worker) {
+            log::info!(
+                worker = worker.as_str(), connection;
+                "message of an earlier connection of a host is ignored"
+            );
+            return;
+        }
         let input = match message {
             HostMessage::Hello { .. } => return,
             HostMessage::Worker(event) => Input::Worker(event),
             HostMessage::Runs { asked_ms, report } => {
                 let store_age_ms = self.election.store_age_ms(self.service.clock.now_ms());
-                if let Some(leader_state) = &self.leader_state
-                    && store_age_ms < MAX_RENEWAL_STORE_AGE_MS
-                {
-                    leader_state.send(&worker, LeaderMessage::Renewed { asked_ms });
+                if store_age_ms < MAX_RENEWAL_STORE_AGE_MS {
+                    leader_state.send(worker, LeaderMessage::Renewed { asked_ms });
                 }
                 Input::Runs(report)
             }
--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -77,13 +77,18 @@
 
     /// Removes the connection of a worker's host. Returns false if the worker has a newer one.
     pub fn disconnect_host(&mut self, connection: u64, worker: &WorkerId) -> bool {
-        let is_current = self.hosts.get(worker).is_some_and(|(current, _)| *current == connection);
+        let is_current = self.is_current_host(connection, worker);
         if is_current {
             self.hosts.remove(worker);
         }
         is_current
     }
 
+    /// Returns whether a connection is the current one of a worker's host.
+    pub fn is_current_host(&self, connection: u64, worker: &WorkerId) -> bool {
+        self.hosts.get(worker).is_some_and(|(current, _)| *current == connection)
+    }
+
     /// Sends a message to the host of a worker. The leader makes up for a lost message when it receives the host's next
     /// list of attempts.
     pub fn send(&self, worker: &WorkerId, message: LeaderMessage) {
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod damaged_rows;
 mod directives_lag;
+mod host_connections;
 mod lost_answers;
 mod pause;
 mod rejection;
