Renew leases only for lists that the planner accepts

Cause: the leader renewed the lease for each list, also of a worker or an incarnation that its planner does not know and whose list it ignores. The planner counts the lease from the last list that it accepted, so it started the tasks elsewhere while the worker's lease was still being extended.

Evidence: lease_is_not_renewed_for_a_worker_that_has_not_reported_itself received a renewal before the change.

Change: no renewal for a list that is ignored.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -362,7 +362,9 @@
             HostMessage::Worker(event) => Input::Worker(event),
             HostMessage::Runs { asked_ms, report } => {
                 let store_age_ms = self.election.store_age_ms(self.service.clock.now_ms());
-                if store_age_ms < MAX_RENEWAL_STORE_AGE_MS {
+                if store_age_ms < MAX_RENEWAL_STORE_AGE_MS
+                    && leader_state.accepts_lists_of(&report.incarnation)
+                {
                     leader_state.send(worker, LeaderMessage::Renewed { asked_ms });
                 }
                 Input::Runs(report)
--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -23,7 +23,7 @@
 use crate::process::Metrics;
 use crate::store::{RowChange, RowError, RowKey, RowStore, Transaction};
 use crate::wire::LinkSender;
-use crate::workflow::{self, JobRecord, JobResult};
+use crate::workflow::{self, JobRecord, JobResult, WorkerIncarnation};
 
 /// The pause before the first retry of a transaction that had no answer or no effect; it doubles with each retry.
 const MIN_COMMIT_RETRY_PAUSE: Duration = Duration::from_millis(60);
@@ -89,6 +89,11 @@
         self.hosts.get(worker).is_some_and(|(current, _)| *current == connection)
     }
 
+    /// Returns whether a list of this incarnation of a worker is taken into account.
+    pub fn accepts_lists_of(&self, incarnation: &WorkerIncarnation) -> bool {
+        self.planner.accepts_lists_of(incarnation)
+    }
+
     /// Sends a message to the host of a worker. The leader makes up for a lost message when it receives the host's next
     /// list of attempts.
     pub fn send(&self, worker: &WorkerId, message: LeaderMessage) {
--- a/src/coordinator/tests/host_connections.rs
+++ b/src/coordinator/tests/host_connections.rs
@@ -102,3 +102,22 @@
 
     assert!(current.starts(QUIET_TIME).await.is_empty());
 }
+
+/// Guards against a lease that is renewed for a list that the planner ignores: it counts the lease from the last list
+/// that it accepted, and then starts the tasks elsewhere.
+#[tokio::test]
+async fn lease_is_not_renewed_for_a_worker_that_has_not_reported_itself() {
+    let store = MemoryRowStore::default();
+    publish_rules(&store, &rules(1)).await;
+    let members = members(1, &store);
+    wait_until_ready(&members).await;
+    let mut host = FakeHost::connect(members[0].handle.inner_address).await;
+
+    host.list(&[]).await;
+    assert!(host.receive(QUIET_TIME).await.is_none());
+
+    host.report().await;
+    host.list(&[]).await;
+    let renewed = host.receive(WAIT_LIMIT).await;
+    assert!(matches!(renewed, Some(LeaderMessage::Renewed { asked_ms: 1 })));
+}
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -76,22 +76,26 @@
         Some((placement.incarnation.clone(), placement.attempt))
     }
 
+    /// Returns whether the planner takes lists of this incarnation of a worker into account. Only then may its lease be
+    /// renewed: the attempts of any other one are placed again when its lease has expired according to the planner.
+    pub fn accepts_lists_of(&self, incarnation: &WorkerIncarnation) -> bool {
+        let worker = self.workers.get(&incarnation.worker);
+        let report = worker.and_then(|worker| worker.report.as_ref());
+        report.is_some_and(|report| report.incarnation == *incarnation)
+    }
+
     pub(super) fn attempts_reported(
         &mut self,
         now: PlannerTime,
         report: &AttemptsReport,
         out: &mut Vec<Output>,
     ) {
+        if !self.accepts_lists_of(&report.incarnation) {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(&report.incarnation.worker) else {
             return;
         };
-        if worker
-            .report
-            .as_ref()
-            .is_none_or(|last_report| last_report.incarnation != report.incarnation)
-        {
-            return;
-        }
         worker.last_contact_ms = worker.last_contact_ms.max(now.steady_ms);
         worker.synced = true;
         worker.listed_ms = now.steady_ms;
