Confirm a stop after a repeated start was refused

Cause: the refusal of a start was taken as proof that the attempt had never run. If the order had been sent before, to a host that has restarted since, that earlier call may still be carried out, seconds later.

Evidence: refusal_of_a_repeated_start_is_followed_by_a_stop counted a third start at once before the change.

Change: after a refusal of an order that was sent more than once, the attempt is stopped, and its task is placed again once the worker has confirmed the stop.

--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -391,6 +391,7 @@
             attempt: record.attempt,
             phase: StartPhase::Running,
             is_start_settled: true,
+            is_order_repeated: false,
             since_ms: now.steady_ms,
             stopping_ms: None,
             percent: 0,
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -274,6 +274,7 @@
                     attempt: state.record.attempt,
                     phase: StartPhase::Intended,
                     is_start_settled: false,
+                    is_order_repeated: false,
                     since_ms: now.steady_ms,
                     stopping_ms: None,
                     percent: 0,
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -294,6 +294,7 @@
             }));
         } else {
             placement.phase = StartPhase::Ordered(now.steady_ms);
+            placement.is_order_repeated = true;
             out.push(Output::Order(WorkerOrder::Start(order)));
         }
     }
@@ -347,7 +348,14 @@
             because: format!("the start on worker {} was refused: {refusal:?}", incarnation.worker),
         });
         self.back_off_after_refusal(now, &incarnation.worker);
-        self.attempt_ended(now, incarnation, (task, attempt), AttemptEnd::Stopped, None, out);
+        let is_repeated = self.placement_mut(task, attempt).is_some_and(|placement| {
+            placement.incarnation == *incarnation && placement.is_order_repeated
+        });
+        if is_repeated {
+            self.stop_attempt(now, task, "a repeated start was refused", out);
+        } else {
+            self.attempt_ended(now, incarnation, (task, attempt), AttemptEnd::Stopped, None, out);
+        }
     }
 
     /// Sets a backoff for a worker that refused a start, or on which a start had no answer.
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -41,6 +41,10 @@
     /// whose fencing token is outdated.
     #[serde(default)]
     pub is_start_settled: bool,
+    /// The start order was sent more than once, so a refusal of the last one does not prove that no earlier one was or will
+    /// be carried out.
+    #[serde(default)]
+    pub is_order_repeated: bool,
     /// Steady time at which its stop was last ordered, if it has to stop.
     pub stopping_ms: Option<u64>,
     pub percent: u8,
--- a/src/planner/tests/rules.rs
+++ b/src/planner/tests/rules.rs
@@ -290,6 +290,36 @@
     assert_eq!(world.placements("j").len(), 1);
 }
 
+/// Guards against a second attempt after a repeated start was refused: an earlier order without an answer may still be
+/// carried out.
+#[test]
+fn refusal_of_a_repeated_start_is_followed_by_a_stop() {
+    let mut world = World::new(2);
+    world.workers.values_mut().for_each(|worker| worker.is_connected = false);
+    world.submit("j", job(1, vec![step(1, 1)]));
+    let incarnation = world.starts[0].incarnation.clone();
+    let list = AttemptsReport {
+        incarnation: incarnation.clone(),
+        running: Vec::new(),
+        ended: Vec::new(),
+        starting: Vec::new(),
+        stopped: Vec::new(),
+    };
+    world.now.steady_ms += 1_000;
+    world.handle(&Input::Runs(list));
+    assert_eq!(world.starts.len(), 2);
+
+    let refusal = StartRefusal::Unhealthy;
+    let (task, attempt) = (task("j", 0, 0), 1);
+    world.handle(&Input::Worker(WorkerEvent::Refused { incarnation, task, attempt, refusal }));
+
+    assert_eq!(world.starts.len(), 2);
+    assert_eq!(world.stops.len(), 1);
+    world.workers.values_mut().for_each(|worker| worker.is_connected = true);
+    world.advance(2_000);
+    assert_eq!(world.starts.len(), 3);
+}
+
 /// Guards against work that is placed on a worker whose lists have ceased to arrive.
 #[test]
 fn worker_without_recent_list_gets_no_work() {
