Store which attempt of a task was counted as failed

Cause: the number of the attempt that was counted last was not durable, so a new leader counted the end of another member of the same attempt again.

Evidence: new_leader_does_not_count_a_failed_attempt_of_a_gang_again fails without the restored number.

Change: the record of an occurrence ends with these numbers if there are any. Rows of earlier versions can be read, and earlier versions read the new rows (record_without_failed_attempts_has_the_earlier_format).

--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -408,7 +408,7 @@
     match change {
         RecordChange::Occurrence { job, occurrence, record } => {
             let key = RowKey::new(PROGRESS_TABLE, &format!("{job}.{occurrence}"));
-            transaction.puts.push((key, workflow::encode(record.as_ref())));
+            transaction.puts.push((key, record.encode()));
         }
         RecordChange::Remove { job, occurrences, is_complete } => {
             if *is_complete {
--- a/src/coordinator/takeover.rs
+++ b/src/coordinator/takeover.rs
@@ -194,7 +194,7 @@
         let Some((id, occurrence)) = row.key.key.rsplit_once('.') else {
             continue;
         };
-        let record = workflow::decode::<OccurrenceRecord>(&row.content);
+        let record = OccurrenceRecord::decode(&row.content);
         match (jobs.get_mut(id), occurrence.parse(), record) {
             (Some(job), Ok(occurrence), Ok(record)) => job.occurrences.push((occurrence, record)),
             (None, ..) => {}
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -122,9 +122,11 @@
                 (state.result, state.ended_wall_ms) = (Some(result), ended_wall_ms);
             }
             let mut occurrence = Occurrence { done: stored.done, ..Occurrence::default() };
-            for task in stored.tasks {
+            let failed_attempts = stored.failed_attempts.into_iter().chain(std::iter::repeat(0));
+            for (task, failed_attempt) in stored.tasks.into_iter().zip(failed_attempts) {
                 state.started |= task.attempt > 0;
-                occurrence.tasks.push(restored_task(now, task));
+                let task = Task { failed_attempt, ..restored_task(now, task) };
+                occurrence.tasks.push(task);
             }
             state.occurrences.insert(number, occurrence);
         }
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -167,12 +167,16 @@
 
     pub fn record_of(&self, occurrence: u32) -> OccurrenceRecord {
         let state = self.occurrences.get(&occurrence);
+        let failed_attempts = state.into_iter().flat_map(|state| &state.tasks);
+        let failed_attempts: Vec<u32> = failed_attempts.map(|task| task.failed_attempt).collect();
+        let has_failed = failed_attempts.iter().any(|attempt| *attempt > 0);
         OccurrenceRecord {
             tasks: state
                 .map(|state| state.tasks.iter().map(|task| task.record.clone()).collect())
                 .unwrap_or_default(),
             done: state.is_some_and(|state| state.done),
             job_result: self.result.map(|result| (result, self.ended_wall_ms)),
+            failed_attempts: if has_failed { failed_attempts } else { Vec::new() },
         }
     }
 }
--- a/src/planner/tests/takeover.rs
+++ b/src/planner/tests/takeover.rs
@@ -211,3 +211,23 @@
 
     assert_eq!(world.progress[&id("j")], JobProgress::Finished(JobResult::Done));
 }
+
+/// Guards against one failed attempt of a gang that counts twice because its members report it to different leaders.
+#[test]
+fn new_leader_does_not_count_a_failed_attempt_of_a_gang_again() {
+    let mut world = World::new(2);
+    let mut record = job(1, vec![gang(2, 8)]);
+    record.attempts = 2;
+    world.submit("j", record);
+    for (task, worker) in world.placements("j") {
+        world.end_on(&worker, &task, AttemptEnd::Failed);
+    }
+    world.report(&WorkerId::from("w00"));
+
+    world.take_over();
+    world.report_all();
+    world.advance(1_000);
+
+    assert_eq!(world.record(&task("j", 0, 0)).failures, 1);
+    assert_eq!(world.placements("j").len(), 2);
+}
--- a/src/planner/tests/world.rs
+++ b/src/planner/tests/world.rs
@@ -401,9 +401,8 @@
     fn apply(&mut self, change: &RecordChange) {
         match change {
             RecordChange::Occurrence { job, occurrence, record } => {
-                let bytes = crate::workflow::encode(record.as_ref());
-                let record =
-                    crate::workflow::decode(&bytes).expect("encoded record can be decoded");
+                let record = OccurrenceRecord::decode(&record.encode())
+                    .expect("encoded record can be decoded");
                 self.occurrences.insert((job.clone(), *occurrence), record);
             }
             RecordChange::Remove { job, occurrences, is_complete } => {
--- a/src/workflow/record.rs
+++ b/src/workflow/record.rs
@@ -91,6 +91,36 @@
     pub done: bool,
     /// Result of the whole job and the time of its end in milliseconds since 1970, once it has finished.
     pub job_result: Option<(JobResult, u64)>,
+    /// Number of the last attempt of each task that was counted as a failure, in the order of the tasks; empty if there
+    /// is none.
+    #[serde(skip)]
+    pub failed_attempts: Vec<u32>,
+}
+
+impl OccurrenceRecord {
+    /// Encodes the record. The failed attempts follow the other fields, so that processes of an earlier version, which do
+    /// not know them, can still read the row.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = encode(self);
+        if !self.failed_attempts.is_empty() {
+            bytes.extend(encode(&self.failed_attempts));
+        }
+        bytes
+    }
+
+    /// Decodes a record, also one of an earlier version, without failed attempts.
+    ///
+    /// # Errors
+    ///
+    /// [`DecodeError`] if the record is damaged.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let (mut record, rest): (Self, &[u8]) =
+            postcard::take_from_bytes(bytes).map_err(|source| DecodeError { source })?;
+        if !rest.is_empty() {
+            record.failed_attempts = decode(rest)?;
+        }
+        Ok(record)
+    }
 }
 
 /// Reason for which the stored row of a job cannot be used.
--- a/src/workflow/tests.rs
+++ b/src/workflow/tests.rs
@@ -45,9 +45,29 @@
         phase: TaskPhase::Placed(incarnation),
         checkpoint: None,
     };
-    let record = OccurrenceRecord { tasks: vec![task; MAX_TASKS], ..OccurrenceRecord::default() };
+    let record = OccurrenceRecord {
+        tasks: vec![task; MAX_TASKS],
+        failed_attempts: vec![1_000; MAX_TASKS],
+        ..OccurrenceRecord::default()
+    };
+
+    assert!(record.encode().len() <= 64 * 1_024);
+}
+
+/// Guards against rows that processes of an earlier version wrote, or have to read, and that cannot be decoded.
+#[test]
+fn record_without_failed_attempts_has_the_earlier_format() {
+    let mut record =
+        OccurrenceRecord { tasks: vec![TaskRecord::default()], ..OccurrenceRecord::default() };
+    assert_eq!(record.encode(), encode(&record));
+    assert_eq!(OccurrenceRecord::decode(&encode(&record)).expect("a record"), record);
+
+    record.failed_attempts = vec![3];
+    let bytes = record.encode();
 
-    assert!(encode(&record).len() <= 64 * 1_024);
+    assert_eq!(OccurrenceRecord::decode(&bytes).expect("a record"), record);
+    let earlier: OccurrenceRecord = decode(&bytes).expect("the earlier version reads it too");
+    assert_eq!(earlier.tasks, record.tasks);
 }
 
 /// Guards against a division by zero, and against a task that is counted as fitting although one resource is too small.
@@ -77,6 +97,6 @@
     fn arbitrary_text_and_bytes_do_not_panic(text: String, bytes: Vec<u8>) {
         let _ = text.parse::<TaskId>();
         let _ = decode::<JobRecord>(&bytes);
-        let _ = decode::<OccurrenceRecord>(&bytes);
+        let _ = OccurrenceRecord::decode(&bytes);
     }
 }
