Do not take unlisted ends for lapsed attempts

Cause: a worker lists at most 500 ends, and attempts that were neither running nor listed counted as lapsed.

Change: a list of 500 ends proves nothing about attempts that it does not contain; the next list follows the acknowledgement.

--- a/src/planner/incarnation.rs
+++ b/src/planner/incarnation.rs
@@ -14,7 +14,7 @@
 enum Resolution {
     /// The new incarnation runs the attempt or has ended it.
     Adopt,
-    /// A start may still be under way; its host reports the attempt as starting.
+    /// A start may still be under way, since its host reports the attempt as starting, or the end may not be listed yet.
     Wait,
     /// The attempt ended with the earlier incarnation.
     Lapsed,
@@ -31,7 +31,7 @@
         if is_running || is_ended {
             return Self::Adopt;
         }
-        if report.starting.contains(key) {
+        if report.starting.contains(key) || report.may_lack_ends() {
             return Self::Wait;
         }
         // An intended attempt was not ordered yet.
--- a/src/planner/message.rs
+++ b/src/planner/message.rs
@@ -117,6 +117,17 @@
     pub stopped: Vec<(TaskId, u32)>,
 }
 
+/// Number of ends that a worker lists at most. The others follow once these are acknowledged.
+const MAX_LISTED_ENDS: usize = 500;
+
+impl AttemptsReport {
+    /// Returns whether ends may be missing in the list. Attempts that it does not contain may then have ended, as done
+    /// for example.
+    pub fn may_lack_ends(&self) -> bool {
+        self.ended.len() >= MAX_LISTED_ENDS
+    }
+}
+
 /// Event on a worker.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum WorkerEvent {
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -209,6 +209,9 @@
 
     /// Handles placed attempts that the report does not list: ends them, or repeats their orders.
     fn check_missing(&mut self, now: PlannerTime, report: &AttemptsReport, out: &mut Vec<Output>) {
+        if report.may_lack_ends() {
+            return;
+        }
         let listed: BTreeSet<(&TaskId, u32)> =
             report.running.iter().map(|entry| (&entry.task, entry.attempt)).collect();
         let Some(worker) = self.workers.get(&report.incarnation.worker) else {
--- a/src/planner/tests/rules.rs
+++ b/src/planner/tests/rules.rs
@@ -320,6 +320,26 @@
     assert_eq!(world.starts.len(), 3);
 }
 
+/// Guards against tasks that run again although they are done, because their worker lists at most 500 ends at a time.
+#[test]
+fn attempts_whose_ends_are_not_listed_yet_do_not_count_as_lapsed() {
+    let mut world = World::new(1);
+    world.submit("j", job(1, vec![StepSpec { need: resources(1, 1, 0), ..step(1_000, 0) }]));
+    let worker = world.worker(0).incarnation.worker.clone();
+    for (task, _) in world.placements("j") {
+        world.end_on(&worker, &task, AttemptEnd::Done);
+    }
+    let ended = std::mem::take(&mut world.worker(0).ended);
+
+    for ends in ended.chunks(500) {
+        world.worker(0).ended = ends.to_vec();
+        world.report_all();
+    }
+
+    assert_eq!(world.starts.len(), 1_000);
+    assert_eq!(world.progress[&id("j")], JobProgress::Finished(JobResult::Done));
+}
+
 /// Guards against work that is placed on a worker whose lists have ceased to arrive.
 #[test]
 fn worker_without_recent_list_gets_no_work() {
