Limit the size of the transactions of the leader

Cause: a batch was bounded by its number of rows. With rows of 1,000 tasks it exceeded the 1 MB of a transaction.

Evidence: batches_have_a_limited_size fails without the bound.

Change: no record is added to a batch of 500,000 bytes or more; encoding for the store adds a third.

--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -39,6 +39,9 @@
 
 /// Maximum number of records in one batch. The platform allows at most 100 entries per transaction.
 const MAX_BATCH_CHANGES: usize = 80;
+/// Size of the records in one batch, in bytes, from which on no more are added. The platform allows at most 1 MB per
+/// transaction, in which a record takes a third more than its size, and the last one may have 64 KiB.
+const MAX_BATCH_BYTES: usize = 500_000;
 /// Maximum number of occurrences whose records one batch removes.
 const MAX_REMOVED_OCCURRENCES: u32 = 80;
 /// Time for which the state of a finished job is kept. Clients may query it for 120 s.
@@ -265,12 +268,14 @@
     /// is neither a change nor an effect.
     pub fn take_batch(&mut self) -> Option<Batch> {
         let mut batch = Batch::default();
-        while batch.changes.len() < MAX_BATCH_CHANGES {
+        let mut bytes = 0;
+        while batch.changes.len() < MAX_BATCH_CHANGES && bytes < MAX_BATCH_BYTES {
             let Some((job, occurrence)) = self.changed.pop_first() else {
                 break;
             };
             if let Some(state) = self.jobs.get(&job) {
                 let record = Box::new(state.record_of(occurrence));
+                bytes += record.encode().len();
                 batch.changes.push(RecordChange::Occurrence { job, occurrence, record });
             }
         }
--- a/src/planner/tests/rules.rs
+++ b/src/planner/tests/rules.rs
@@ -340,6 +340,28 @@
     assert_eq!(world.progress[&id("j")], JobProgress::Finished(JobResult::Done));
 }
 
+/// Guards against a transaction that the platform refuses because it is too large.
+#[test]
+fn batches_have_a_limited_size() {
+    let mut world = World::new(1);
+    world.is_store_unavailable = true;
+    for number in 0..100 {
+        let step = StepSpec { need: resources(0, 0, 0), ..step(1_000, 0) };
+        world.submit(&format!("j{number:03}"), job(1, vec![step]));
+    }
+
+    let mut batches = 0;
+    while let Some(batch) = world.planner.take_batch() {
+        let size = |change: &RecordChange| match change {
+            RecordChange::Occurrence { record, .. } => record.encode().len(),
+            RecordChange::Remove { .. } => 0,
+        };
+        assert!(batch.changes.iter().map(size).sum::<usize>() < 566_000);
+        batches += 1;
+    }
+    assert!(batches > 1);
+}
+
 /// Guards against work that is placed on a worker whose lists have ceased to arrive.
 #[test]
 fn worker_without_recent_list_gets_no_work() {
