Reserve workers only for gangs that will fit, and let short work use them

Cause: workers were reserved wherever the gang would fit if they were empty, whether or not their work ever ends, and nothing else could use their free resources.

Change: a reservation needs an allocation that is free once all work that ends has ended. Tasks that end within half of the expected duration of the reservation may use the reserved workers.

--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -16,6 +16,7 @@
 mod pool;
 mod queue;
 mod report;
+mod reservation;
 mod scope;
 mod state;
 mod straggler;
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -26,6 +26,8 @@
 /// Minimum and maximum of the wait of urgent tasks. Urgent jobs within a guarantee start within 2.7 s, and stops take
 /// up to 0.9 s.
 const URGENT_WAIT_MS: std::ops::RangeInclusive<u64> = 300..=1_200;
+/// Lowest priority of gangs for which workers are reserved.
+const MAX_RESERVING_PRIORITY: u8 = 1;
 /// Priority of jobs for which attempts of other jobs may be stopped.
 const URGENT_PRIORITY: u8 = 0;
 
@@ -36,6 +38,7 @@
     need: Resources,
     required_label: Option<String>,
     gang_tasks: Option<u32>,
+    may_use_reserved: bool,
 }
 
 impl Planner {
@@ -46,7 +49,7 @@
             return;
         }
         let mut pool = self.pool(now);
-        let mut has_reservation = false;
+        let mut reserved_ms = None;
         let mut unplaceable: HashSet<DemandShape> = HashSet::new();
         let mut urgent_waits = false;
         for step in ready {
@@ -55,7 +58,7 @@
             if urgent_waits && is_paused {
                 continue;
             }
-            let shape = self.demand_shape(&step);
+            let shape = self.demand_shape(&step, reserved_ms);
             // Free resources only shrink during a pass, so a step of the same shape cannot be placed either.
             if shape.as_ref().is_some_and(|shape| unplaceable.contains(shape)) {
                 continue;
@@ -65,15 +68,15 @@
                 unplaceable.extend(shape);
                 urgent_waits |= priority == URGENT_PRIORITY;
             }
-            if !placed && !has_reservation && priority <= 1 {
-                has_reservation = self.reserve(now, &step, &mut pool);
+            if !placed && reserved_ms.is_none() && priority <= MAX_RESERVING_PRIORITY {
+                reserved_ms = self.reserve(now, &step, &mut pool);
             }
         }
     }
 
     /// Returns the demand shape of a step, or `None` if its placement also depends on racks, its data, its tasks on
-    /// other workers, or evictions.
-    fn demand_shape(&self, ready: &ReadyStep) -> Option<DemandShape> {
+    /// other workers, or evictions. `reserved_ms` is the duration of the reservation, if there is one.
+    fn demand_shape(&self, ready: &ReadyStep, reserved_ms: Option<u64>) -> Option<DemandShape> {
         let job = &self.jobs[&ready.job];
         let step = job.step(ready.step);
         let is_simple = ready.priority != URGENT_PRIORITY
@@ -85,6 +88,7 @@
             need: step.need,
             required_label: step.required_label.clone(),
             gang_tasks: step.gang.then_some(step.tasks),
+            may_use_reserved: reserved_ms.is_none_or(|reserved_ms| step.ends_within(reserved_ms)),
         })
     }
 
@@ -201,34 +205,6 @@
         true
     }
 
-    /// Reserves workers for a gang, so that it can be placed once the current work of these workers has ended. Returns
-    /// whether workers were reserved.
-    fn reserve(&self, now: PlannerTime, ready: &ReadyStep, pool: &mut [Candidate]) -> bool {
-        let job = &self.jobs[&ready.job];
-        let request = placement_request(job, ready, pool);
-        if !request.step.gang {
-            return false;
-        }
-        let free = |allocation: &Allocation| -> u32 {
-            allocation.iter().map(|(index, _)| pool[*index].free_after_stops.accelerators).sum()
-        };
-        let scope = Scope {
-            may_leave_rack: false,
-            may_leave_data: true,
-            has_settled: self.has_settled(now),
-            current_rack: None,
-        };
-        // The allocation with the most free accelerators becomes available first.
-        let allocations = scope.complete_allocations(&request, pool, Horizon::Empty);
-        let Some(allocation) = allocations.into_iter().max_by_key(free) else {
-            return false;
-        };
-        for (index, _) in allocation {
-            pool[index].reserved = true;
-        }
-        true
-    }
-
     fn start_tasks(
         &mut self,
         now: PlannerTime,
@@ -338,7 +314,7 @@
 }
 
 /// Returns the placement request for the waiting tasks of a step.
-fn placement_request<'a>(
+pub(super) fn placement_request<'a>(
     job: &'a Job,
     ready: &ReadyStep,
     pool: &[Candidate],
--- a/src/planner/pool.rs
+++ b/src/planner/pool.rs
@@ -20,8 +20,11 @@
     /// Resources that are free once all ordered stops have completed, minus those claimed for tasks that wait for
     /// stops.
     pub free_after_stops: Resources,
-    /// Reserved for a large gang: steps later in the pass cannot use the free resources of this worker.
-    pub reserved: bool,
+    /// Resources without those of attempts that have no end.
+    pub capacity_after_work: Resources,
+    /// Expected time in milliseconds until a gang for which the worker is reserved can start. Later steps of the pass use
+    /// the worker only if their tasks end within this time.
+    pub reserved_ms: Option<u64>,
     /// Attempts failed on the worker recently or are slow, or the worker is suspect.
     pub is_unreliable: bool,
     /// An attempt or a gang with a member on the worker recently made no progress or was too slow.
@@ -35,6 +38,8 @@
     Now,
     /// Resources that are free once all ordered stops have completed.
     AfterStops,
+    /// Resources that are free once all work that ends has ended.
+    AfterWork,
     /// All resources, including those in use.
     Empty,
 }
@@ -42,9 +47,9 @@
 impl Candidate {
     fn available_at(&self, horizon: Horizon) -> Resources {
         match horizon {
-            Horizon::Now if self.reserved => Resources::default(),
             Horizon::Now => self.free.min(&self.free_after_stops),
             Horizon::AfterStops => self.free_after_stops,
+            Horizon::AfterWork => self.capacity_after_work,
             Horizon::Empty => self.capacity,
         }
     }
@@ -84,7 +89,10 @@
     /// Returns how many of the tasks fit on a candidate.
     pub fn fits(&self, index: usize, candidate: &Candidate, horizon: Horizon) -> u32 {
         let has_label = |label: &String| candidate.labels.contains(label);
-        if candidate.service != self.service
+        let is_reserved = horizon == Horizon::Now
+            && candidate.reserved_ms.is_some_and(|reserved_ms| !self.step.ends_within(reserved_ms));
+        if is_reserved
+            || candidate.service != self.service
             || !self.step.required_label.as_ref().is_none_or(has_label)
         {
             return 0;
@@ -165,15 +173,19 @@
             if !is_usable {
                 continue;
             }
-            let (mut used, mut stopping) = (Resources::default(), Resources::default());
+            let mut used = Resources::default();
+            let mut stopping = Resources::default();
+            let mut without_end = Resources::default();
             for task in &worker.placed {
                 let Some(job) = self.jobs.get(&task.job) else {
                     continue;
                 };
-                let need = job.step(task.step.into()).need;
-                used = used.saturating_add(&need);
+                let step = job.step(task.step.into());
+                used = used.saturating_add(&step.need);
                 if is_ending(job, task) {
-                    stopping = stopping.saturating_add(&need);
+                    stopping = stopping.saturating_add(&step.need);
+                } else if step.long_running {
+                    without_end = without_end.saturating_add(&step.need);
                 }
             }
             let free = report.room.saturating_sub(&used);
@@ -185,7 +197,8 @@
                 capacity: report.room,
                 free,
                 free_after_stops: free.saturating_add(&stopping),
-                reserved: false,
+                capacity_after_work: report.room.saturating_sub(&without_end),
+                reserved_ms: None,
                 is_unreliable: !worker.failed_jobs.is_empty()
                     || now.steady_ms < worker.suspect_until_ms
                     || worker.slowness.is_slow(now.steady_ms),
--- a/src/planner/tests/mod.rs
+++ b/src/planner/tests/mod.rs
@@ -4,6 +4,7 @@
 mod gangs;
 mod incarnation;
 mod overload;
+mod reservation;
 mod rules;
 mod schedules;
 mod straggler;
--- a/src/planner/tests/world.rs
+++ b/src/planner/tests/world.rs
@@ -316,6 +316,9 @@
             draining: fake.draining,
             leaves_in_ms: fake.leaves_in_ms,
         };
+        self.handle(&Input::Worker(WorkerEvent::Reported(report)));
+        // Handling the description may start attempts, which a list from before would lack.
+        let fake = &self.workers[worker];
         let running = fake.attempts.iter().map(|(task, fake_attempt)| RunningAttempt {
             task: task.clone(),
             attempt: fake_attempt.attempt,
@@ -329,7 +332,6 @@
             starting: Vec::new(),
             stopped: fake.closed.iter().map(|(task, attempt)| (task.clone(), *attempt)).collect(),
         };
-        self.handle(&Input::Worker(WorkerEvent::Reported(report)));
         self.handle(&Input::Runs(attempts));
     }
 
