Keep what a takeover has read, and count it as an answer of the store

Cause: the eight partitions of the jobs were read at once; one that did not begin within 0.8 s made all of them start anew. Meanwhile the watches of the leader waited behind the lists, so it seemed cut off from the store and stepped down.

Change: four partitions at a time, those that were read are kept for the next attempt, and each counts as an answer of the store.

--- a/src/coordinator/job_rows.rs
+++ b/src/coordinator/job_rows.rs
@@ -1,7 +1,10 @@
 //! The keys and partitions of the rows of jobs and cancellations.
 
-use futures::future::try_join_all;
+use std::collections::BTreeMap;
 
+use futures::{StreamExt, stream};
+
+use super::relay::RelayingStore;
 use super::{CANCEL_SUFFIX, JOB_TABLE};
 use crate::store::{Listing, RowKey, RowResult, RowStore};
 
@@ -24,15 +27,66 @@
     hash % JOB_PARTITIONS
 }
 
-/// Reads the rows of all jobs and cancellations. The version of the listing is the lowest of all partitions, so the
-/// rows may include later changes.
-pub async fn list_jobs<S>(store: &S) -> RowResult<Listing>
+/// The number of partitions that are read at the same time. On a slow link the lists of all of them would begin too late.
+const CONCURRENT_LISTS: usize = 4;
+
+/// The lists of the partitions of the table of jobs, which may be read in several attempts.
+#[derive(Debug, Default)]
+pub struct JobListing {
+    partitions: BTreeMap<u8, Listing>,
+}
+
+impl JobListing {
+    /// Reads the partitions that are still missing. Each one that was read counts as an answer of the store: it shows that
+    /// the store answers this coordinator while its watches wait for the same link.
+    ///
+    /// # Errors
+    ///
+    /// [`RowError`](crate::store::RowError) if a partition could not be read. Those that were read are kept for the next attempt.
+    pub async fn read_missing<S>(&mut self, store: &RelayingStore<S>) -> RowResult<()>
+    where
+        S: RowStore,
+    {
+        let missing =
+            (0..JOB_PARTITIONS).filter(|partition| !self.partitions.contains_key(partition));
+        let lists = missing.collect::<Vec<_>>().into_iter().map(|partition| async move {
+            (partition, store.direct().list(JOB_TABLE, partition).await)
+        });
+        let mut lists = stream::iter(lists).buffer_unordered(CONCURRENT_LISTS);
+        let mut result = Ok(());
+        while let Some((partition, list)) = lists.next().await {
+            match list {
+                Ok(listing) => {
+                    let answer = Ok(());
+                    store.record_answer(&answer);
+                    self.partitions.insert(partition, listing);
+                }
+                Err(error) => result = Err(error),
+            }
+        }
+        result
+    }
+
+    /// Returns the rows of all partitions. The version is the lowest of all partitions, so the rows may include later
+    /// changes.
+    pub fn into_listing(self) -> Listing {
+        let version =
+            self.partitions.values().map(|listing| listing.version).min().unwrap_or_default();
+        let rows = self.partitions.into_values().flat_map(|listing| listing.rows).collect();
+        Listing { rows, version }
+    }
+}
+
+/// Reads the rows of all jobs and cancellations.
+///
+/// # Errors
+///
+/// [`RowError`](crate::store::RowError) if the store does not answer.
+pub async fn list_jobs<S>(store: &RelayingStore<S>) -> RowResult<Listing>
 where
     S: RowStore,
 {
-    let listings =
-        try_join_all((0..JOB_PARTITIONS).map(|partition| store.list(JOB_TABLE, partition))).await?;
-    let version = listings.iter().map(|listing| listing.version).min().unwrap_or_default();
-    let rows = listings.into_iter().flat_map(|listing| listing.rows).collect();
-    Ok(Listing { rows, version })
+    let mut listing = JobListing::default();
+    listing.read_missing(store).await?;
+    Ok(listing.into_listing())
 }
--- a/src/coordinator/leadership.rs
+++ b/src/coordinator/leadership.rs
@@ -23,7 +23,7 @@
             incarnation: self.incarnation,
         };
         self.restoring = Some(Restoring::begin(
-            self.store().direct().clone(),
+            self.store().clone(),
             candidate,
             last_leadership,
             self.events.clone(),
--- a/src/coordinator/restoring.rs
+++ b/src/coordinator/restoring.rs
@@ -6,7 +6,9 @@
 use tokio::task::JoinHandle;
 
 use super::event::{Event, EventSender};
+use super::job_rows::JobListing;
 use super::message::{AcceptorMessage, LeaderMessage};
+use super::relay::RelayingStore;
 use super::takeover::{Candidate, claim_leadership, read_jobs};
 use crate::election::Leadership;
 use crate::prelude::*;
@@ -27,7 +29,7 @@
     /// Begins to claim the leadership and then to read the stored jobs, and sends [`Event::Claimed`] and
     /// [`Event::TakenOver`]. The claim is made once; reading is repeated until it succeeds.
     pub fn begin<S>(
-        store: S,
+        store: RelayingStore<S>,
         candidate: Candidate,
         last_leadership: Option<Leadership>,
         events: EventSender,
@@ -73,14 +75,15 @@
 }
 
 async fn restore<S>(
-    store: S,
+    store: RelayingStore<S>,
     candidate: Candidate,
     last_leadership: Option<Leadership>,
     events: EventSender,
 ) where
     S: RowStore,
 {
-    let claim = match claim_leadership(&store, &candidate, last_leadership.as_ref()).await {
+    let claim = claim_leadership(store.direct(), &candidate, last_leadership.as_ref()).await;
+    let claim = match claim {
         Ok(claim) => claim,
         Err(error) => {
             let _ = events.send(Event::Claimed(Err(error))).await;
@@ -88,8 +91,9 @@
         }
     };
     let _ = events.send(Event::Claimed(Ok(claim.clone()))).await;
+    let mut listing = JobListing::default();
     loop {
-        match read_jobs(&store, &claim).await {
+        match read_jobs(&store, &claim, &mut listing).await {
             Ok(takeover) => {
                 let _ = events.send(Event::TakenOver(Box::new(takeover))).await;
                 return;
--- a/src/coordinator/store_watch.rs
+++ b/src/coordinator/store_watch.rs
@@ -245,7 +245,7 @@
                 version = changes.version;
                 changes.changes
             }
-            Err(RowError::HistoryUnavailable) => match list_jobs(store.direct()).await {
+            Err(RowError::HistoryUnavailable) => match list_jobs(&store).await {
                 Ok(listing) => {
                     version = listing.version;
                     listing.rows.into_iter().map(row_as_change).collect()
--- a/src/coordinator/takeover.rs
+++ b/src/coordinator/takeover.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use super::job_rows::list_jobs;
+use super::job_rows::JobListing;
 use super::rejection::is_rejection;
+use super::relay::RelayingStore;
 use super::{CANCEL_SUFFIX, HEAD_KEY, HEAD_TABLE, LEAD_TABLE, LEADER_KEY, PROGRESS_TABLE};
 use crate::election::Leadership;
 use crate::prelude::*;
@@ -143,17 +144,23 @@
     Ok(Claim { head, head_version })
 }
 
-/// Reads what a new leader needs after its claim.
+/// Reads what a new leader needs after its claim. `listing` keeps what was read, so that the next attempt continues
+/// after a failure.
 ///
 /// # Errors
 ///
 /// [`RowError`] if the store does not answer.
-pub async fn read_jobs<S>(store: &S, claim: &Claim) -> RowResult<Takeover>
+pub async fn read_jobs<S>(
+    store: &RelayingStore<S>,
+    claim: &Claim,
+    listing: &mut JobListing,
+) -> RowResult<Takeover>
 where
     S: RowStore,
 {
-    let listing = list_jobs(store).await?;
-    let progress = store.list(PROGRESS_TABLE, 0).await?;
+    listing.read_missing(store).await?;
+    let progress = store.direct().list(PROGRESS_TABLE, 0).await?;
+    let listing = std::mem::take(listing).into_listing();
     let mut jobs: BTreeMap<String, StoredJob> = BTreeMap::new();
     let mut rejections = Vec::new();
     for row in &listing.rows {
