Repeat the acknowledgement of ends

Ends stay listed by a worker until another attempt ends there.

Cause: an acknowledgement was sent once, and is lost if the host is not connected at that moment.

Evidence: lost_acknowledgement_is_repeated fails without the change.

The simulated worker of the tests receives nothing while it is not connected.

--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -126,12 +126,17 @@
                 out,
             );
         }
-        if last == processed {
+        let Some(worker) = self.workers.get_mut(&report.incarnation.worker) else {
+            return;
+        };
+        // An acknowledgement is lost if the host is not connected when it is sent.
+        let may_be_lost =
+            !report.ended.is_empty() && now.steady_ms >= worker.acknowledged_ms + REPEAT_ORDER_MS;
+        if last == processed && !may_be_lost {
             return;
         }
-        if let Some(worker) = self.workers.get_mut(&report.incarnation.worker) {
-            worker.last_processed_end = last;
-        }
+        worker.last_processed_end = last;
+        worker.acknowledged_ms = now.steady_ms;
         let order =
             WorkerOrder::AcknowledgeEnds { incarnation: report.incarnation.clone(), up_to: last };
         self.effects.push(Output::Order(order));
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -202,6 +202,9 @@
     /// Sequence number of the last end that was handled.
     #[serde(rename = "ends_taken")]
     pub last_processed_end: u64,
+    /// Steady time at which the handled ends were last acknowledged.
+    #[serde(default)]
+    pub acknowledged_ms: u64,
     /// Jobs that failed on the worker since an attempt last succeeded on it.
     pub failed_jobs: BTreeSet<JobId>,
     /// Steady time until which the worker gets no work.
--- a/src/planner/tests/rules.rs
+++ b/src/planner/tests/rules.rs
@@ -362,6 +362,24 @@
     assert!(batches > 1);
 }
 
+/// Guards against ends that are never acknowledged because the host was not connected when the acknowledgement was sent.
+#[test]
+fn lost_acknowledgement_is_repeated() {
+    let mut world = World::new(1);
+    world.submit("j", job(1, vec![step(1, 1)]));
+    world.is_store_unavailable = true;
+    world.end(&task("j", 0, 0), AttemptEnd::Done);
+    world.worker(0).is_connected = false;
+    world.is_store_unavailable = false;
+    world.flush();
+    assert_eq!(world.worker(0).ended.len(), 1);
+
+    world.worker(0).is_connected = true;
+    world.advance(1_000);
+
+    assert!(world.worker(0).ended.is_empty());
+}
+
 /// Guards against work that is placed on a worker whose lists have ceased to arrive.
 #[test]
 fn worker_without_recent_list_gets_no_work() {
--- a/src/planner/tests/world.rs
+++ b/src/planner/tests/world.rs
@@ -241,7 +241,7 @@
 
     fn acknowledge(&mut self, incarnation: &WorkerIncarnation, up_to: u64) {
         let worker = self.workers.get_mut(&incarnation.worker).expect("the worker exists");
-        if worker.incarnation != *incarnation {
+        if !worker.is_connected || worker.incarnation != *incarnation {
             return;
         }
         for end in worker.ended.iter().filter(|end| end.number <= up_to) {
