Recognise a removed job in a list of the stored jobs

A finished job would run again.

Cause: a job is forgotten by the planner before its rows are removed. If the history of the store is discarded in between, all jobs are listed, and the row was taken for a new job.

Evidence: removed_job_that_is_listed_again_is_not_run fails without the change.

Change: the planner keeps the id and the time of acceptance of removed jobs for 300 s, or until their removal is durable.

--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -48,6 +48,9 @@
 /// Time for which the state of a finished job is kept. Clients may query it for 120 s.
 const ENDED_JOB_RETENTION_MS: u64 = 150_000;
 
+/// Time for which a removed job is recognised in a list of the stored jobs that was read before the removal.
+const REMOVED_JOB_RETENTION_MS: u64 = 300_000;
+
 /// Maximum number of steps of a job that its log line describes, which bounds the length of the line.
 const MAX_DESCRIBED_STEPS: usize = 6;
 /// Time after a takeover during which a new leader evicts nothing for urgent jobs and keeps gangs that belong in one
@@ -77,6 +80,10 @@
     changed: BTreeSet<(JobId, u32)>,
     /// Jobs whose records have to be removed, with the number below which those of occurrences remain.
     forgotten: BTreeMap<JobId, u32>,
+    /// Jobs that are no longer kept, with the time at which each was accepted and the steady time of its removal. A list
+    /// of the stored jobs from before the removal may still contain them.
+    #[serde(default)]
+    removed: BTreeMap<JobId, (u64, u64)>,
     /// Outputs that are released once the changes are durable.
     effects: Vec<Output>,
     next_order: u64,
@@ -101,6 +108,7 @@
             workers: BTreeMap::new(),
             changed: BTreeSet::new(),
             forgotten: BTreeMap::new(),
+            removed: BTreeMap::new(),
             effects: Vec::new(),
             next_order: 0,
         }
@@ -236,7 +244,11 @@
     }
 
     fn submitted(&mut self, job: &JobId, record: &JobRecord, out: &mut Vec<Output>) {
-        if self.jobs.contains_key(job) {
+        let is_removed = self
+            .removed
+            .get(job)
+            .is_some_and(|(accepted_ms, _)| *accepted_ms == record.accepted_ms);
+        if is_removed || self.jobs.contains_key(job) {
             return;
         }
         let state = self.new_job(record.clone());
@@ -364,6 +376,10 @@
     }
 
     fn remove_expired_jobs(&mut self, now: PlannerTime, out: &mut Vec<Output>) {
+        let forgotten = &self.forgotten;
+        self.removed.retain(|job, (_, removed_ms)| {
+            forgotten.contains_key(job) || now.steady_ms < *removed_ms + REMOVED_JOB_RETENTION_MS
+        });
         let expired: Vec<JobId> = self
             .jobs
             .iter()
@@ -381,6 +397,7 @@
                 continue;
             };
             let occurrences = job.record.spec.occurrences();
+            self.removed.insert(id.clone(), (job.record.accepted_ms, now.steady_ms));
             out.push(Output::Progress { job: id.clone(), queue: job.record.queue, progress: None });
             self.forgotten.insert(id, occurrences);
         }
--- a/src/planner/tests/rules.rs
+++ b/src/planner/tests/rules.rs
@@ -380,6 +380,26 @@
     assert!(world.worker(0).ended.is_empty());
 }
 
+/// Guards against a finished job that runs again because a list of the stored jobs still contains it when it is removed.
+#[test]
+fn removed_job_that_is_listed_again_is_not_run() {
+    let mut world = World::new(1);
+    let record = job(1, vec![step(1, 1)]);
+    world.submit("j", record.clone());
+    world.end(&task("j", 0, 0), AttemptEnd::Done);
+    world.advance(ENDED_JOB_RETENTION_MS + 1_000);
+    assert!(world.store.jobs.is_empty());
+    world.starts.clear();
+
+    world.submit("j", record.clone());
+    assert!(world.starts.is_empty());
+
+    world.done.clear();
+    let resubmitted = JobRecord { accepted_ms: world.now.wall_ms, ..record };
+    world.submit("j", resubmitted);
+    assert_eq!(world.starts.len(), 1);
+}
+
 /// Guards against work that is placed on a worker whose lists have ceased to arrive.
 #[test]
 fn worker_without_recent_list_gets_no_work() {
