--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -547,9 +547,9 @@
         let now_ms = self.clock.now_ms();
         if let Some(leader) = &self.leader {
             let renewed_ms = self.lease.renewed_ms().unwrap_or_default().max(leader.since_ms);
-            if self.last_heartbeat.is_some()
-                && now_ms.saturating_sub(renewed_ms) >= RENEWAL_TIMEOUT_MS
-            {
+            // Without a list of the worker the leader has nothing to renew.
+            let can_list = self.last_heartbeat.is_some() && self.refused_connections == 0;
+            if can_list && now_ms.saturating_sub(renewed_ms) >= RENEWAL_TIMEOUT_MS {
                 log::warn!(
                     epoch = leader.epoch.0;
                     "leader has not renewed the lease for {RENEWAL_TIMEOUT_MS} ms; trying the next coordinator"
