Add review case 6: a job is shown as done before that is stored

Cause: a front that connects to the leader receives the state in memory, not the stored one. After an outage of the store that ends in a loss of power, a task starts again though its job was shown as done (TWICE).

--- /dev/null
+++ b/review/stand_in_2/cases.rs
@@ -0,0 +1,395 @@
+//! The cases. Each returns whether the rule held.
+
+use std::path::Path;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use crate::deployment::{Deployment, Outcome};
+use crate::json::{Json, number, text};
+use crate::proxy::Proxy;
+use crate::record::Record;
+
+/// `finish_s` of the settings.
+const FINISH: Duration = Duration::from_secs(14);
+
+pub fn run(name: &str, root: &Path, folder: &Path, trouble: bool, record: &Record) -> Outcome {
+    let mut deployment = Deployment::new(root, record)?;
+    let outcome = match name {
+        "rows" => rows(&mut deployment, trouble),
+        "born" => born(&mut deployment, trouble),
+        "view" => view(&mut deployment, trouble),
+        "early" => early(&mut deployment, trouble),
+        "left" => left(&mut deployment, trouble),
+        "rests" => rests(&mut deployment, trouble),
+        _ => Err(format!("no case {name}")),
+    };
+    if std::env::var("KEEP_LOGS").is_ok() {
+        deployment.keep_logs(folder);
+    }
+    outcome
+}
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+/// Starts fronts whose seeds are all of them.
+fn start_fronts(deployment: &mut Deployment, count: usize) -> Result<(), String> {
+    for _ in 0..count {
+        deployment.add_front(&[]);
+    }
+    let seeds: Vec<_> = deployment.fronts.iter().map(|front| front.ip).collect();
+    deployment.fronts.clear();
+    for _ in 0..count {
+        let front = deployment.add_front(&seeds);
+        deployment.start(&front)?;
+    }
+    for front in deployment.fronts.clone() {
+        deployment.wait_ready(&front)?;
+    }
+    Ok(())
+}
+
+/// LOST: one large job whose tasks save their progress stops the whole system.
+fn rows(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    start_fronts(deployment, 3)?;
+    for _ in 0..6 {
+        let side = deployment.add_side();
+        deployment.start(&side)?;
+        let mut settings = deployment.runner_settings(&side, "a");
+        settings.saved_length = 64;
+        deployment.start_runner(settings, 0)?;
+    }
+    let fronts = deployment.fronts.clone();
+    deployment.wait_working(&fronts[0], None)?;
+    // The same 1,024 tasks, in one job or in eight jobs. The first step is short, the second one long.
+    let jobs: u64 = if trouble { 1 } else { 8 };
+    let step = |tasks: u64, estimate_ms| {
+        vec![
+            ("count", number(tasks / jobs)),
+            ("cpu", number(50)),
+            ("memMb", number(64)),
+            ("estMs", number(estimate_ms)),
+            ("checkpointable", Json::Bool(true)),
+        ]
+    };
+    for job in 0..jobs {
+        let (id, steps) = (format!("b16{job:013x}"), vec![step(1_024, 50_000)]);
+        deployment.submit(&fronts[0], "usual", &id, "uneven 4000 100000", steps)?;
+    }
+    sleep(seconds(10));
+    let small = "5a11000000000001";
+    let since_ms = deployment.record.now_ms();
+    let step = vec![
+        ("count", number(1)),
+        ("cpu", number(100)),
+        ("estMs", number(500)),
+        // No runner is left on this rack.
+        ("dataRack", text("r-amman-west")),
+    ];
+    deployment.submit(&fronts[1], "usual", small, "run 500", vec![step])?;
+    deployment.record.add("end of the traffic");
+    sleep(FINISH);
+    let mut held = true;
+    for front in &fronts {
+        held &= deployment.state(front, "usual", small) == "done";
+    }
+    sleep(seconds(4));
+    held &= deployment.state(&fronts[0], "usual", small) == "done";
+    let record = &deployment.record;
+    record.add(format!("starts of the small job: {}", record.started_since(small, since_ms)));
+    let refused = deployment.store.oversized();
+    for (key, size) in refused.iter().take(3) {
+        record.add(format!("the store refused row {key} of {size} bytes"));
+    }
+    record.add(format!("transactions that the store refused for a large row: {}", refused.len()));
+    let leaders = deployment.store.writes_of("lead", "leader");
+    record.add(format!("changes of the leadership: {leaders}"));
+    Ok(held)
+}
+
+/// LOST: a runner whose clock was ahead when it started gets no work after its restart.
+fn born(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    start_fronts(deployment, 3)?;
+    let mut runners = Vec::new();
+    for number in 0..3 {
+        let side = deployment.add_side();
+        deployment.start(&side)?;
+        let is_last = number == 2;
+        let settings = deployment.runner_settings(&side, if is_last { "b" } else { "a" });
+        let ahead_ms = if trouble && is_last { 2_000 } else { 0 };
+        if is_last {
+            deployment.wait_working(&deployment.fronts[0].clone(), None)?;
+        }
+        runners.push(deployment.start_runner(settings, ahead_ms)?);
+    }
+    let fronts = deployment.fronts.clone();
+    sleep(Duration::from_millis(1_000));
+    runners[2].crash();
+    sleep(Duration::from_millis(400));
+    // The clock is right again.
+    runners[2].begin_life(0);
+    sleep(seconds(5));
+    let job = "c10c000000000001";
+    let since_ms = deployment.record.now_ms();
+    let step = vec![
+        ("count", number(1)),
+        ("cpu", number(1_000)),
+        ("gpu", number(1)),
+        ("estMs", number(1_000)),
+        ("requires", text("b")),
+    ];
+    deployment.submit(&fronts[0], "usual", job, "run 1000", vec![step])?;
+    deployment.record.add("end of the traffic");
+    sleep(FINISH);
+    for _ in 0..4 {
+        deployment.state(&fronts[0], "usual", job);
+        sleep(seconds(1));
+    }
+    let started = deployment.record.started_since(job, since_ms);
+    deployment.record.add(format!("starts of the job: {started}"));
+    Ok(started > 0)
+}
+
+/// MIXED: after one connection between two fronts was closed, one of them never learns of the jobs that were accepted
+/// meanwhile.
+fn view(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    let first = deployment.add_front(&[]);
+    deployment.fronts.clear();
+    let leader = deployment.add_front(&[first.ip]);
+    deployment.start(&leader)?;
+    deployment.wait_ready(&leader)?;
+    let side = deployment.add_side();
+    deployment.start(&side)?;
+    let settings = deployment.runner_settings(&side, "a");
+    deployment.start_runner(settings, 0)?;
+    deployment.wait_working(&leader, None)?;
+    // The other fronts reach the leader at its own address too, which they learn from it.
+    let seed = deployment.spare_ip();
+    let other = deployment.add_front(&[leader.ip]);
+    let last = deployment.add_front(&[seed]);
+    for front in [&other, &last] {
+        deployment.start(front)?;
+        deployment.wait_ready(front)?;
+    }
+    sleep(seconds(2));
+    let target = Deployment::inner_address(leader.ip);
+    let proxy = Proxy::start(Deployment::inner_address(seed), target).map_err(|e| e.to_string())?;
+    sleep(seconds(4));
+    let step = |gpu| {
+        vec![
+            ("count", number(1)),
+            ("cpu", number(1_000)),
+            ("gpu", number(gpu)),
+            ("estMs", number(500)),
+        ]
+    };
+    deployment.submit(&leader, "usual", "f111000000000000", "run 80000", vec![step(7)])?;
+    // Waits for nothing; it is cancelled at the leader while the connection is closed.
+    let cancelled = "f111000000000001";
+    deployment.submit(&leader, "usual", cancelled, "run 80000", vec![step(1)])?;
+    sleep(seconds(3));
+    // Two fronts keep several connections and use one of them; the proxied one is in use if it carries more than
+    // keep-alives.
+    const KEEP_ALIVES_BYTES: usize = 200;
+    for attempt in 0..16 {
+        let before = proxy.received();
+        sleep(seconds(2));
+        let received = proxy.received() - before;
+        deployment.record.add(format!("{received} bytes in 2 s on the proxied connection"));
+        if received > KEEP_ALIVES_BYTES {
+            break;
+        }
+        proxy.close_all();
+        sleep(Duration::from_millis(1_000 + 70 * attempt));
+    }
+    if trouble {
+        let closed = proxy.close_all();
+        deployment.record.add(format!("{closed} connections of {} are closed", last.name));
+    }
+    const JOBS: u64 = 6;
+    for job in 0..JOBS {
+        let id = format!("3a17{job:012x}");
+        deployment.submit(&leader, "nightly", &id, "run 500", vec![step(8)])?;
+    }
+    deployment.cancel(&leader, "usual", cancelled);
+    // Later than `visible_ms` and 2 s after the last confirmation, and than `contactMs` after the disruption.
+    sleep(seconds(8));
+    let mut held = true;
+    for _ in 0..8 {
+        for front in [&leader, &other, &last] {
+            let waiting = deployment.waiting(front, "nightly");
+            held &= waiting.is_some_and(|waiting| waiting * 2 >= JOBS);
+        }
+        sleep(seconds(2));
+    }
+    for front in [&leader, &last] {
+        deployment.state(front, "usual", cancelled);
+    }
+    let leaders = deployment.store.writes_of("lead", "leader");
+    deployment.record.add(format!("changes of the leadership: {leaders}"));
+    let begun = deployment.record.started_since("3a17", 0);
+    deployment.record.add(format!("waiting jobs that have begun: {begun}"));
+    if begun > 0 {
+        return Err("the jobs did not wait".to_owned());
+    }
+    Ok(held)
+}
+
+/// TWICE: a front shows a job as done before that is stored, and its task runs again.
+fn early(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    start_fronts(deployment, 3)?;
+    let side = deployment.add_side();
+    deployment.start(&side)?;
+    let settings = deployment.runner_settings(&side, "a");
+    let runner = deployment.start_runner(settings, 0)?;
+    let fronts = deployment.fronts.clone();
+    deployment.wait_working(&fronts[0], None)?;
+    sleep(seconds(4));
+    // The last to start is a front that does not lead.
+    let leader = deployment.leader()?;
+    let rolled = fronts.iter().find(|front| front.name != leader).ok_or("no follower")?.clone();
+    let job = "ea51000000000001";
+    let step = vec![("count", number(1)), ("cpu", number(1_000)), ("estMs", number(2_000))];
+    deployment.submit(&rolled, "usual", job, "run 2000", vec![step])?;
+    sleep(seconds(1));
+    if trouble {
+        deployment.store.set_down(true);
+        deployment.record.add("the store is down");
+    }
+    sleep(Duration::from_millis(1_300));
+    deployment.kill(&rolled);
+    deployment.start(&rolled)?;
+    let mut shown_ms = None;
+    for _ in 0..20 {
+        if deployment.state(&rolled, "usual", job) == "done" {
+            shown_ms = Some(deployment.record.now_ms());
+            break;
+        }
+        sleep(Duration::from_millis(100));
+    }
+    // All machines lose power.
+    for machine in fronts.iter().chain([&side]) {
+        deployment.kill(machine);
+    }
+    runner.crash();
+    sleep(Duration::from_millis(700));
+    if trouble {
+        deployment.store.set_down(false);
+        deployment.record.add("the store is up");
+    }
+    for machine in fronts.iter().chain([&side]) {
+        deployment.start(machine)?;
+    }
+    runner.begin_life(0);
+    for front in &fronts {
+        deployment.wait_ready(front)?;
+    }
+    sleep(seconds(8));
+    for front in &fronts {
+        deployment.state(front, "usual", job);
+    }
+    let Some(shown_ms) = shown_ms else {
+        deployment.record.add("the job was not shown as done before the machines lost power");
+        return Ok(true);
+    };
+    let again = deployment.record.started_since(job, shown_ms + 1_000);
+    deployment.record.add(format!("starts over a second after the job was shown as done: {again}"));
+    Ok(again == 0)
+}
+
+/// LOST: a runner whose last report of an earlier life arrives late gets no more work.
+fn left(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    start_fronts(deployment, 3)?;
+    let mut runners = Vec::new();
+    for number in 0..3 {
+        let side = deployment.add_side();
+        deployment.start(&side)?;
+        let settings = deployment.runner_settings(&side, if number == 2 { "b" } else { "a" });
+        runners.push(deployment.start_runner(settings, 0)?);
+    }
+    let fronts = deployment.fronts.clone();
+    deployment.wait_working(&fronts[0], Some("b"))?;
+    let runner = &runners[2];
+    runner.drain();
+    sleep(seconds(2));
+    if !trouble {
+        runner.report_leaving();
+    }
+    runner.crash();
+    sleep(seconds(1));
+    runner.begin_life(0);
+    sleep(seconds(2));
+    if trouble {
+        runner.report_leaving();
+    }
+    sleep(seconds(5));
+    let job = "1ef7000000000001";
+    let since_ms = deployment.record.now_ms();
+    let step = vec![
+        ("count", number(1)),
+        ("cpu", number(1_000)),
+        ("gpu", number(1)),
+        ("estMs", number(1_000)),
+        ("requires", text("b")),
+    ];
+    deployment.submit(&fronts[0], "usual", job, "run 1000", vec![step])?;
+    deployment.record.add("end of the traffic");
+    sleep(FINISH);
+    for _ in 0..4 {
+        deployment.state(&fronts[0], "usual", job);
+        sleep(seconds(1));
+    }
+    let started = deployment.record.started_since(job, since_ms);
+    deployment.record.add(format!("starts of the job: {started}"));
+    Ok(started > 0)
+}
+
+/// LOST: tasks that last wait for up to 15 s beside an idle runner, because such tasks failed on it.
+fn rests(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    start_fronts(deployment, 3)?;
+    let mut runners = Vec::new();
+    for _ in 0..2 {
+        let side = deployment.add_side();
+        deployment.start(&side)?;
+        let settings = deployment.runner_settings(&side, "a");
+        runners.push(deployment.start_runner(settings, 0)?);
+    }
+    let fronts = deployment.fronts.clone();
+    deployment.wait_working(&fronts[0], None)?;
+    let jobs = ["1a57000000000001", "1a57000000000002", "1a57000000000003"];
+    for job in jobs {
+        let step = vec![
+            ("count", number(1)),
+            ("cpu", number(2_000)),
+            ("gpu", number(1)),
+            ("longRunning", Json::Bool(true)),
+        ];
+        deployment.submit(&fronts[0], "usual", job, "last", vec![step])?;
+    }
+    sleep(seconds(4));
+    let runs = |job: &str| runners.iter().any(|runner| runner.is_running(job));
+    let mut longest = Duration::ZERO;
+    // Each task fails now and then; never two at the same time.
+    let end = Instant::now() + seconds(80);
+    let mut next = jobs.iter().cycle();
+    while Instant::now() < end {
+        let job = next.next().ok_or("no job")?;
+        if trouble {
+            for runner in &runners {
+                runner.fail(job);
+            }
+        }
+        let failed = Instant::now();
+        sleep(Duration::from_millis(100));
+        while !runs(job) && failed.elapsed() < seconds(20) {
+            sleep(Duration::from_millis(50));
+        }
+        longest = longest.max(failed.elapsed());
+        deployment.record.add(format!("job {job} was down for {:?}", failed.elapsed()));
+        sleep(seconds(3));
+    }
+    // From 6 s after its last run, 3 s.
+    deployment.record.add(format!("longest time without a run: {longest:?}"));
+    Ok(longest < seconds(9))
+}
