--- a/review/stand_in_2/cases.rs
+++ b/review/stand_in_2/cases.rs
@@ -273,7 +273,7 @@
         deployment.kill(machine);
     }
     runner.crash();
-    sleep(Duration::from_millis(700));
+    sleep(Duration::from_millis(1_500));
     if trouble {
         deployment.store.set_down(false);
         deployment.record.add("the store is up");
@@ -285,9 +285,11 @@
     for front in &fronts {
         deployment.wait_ready(front)?;
     }
-    sleep(seconds(8));
-    for front in &fronts {
-        deployment.state(front, "usual", job);
+    for pause in [seconds(1), seconds(8)] {
+        sleep(pause);
+        for front in &fronts {
+            deployment.state(front, "usual", job);
+        }
     }
     let Some(shown_ms) = shown_ms else {
         deployment.record.add("the job was not shown as done before the machines lost power");
