--- a/review/stand_in_2/cases.rs
+++ b/review/stand_in_2/cases.rs
@@ -20,6 +20,7 @@
         "view" => view(&mut deployment, trouble),
         "early" => early(&mut deployment, trouble),
         "left" => left(&mut deployment, trouble),
+        "gone" => gone(&mut deployment, trouble),
         "rests" => rests(&mut deployment, trouble),
         _ => Err(format!("no case {name}")),
     };
@@ -395,3 +396,50 @@
     deployment.record.add(format!("longest time without a run: {longest:?}"));
     Ok(longest < seconds(9))
 }
+
+/// LOST: a runner leaves while the leader is frozen; its task does not start elsewhere for 15 s.
+fn gone(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    start_fronts(deployment, 3)?;
+    let mut runners = Vec::new();
+    for _ in 0..3 {
+        let side = deployment.add_side();
+        deployment.start(&side)?;
+        let settings = deployment.runner_settings(&side, "a");
+        runners.push(deployment.start_runner(settings, 0)?);
+    }
+    let fronts = deployment.fronts.clone();
+    deployment.wait_working(&fronts[0], None)?;
+    let job = "90e0000000000001";
+    let step = vec![
+        ("count", number(1)),
+        ("cpu", number(2_000)),
+        ("gpu", number(1)),
+        ("longRunning", Json::Bool(true)),
+    ];
+    deployment.submit(&fronts[0], "usual", job, "last", vec![step])?;
+    sleep(seconds(5));
+    let leader = deployment.leader()?;
+    let leader = fronts.iter().find(|front| front.name == leader).ok_or("no leader")?;
+    let leaving = runners.iter().find(|runner| runner.is_running(job)).ok_or("no run")?.clone();
+    leaving.drain();
+    sleep(seconds(3));
+    if trouble {
+        deployment.signal(leader, "STOP")?;
+        sleep(Duration::from_millis(700));
+    }
+    leaving.leave();
+    let left = Instant::now();
+    if trouble {
+        sleep(Duration::from_millis(2_800));
+        deployment.signal(leader, "CONT")?;
+    }
+    let limit = seconds(30);
+    while !runners.iter().any(|runner| runner.is_running(job)) && left.elapsed() < limit {
+        sleep(Duration::from_millis(50));
+    }
+    deployment.record.add(format!("the task was down for {:?}", left.elapsed()));
+    sleep(seconds(2));
+    // 3 s, and 4 s before them, at which the leader has been calm for `contactMs` of 3 s, counted from the end of the freeze
+    // 2.8 s after the runner left.
+    Ok(left.elapsed() - seconds(2) < seconds(13))
+}
--- a/review/stand_in_2/deployment.rs
+++ b/review/stand_in_2/deployment.rs
@@ -240,6 +240,15 @@
         Ok(())
     }
 
+    /// Sends a signal to the process of a machine.
+    pub fn signal(&self, machine: &Machine, signal: &str) -> Result<(), String> {
+        let process = self.processes.get(&machine.name).ok_or("no process")?;
+        let command = format!("kill -{signal} {}", process.id());
+        let status = Command::new("sh").args(["-c", &command]).status().map_err(io_error)?;
+        self.record.add(format!("{} gets SIG{signal}", machine.name));
+        if status.success() { Ok(()) } else { Err(format!("{command} failed")) }
+    }
+
     /// Kills the process of a machine.
     pub fn kill(&mut self, machine: &Machine) {
         if let Some(mut process) = self.processes.remove(&machine.name) {
--- a/review/stand_in_2/http.rs
+++ b/review/stand_in_2/http.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -27,28 +28,53 @@
     }
 }
 
-/// Status and body; `None` leaves the call without an answer and closes the connection later.
+/// Status and body; `None` leaves the call without an answer and closes the connection later, status 0 closes it at once.
 pub type Answer = Option<(u16, String)>;
 
 /// Time for which a connection without an answer stays open.
 const SILENCE: Duration = Duration::from_secs(20);
 
-/// Serves an address until the process ends.
-pub fn serve<F>(address: SocketAddr, handle: F) -> io::Result<()>
+/// A server; it stops listening once [`Server::close`] is called.
+#[derive(Clone)]
+pub struct Server {
+    address: SocketAddr,
+    is_closed: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    /// Stops listening, so that later connections are refused, and closes all connections, as the end of a process does.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Serves an address until the server is closed.
+pub fn serve<F>(address: SocketAddr, handle: F) -> io::Result<Server>
 where
     F: Fn(&Request) -> Answer + Send + Sync + 'static,
 {
     let listener = TcpListener::bind(address)?;
     let handle = Arc::new(handle);
+    let server = Server { address, is_closed: Arc::default(), streams: Arc::default() };
+    let (closed, streams) = (server.is_closed.clone(), server.streams.clone());
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if closed.load(Ordering::SeqCst) {
+                return;
+            }
+            streams.lock().unwrap().extend(stream.try_clone());
             let handle = handle.clone();
             thread::spawn(move || {
                 let _ = serve_connection(stream, &*handle);
             });
         }
     });
-    Ok(())
+    Ok(server)
 }
 
 pub fn serve_connection<F>(stream: TcpStream, handle: &F) -> io::Result<()>
@@ -63,6 +89,9 @@
             thread::sleep(SILENCE);
             return Ok(());
         };
+        if status == 0 {
+            return Ok(());
+        }
         let head = format!(
             "HTTP/1.1 {status} status\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
             body.len()
--- a/review/stand_in_2/runner.rs
+++ b/review/stand_in_2/runner.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{self, Answer, Request};
+use crate::http::{self, Answer, Request, Server};
 use crate::json::{Json, number, object, text};
 use crate::record::Record;
 
@@ -72,6 +72,7 @@
     id: Arc<Mutex<String>>,
     life: Arc<Mutex<Life>>,
     is_up: Arc<AtomicBool>,
+    server: Arc<Mutex<Option<Server>>>,
     record: Record,
 }
 
@@ -93,10 +94,12 @@
             settings,
             life: Arc::default(),
             is_up: Arc::default(),
+            server: Arc::default(),
             record: record.clone(),
         };
-        let server = runner.clone();
-        http::serve(runner.settings.app, move |request| server.handle(request))?;
+        let handler = runner.clone();
+        let server = http::serve(runner.settings.app, move |request| handler.handle(request))?;
+        *runner.server.lock().unwrap() = Some(server);
         runner.begin_life(clock_ahead_ms);
         let (ticker, reporter) = (runner.clone(), runner.clone());
         thread::spawn(move || {
@@ -150,6 +153,16 @@
         self.record.add(format!("DELETE {path} arrives from {}: {status}", self.settings.name));
     }
 
+    /// Leaves for good: all that runs ends, and connections are refused.
+    pub fn leave(&self) {
+        self.report_leaving();
+        self.crash();
+        self.record.add(format!("runner {} has ended", self.settings.name));
+        if let Some(server) = self.server.lock().unwrap().take() {
+            server.close();
+        }
+    }
+
     /// Lets the runs of a job end as failed.
     pub fn fail(&self, job: &str) {
         let mut life = self.life.lock().unwrap();
@@ -305,6 +318,9 @@
         }
         loop {
             let life = self.life.lock().unwrap();
+            if !self.is_up.load(Ordering::SeqCst) {
+                return (0, String::new());
+            }
             if !life.ended.is_empty() || Instant::now() >= until || life.born_ms != born_ms {
                 return self.lists(&life);
             }
