--- a/review/stand_in_2/cases.rs
+++ b/review/stand_in_2/cases.rs
@@ -21,6 +21,7 @@
         "early" => early(&mut deployment, trouble),
         "left" => left(&mut deployment, trouble),
         "gone" => gone(&mut deployment, trouble),
+        "waits" => waits(&mut deployment, trouble),
         "rests" => rests(&mut deployment, trouble),
         _ => Err(format!("no case {name}")),
     };
@@ -316,13 +317,17 @@
     let runner = &runners[2];
     runner.drain();
     sleep(seconds(2));
-    if !trouble {
+    if trouble {
+        deployment.record.add("its last report is sent, and held up");
+        // It ends without a confirmation, "some seconds later".
+        sleep(Duration::from_millis(1_500));
+    } else {
         runner.report_leaving();
     }
     runner.crash();
     sleep(seconds(1));
     runner.begin_life(0);
-    sleep(seconds(2));
+    sleep(Duration::from_millis(1_500));
     if trouble {
         runner.report_leaving();
     }
@@ -443,3 +448,45 @@
     // 2.8 s after the runner left.
     Ok(left.elapsed() - seconds(2) < seconds(13))
 }
+
+/// LOST: a machine is gone for good, and each change of the leader begins the wait for it anew.
+fn waits(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    start_fronts(deployment, 3)?;
+    let mut runners = Vec::new();
+    for _ in 0..3 {
+        let side = deployment.add_side();
+        deployment.start(&side)?;
+        let settings = deployment.runner_settings(&side, "a");
+        runners.push(deployment.start_runner(settings, 0)?);
+    }
+    let fronts = deployment.fronts.clone();
+    deployment.wait_working(&fronts[0], None)?;
+    let job = "3a1d000000000001";
+    let step = vec![
+        ("count", number(1)),
+        ("cpu", number(2_000)),
+        ("gpu", number(1)),
+        ("longRunning", Json::Bool(true)),
+    ];
+    deployment.submit(&fronts[0], "usual", job, "last", vec![step])?;
+    sleep(seconds(5));
+    let lost = runners.iter().position(|runner| runner.is_running(job)).ok_or("no run")?;
+    let side = deployment.sides[lost].clone();
+    deployment.kill(&side);
+    runners[lost].crash();
+    let began = Instant::now();
+    let mut kills = [6, 18, 30].into_iter().filter(|_| trouble).peekable();
+    while !runners.iter().any(|runner| runner.is_running(job)) && began.elapsed() < seconds(70) {
+        if kills.next_if(|at| began.elapsed() >= seconds(*at)).is_some() {
+            let leader = deployment.leader()?;
+            let leader = fronts.iter().find(|front| front.name == leader).ok_or("no leader")?;
+            deployment.kill(leader);
+            sleep(Duration::from_millis(500));
+            deployment.start(leader)?;
+        }
+        sleep(Duration::from_millis(50));
+    }
+    deployment.record.add(format!("the task was down for {:?}", began.elapsed()));
+    // 9.5 s of lease, and 3 s beyond the 10 s that are calm after the loss.
+    Ok(began.elapsed() < seconds(13))
+}
