--- a/review/stand_in_2/runner.rs
+++ b/review/stand_in_2/runner.rs
@@ -174,7 +174,17 @@
     }
 
     pub fn is_running(&self, job: &str) -> bool {
-        self.life.lock().unwrap().running.keys().any(|task| task.starts_with(job))
+        self.running(job) > 0
+    }
+
+    /// Returns the number of tasks of a job that run here.
+    pub fn running(&self, job: &str) -> u64 {
+        let life = self.life.lock().unwrap();
+        life.running.keys().filter(|task| task.starts_with(job)).count() as u64
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.is_up.load(Ordering::SeqCst)
     }
 
     fn report_forever(&self) {
