Show a result only once it is stored

Every other report of a result waits for its transaction.

Related paths: the removal of a finished job was reported before its rows were removed, so a front read its row and showed it as pending; the log said over before that was stored. Both wait for the transaction now.

--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -12,6 +12,7 @@
 mod slow_takeover;
 mod submissions;
 mod transaction_retry;
+mod undurable_result;
 mod unreachable_worker;
 mod worker;
 
@@ -113,12 +114,24 @@
 }
 
 fn member(name: &str, address: SocketAddr, seeds: &[SocketAddr], store: &MemoryRowStore) -> Member {
+    member_with_fault(name, address, seeds, store, StoreFault::None)
+}
+
+/// Starts a coordinator whose client of the store has a fault from the beginning.
+fn member_with_fault(
+    name: &str,
+    address: SocketAddr,
+    seeds: &[SocketAddr],
+    store: &MemoryRowStore,
+    fault: StoreFault,
+) -> Member {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(1)
         .enable_all()
         .build()
         .expect("a runtime can be built");
     let store = store.new_client();
+    store.set_fault(fault);
     let settings = CoordinatorSettings {
         worker_lease_ms: MAX_WORKER_LEASE_MS,
         process: ProcessId::from(name),
--- a/src/planner/end.rs
+++ b/src/planner/end.rs
@@ -248,7 +248,7 @@
             queue,
             progress: Some(JobProgress::Finished(result)),
         });
-        out.push(Output::Decision {
+        self.effects.push(Output::Decision {
             job: id.clone(),
             attempt: None,
             what: Decision::Finished,
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -69,6 +69,15 @@
     pub takeover_lease_expiry_ms: u64,
 }
 
+/// Removal of the records of a job that is no longer kept.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Removal {
+    /// Number below which records of occurrences remain; 0 once the removal of the last ones is being written.
+    occurrences: u32,
+    queue: String,
+    result: JobResult,
+}
+
 /// Planner of a deployment: the state of all jobs and workers, and the changes that are not durable yet.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Planner {
@@ -78,8 +87,8 @@
     workers: BTreeMap<WorkerId, Worker>,
     /// Occurrences whose durable records have to be written again.
     changed: BTreeSet<(JobId, u32)>,
-    /// Jobs whose records have to be removed, with the number below which those of occurrences remain.
-    forgotten: BTreeMap<JobId, u32>,
+    /// Jobs whose records have to be removed.
+    forgotten: BTreeMap<JobId, Removal>,
     /// Jobs that are no longer kept, with the time at which each was accepted and the steady time of its removal. A list
     /// of the stored jobs from before the removal may still contain them.
     #[serde(default)]
@@ -132,6 +141,7 @@
             }
             if let Some((result, ended_wall_ms)) = stored.job_result {
                 (state.result, state.ended_wall_ms) = (Some(result), ended_wall_ms);
+                state.is_result_durable = true;
             }
             let mut occurrence = Occurrence { done: stored.done, ..Occurrence::default() };
             let failed_attempts = stored.failed_attempts.into_iter().chain(std::iter::repeat(0));
@@ -194,6 +204,7 @@
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             result: None,
+            is_result_durable: false,
             ended_wall_ms: 0,
             started: false,
             is_held: false,
@@ -227,7 +238,7 @@
                 }
             }
             Input::Runs(report) => self.attempts_reported(now, report, &mut out),
-            Input::Tick => self.remove_expired_jobs(now, &mut out),
+            Input::Tick => self.remove_expired_jobs(now),
         }
         self.expire_leases(now, &mut out);
         // The most frequent event, a list of attempts without changes, frees no capacity. Waiting times are checked at
@@ -293,15 +304,19 @@
             }
         }
         if batch.changes.is_empty()
-            && let Some((job, occurrences)) = self.forgotten.pop_first()
+            && let Some((job, removal)) =
+                self.forgotten.iter_mut().find(|(_, removal)| removal.occurrences > 0)
         {
             // The rows of the job and of its result are removed last, so that a new leader repeats an interrupted removal.
-            let first = occurrences.saturating_sub(MAX_REMOVED_OCCURRENCES);
+            let first = removal.occurrences.saturating_sub(MAX_REMOVED_OCCURRENCES);
+            let occurrences = first..std::mem::replace(&mut removal.occurrences, first);
             let is_complete = first == 0;
-            if !is_complete {
-                self.forgotten.insert(job.clone(), first);
+            let job = job.clone();
+            if is_complete {
+                // A client that asks for a job which is in no coordinator's view reads its row, as that of a pending job.
+                let queue = removal.queue.clone();
+                self.effects.push(Output::Progress { job: job.clone(), queue, progress: None });
             }
-            let occurrences = first..occurrences;
             batch.changes.push(RecordChange::Remove { job, occurrences, is_complete });
         }
         if self.changed.is_empty() {
@@ -318,6 +333,18 @@
                 Output::Order(WorkerOrder::Start(order)) => {
                     self.release_start(now, order, &mut out);
                 }
+                Output::Progress { job, queue, progress } => {
+                    match (progress, self.jobs.get_mut(&job)) {
+                        (Some(JobProgress::Finished(_)), Some(state)) => {
+                            state.is_result_durable = true;
+                        }
+                        (None, _) => {
+                            self.forgotten.remove(&job);
+                        }
+                        _ => {}
+                    }
+                    out.push(Output::Progress { job, queue, progress });
+                }
                 other => out.push(other),
             }
         }
@@ -363,9 +390,16 @@
         task.placement.as_mut().filter(|placement| placement.attempt == attempt)
     }
 
-    /// Returns the id, queue and progress of each job.
+    /// Returns the id, queue and progress of each job that the store holds.
     pub fn progress(&self) -> impl Iterator<Item = (&JobId, &str, JobProgress)> + use<'_> {
-        self.jobs.iter().map(|(job, state)| (job, state.record.queue.as_str(), state.progress()))
+        let kept = self
+            .jobs
+            .iter()
+            .map(|(job, state)| (job, state.record.queue.as_str(), state.progress()));
+        let in_removal = self.forgotten.iter().map(|(job, removal)| {
+            (job, removal.queue.as_str(), JobProgress::Finished(removal.result))
+        });
+        kept.chain(in_removal)
     }
 
     /// Returns the number of jobs, of tasks on workers, and of connected workers.
@@ -375,7 +409,7 @@
         (self.jobs.len(), placed, connected)
     }
 
-    fn remove_expired_jobs(&mut self, now: PlannerTime, out: &mut Vec<Output>) {
+    fn remove_expired_jobs(&mut self, now: PlannerTime) {
         let forgotten = &self.forgotten;
         self.removed.retain(|job, (_, removed_ms)| {
             forgotten.contains_key(job) || now.steady_ms < *removed_ms + REMOVED_JOB_RETENTION_MS
@@ -384,7 +418,7 @@
             .jobs
             .iter()
             .filter(|(_, job)| {
-                job.result.is_some()
+                job.is_result_durable
                     && now.wall_ms >= job.ended_wall_ms.saturating_add(ENDED_JOB_RETENTION_MS)
             })
             .filter(|(_, job)| {
@@ -396,10 +430,12 @@
             let Some(job) = self.jobs.remove(&id) else {
                 continue;
             };
+            let Some(result) = job.result else {
+                continue;
+            };
             let occurrences = job.record.spec.occurrences();
             self.removed.insert(id.clone(), (job.record.accepted_ms, now.steady_ms));
-            out.push(Output::Progress { job: id.clone(), queue: job.record.queue, progress: None });
-            self.forgotten.insert(id, occurrences);
+            self.forgotten.insert(id, Removal { occurrences, queue: job.record.queue, result });
         }
     }
 }
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -102,6 +102,9 @@
     #[serde(default)]
     pub next_occurrence: u32,
     pub result: Option<JobResult>,
+    /// The store holds the result.
+    #[serde(default)]
+    pub is_result_durable: bool,
     /// Time at which the job finished, in milliseconds since 1970.
     pub ended_wall_ms: u64,
     pub started: bool,
@@ -110,11 +113,13 @@
 }
 
 impl Job {
+    /// Returns the progress as clients may see it. A result counts only once it is durable: after a loss of power the next
+    /// leader knows nothing of any other one, and the tasks run again.
     pub fn progress(&self) -> JobProgress {
         match self.result {
-            Some(result) => JobProgress::Finished(result),
-            None if self.started => JobProgress::Running,
-            None => JobProgress::Pending,
+            Some(result) if self.is_result_durable => JobProgress::Finished(result),
+            _ if self.started => JobProgress::Running,
+            _ => JobProgress::Pending,
         }
     }
 
--- a/src/planner/tests/takeover.rs
+++ b/src/planner/tests/takeover.rs
@@ -231,3 +231,50 @@
     assert_eq!(world.record(&task("j", 0, 0)).failures, 1);
     assert_eq!(world.placements("j").len(), 2);
 }
+
+fn shown_progress(world: &World, job: &str) -> Option<JobProgress> {
+    let shown =
+        |(shown, _, progress): (&JobId, &str, JobProgress)| (*shown == id(job)).then_some(progress);
+    world.planner.progress().find_map(shown)
+}
+
+/// Guards against a snapshot for a coordinator that connects during an outage of the store, which shows a job as finished
+/// although a loss of power would undo that (review case 6).
+#[test]
+fn job_is_not_shown_as_finished_before_its_result_is_durable() {
+    for end in [AttemptEnd::Done, AttemptEnd::Failed] {
+        let mut world = World::new(1);
+        world.submit("j", JobRecord { attempts: 1, ..job(1, vec![step(1, 1)]) });
+        world.is_store_unavailable = true;
+
+        world.end(&task("j", 0, 0), end);
+        assert_eq!(shown_progress(&world, "j"), Some(JobProgress::Running));
+
+        world.is_store_unavailable = false;
+        world.flush();
+        let Some(JobProgress::Finished(result)) = shown_progress(&world, "j") else {
+            panic!("the result is stored but not shown");
+        };
+        world.take_over();
+        assert_eq!(shown_progress(&world, "j"), Some(JobProgress::Finished(result)));
+    }
+}
+
+/// Guards against a finished job that is shown as pending because it left the view of a coordinator while the store still
+/// held its row.
+#[test]
+fn finished_job_is_shown_until_the_removal_of_its_rows_is_durable() {
+    let mut world = World::new(1);
+    world.submit("j", job(1, vec![step(1, 1)]));
+    world.end(&task("j", 0, 0), AttemptEnd::Done);
+    world.is_store_unavailable = true;
+
+    world.advance(ENDED_JOB_RETENTION_MS + 1_000);
+    assert_eq!(shown_progress(&world, "j"), Some(JobProgress::Finished(JobResult::Done)));
+    assert!(world.progress.contains_key(&id("j")));
+
+    world.is_store_unavailable = false;
+    world.flush();
+    assert_eq!(shown_progress(&world, "j"), None);
+    assert!(!world.progress.contains_key(&id("j")));
+}
