Do not replace a leader that was elected a moment earlier

What was seen: slow_read_of_stored_jobs_does_not_let_others_take_over failed with epoch 3 in 17 of 20 runs alone on (x86-64, release build), and once in a run of the whole library.

Cause: a candidate that had observed no leadership claimed it whatever the store held. Coordinators that start at the same time all find no leader, and each replaces the one that was elected some milliseconds before, once for each coordinator.

Change: such a candidate takes note of the stored leader and waits for its silence like any follower, unless that leader was an earlier incarnation of its own process, which has lost its leadership.

--- a/src/coordinator/takeover.rs
+++ b/src/coordinator/takeover.rs
@@ -91,8 +91,9 @@
     }
 }
 
-/// Makes `candidate` the leader, unless the stored leadership is newer than `last_leadership`, the newest one that the
-/// candidate has observed.
+/// Makes `candidate` the leader, unless another process holds a leadership that is newer than `last_leadership`, the newest
+/// one that the candidate has observed. A candidate that has observed none cannot tell whether that leader is alive, unless
+/// the leader was an earlier incarnation of its own process.
 ///
 /// # Errors
 ///
@@ -118,7 +119,7 @@
     if let Some(head) = &current
         && current_epoch > known_epoch
         && head.incarnation != *incarnation
-        && last_leadership.is_some()
+        && (last_leadership.is_some() || head.leadership.leader != *process)
     {
         return Err(TakeoverError::Lost(Some(head.leadership.clone())));
     }
