Divide the state of a large job over rows, and lead on after a refused transaction

Cause: the states of all tasks were in one row, which the store refused as larger than rowBytes. The leader took that for the loss of its leadership; each next one wrote the same row, about twice a second.

Related paths: a job whose own row is too large was answered with 503 each time (now 413 at once); a list of attempts with more than 2 MiB was dropped by the host each time, so the lease was never renewed (now without the longest checkpoints); the removal of occurrences counts the rows of their parts.

Why this works: a part of 64 tasks has at most 40 KiB, whatever the length of the checkpoints, and the parts that change together fit into one transaction. A transaction that is refused all the same is divided, and the one job that causes the refusal is withheld until the store accepts its state.

Checks: batches_have_a_limited_size now states the platform's limits (base64 below 1 MB, 100 entries) instead of the planner's own sum. The store in memory refuses rows and transactions beyond the platform's limits. The simulated store of the planner's tests checks that the attempt of a start is durable, not only that a row exists.

--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -6,22 +6,23 @@
 
 use tokio::task::JoinHandle;
 
+use super::CANCEL_SUFFIX;
 use super::actor::Coordinator;
 use super::event::{Event, EventSender};
 use super::job_rows::{cancel_key, job_key};
 use super::message::{AcceptorMessage, JobUpdate, LeaderMessage, PeerMessage};
+use super::progress_rows::progress_key;
 use super::rejection::{is_rejection, remove_later};
 use super::relay::RelayingStore;
 use super::store_watch::watch_jobs;
 use super::takeover::{Head, Takeover, head_key};
 use super::transaction_retry::{TransactionOutcome, transact_with_retries};
-use super::{CANCEL_SUFFIX, PROGRESS_TABLE};
 use crate::admission::LoadSummary;
 use crate::election::Leadership;
 use crate::planner::{Batch, Input, JobProgress, Output, Planner, PlannerTime, RecordChange};
 use crate::prelude::*;
 use crate::process::Metrics;
-use crate::store::{RowChange, RowError, RowKey, RowStore, Transaction};
+use crate::store::{RowChange, RowError, RowStore, Transaction};
 use crate::wire::LinkSender;
 use crate::workflow::{self, JobRecord, JobResult, WorkerIncarnation};
 
@@ -38,8 +39,8 @@
     head: Head,
     head_version: u64,
     planner: Planner,
-    /// The outputs that are released once the transaction in progress is durable; `None` if none is in progress.
-    pending_effects: Option<Vec<Output>>,
+    /// The batch whose transaction is in progress.
+    pending_batch: Option<Batch>,
     commit: Option<JoinHandle<()>>,
     jobs_watch: JoinHandle<()>,
     hosts: HashMap<WorkerId, (u64, LinkSender<AcceptorMessage>)>,
@@ -208,6 +209,9 @@
             if job.has_damaged_state {
                 planner.hold(&job.id);
             }
+            for occurrence in job.undivided_occurrences {
+                planner.rewrite(&job.id, occurrence);
+            }
         }
         for (key, version) in takeover.rejections {
             tokio::spawn(remove_later(self.store().clone(), key, version));
@@ -218,7 +222,7 @@
             head: takeover.claim.head,
             head_version: takeover.claim.head_version,
             planner,
-            pending_effects: None,
+            pending_batch: None,
             commit: None,
             jobs_watch: tokio::spawn(watch),
             hosts: HashMap::new(),
@@ -292,7 +296,7 @@
             let Some(leader_state) = &mut self.leader_state else {
                 return;
             };
-            if leader_state.pending_effects.is_some() {
+            if leader_state.pending_batch.is_some() {
                 return;
             }
             let Some(batch) = leader_state.planner.take_batch() else {
@@ -323,7 +327,15 @@
             add_change(&mut transaction, change);
         }
         leader_state.commit_began_ms = self.service.clock.now_ms();
-        leader_state.pending_effects = Some(batch.effects);
+        if batch.omitted_checkpoints > 0 {
+            self.service.metrics.count("checkpoint", "not_stored");
+            log::warn!(
+                epoch = leader_state.epoch().0, sequence = leader_state.head.sequence,
+                checkpoints = batch.omitted_checkpoints;
+                "checkpoints do not fit into the rows of their tasks and are kept in memory only"
+            );
+        }
+        leader_state.pending_batch = Some(batch);
         let (head, epoch) = (leader_state.head.clone(), leader_state.epoch());
         leader_state.commit = Some(tokio::spawn(commit(store, transaction, head, epoch, events)));
     }
@@ -340,12 +352,13 @@
                 leader_state.head_version = version;
                 let took_ms = now.steady_ms.saturating_sub(leader_state.commit_began_ms);
                 self.service.metrics.observe("commit_seconds", took_ms);
-                let effects = leader_state.pending_effects.take().unwrap_or_default();
-                let outputs = leader_state.planner.release(now, effects);
+                let batch = leader_state.pending_batch.take().unwrap_or_default();
+                let outputs = leader_state.planner.release(now, batch.effects);
                 self.election.store_answered(now.steady_ms);
                 self.handle_outputs(outputs);
                 self.flush();
             }
+            Err(RowError::Refused { reason }) => self.on_commit_refused(now, &reason),
             Err(error) => {
                 log::warn!(
                     epoch = epoch.0;
@@ -356,6 +369,31 @@
         }
     }
 
+    /// Handles a transaction that the store refuses for its content, such as a row that is too large. No other leader could
+    /// apply it either, so this one goes on without the changes that are refused.
+    fn on_commit_refused(&mut self, now: PlannerTime, reason: &str) {
+        let Some(leader_state) = &mut self.leader_state else {
+            return;
+        };
+        let batch = leader_state.pending_batch.take().unwrap_or_default();
+        let changes = batch.changes.len();
+        let (withheld, outputs) = leader_state.planner.take_back_refused(now, batch);
+        let epoch = leader_state.epoch().0;
+        self.service.metrics.count("commit", "refused");
+        match withheld {
+            Some(job) => log::error!(
+                job = job.as_str(), epoch, reason;
+                "the store refuses the state of a job; the job starts nothing, and its result is not shown until the store accepts it"
+            ),
+            None => log::warn!(
+                epoch, changes, reason;
+                "the store refused a transaction of the leader; its changes are written one by one"
+            ),
+        }
+        self.handle_outputs(outputs);
+        self.flush();
+    }
+
     /// Passes stored jobs and cancellations to the planner. Changes from the watch of another epoch are ignored.
     pub(super) fn on_jobs_changed(&mut self, epoch: Epoch, changes: &[RowChange]) {
         if self.leader_state.as_ref().is_some_and(|leader_state| leader_state.epoch() == epoch) {
@@ -406,17 +444,20 @@
 
 fn add_change(transaction: &mut Transaction, change: &RecordChange) {
     match change {
-        RecordChange::Occurrence { job, occurrence, record } => {
-            let key = RowKey::new(PROGRESS_TABLE, &format!("{job}.{occurrence}"));
-            transaction.puts.push((key, record.encode()));
+        RecordChange::Occurrence { job, occurrence, part, record, obsolete_parts } => {
+            transaction.puts.push((progress_key(job, *occurrence, *part), record.encode()));
+            let obsolete = obsolete_parts.clone().map(|part| progress_key(job, *occurrence, part));
+            transaction.removals.extend(obsolete);
         }
-        RecordChange::Remove { job, occurrences, is_complete } => {
+        RecordChange::Remove { job, occurrences, parts, is_complete } => {
             if *is_complete {
                 transaction.removals.push(job_key(job.as_str()));
                 transaction.removals.push(cancel_key(job.as_str()));
             }
-            let key = |occurrence| RowKey::new(PROGRESS_TABLE, &format!("{job}.{occurrence}"));
-            transaction.removals.extend(occurrences.clone().map(key));
+            for occurrence in occurrences.clone() {
+                let keys = (0..*parts).map(|part| progress_key(job, occurrence, part));
+                transaction.removals.extend(keys);
+            }
         }
     }
 }
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -15,6 +15,7 @@
 pub mod message;
 mod pause;
 mod peers;
+mod progress_rows;
 mod register;
 mod rejection;
 mod relay;
@@ -34,7 +35,8 @@
 pub use register::list_registered;
 pub use service::{Cancellation, Service, Submission};
 pub use settings::{
-    CoordinatorSettings, MAX_WORKER_LEASE_MS, MIN_WORKER_LEASE_MS, worker_lease_ms,
+    CoordinatorSettings, DEFAULT_ROW_LIMIT_BYTES, MAX_WORKER_LEASE_MS, MIN_ROW_LIMIT_BYTES,
+    MIN_WORKER_LEASE_MS, worker_lease_ms,
 };
 pub use store_watch::{DirectiveChange, DirectiveSource};
 pub use view::JobView;
@@ -115,6 +117,7 @@
         metrics,
         readiness: Readiness::default(),
         events: events.clone(),
+        row_limit_bytes: settings.row_limit_bytes,
     };
     let settings = Arc::new(settings);
     let links = settings.links();
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -32,6 +32,11 @@
     Accepted,
     /// A different job is stored under this identifier.
     DifferentJob,
+    /// The job is larger than the store allows, so it can never be stored.
+    TooLarge {
+        /// The reason, for the client.
+        reason: String,
+    },
     /// The job is not stored, and this request cannot store it later.
     NotAccepted,
     /// The job may be stored already, or may still be.
@@ -111,6 +116,7 @@
     pub(super) metrics: Metrics,
     pub(super) readiness: Readiness,
     pub(super) events: EventSender,
+    pub(super) row_limit_bytes: usize,
 }
 
 impl<S> Service<S>
@@ -168,7 +174,14 @@
         record: &JobRecord,
         limit: Duration,
     ) -> (Submission, String) {
-        let (transaction, result) = self.write_job_row(job, workflow::encode(record), limit).await;
+        let content = workflow::encode(record);
+        if content.len() > self.row_limit_bytes {
+            let (bytes, limit) = (content.len(), self.row_limit_bytes);
+            return too_large(format!(
+                "the job takes {bytes} bytes in the store, which allows {limit}"
+            ));
+        }
+        let (transaction, result) = self.write_job_row(job, content, limit).await;
         match result {
             TransactionOutcome::Applied(version) => {
                 self.report_durable_rows(&transaction, version);
@@ -177,6 +190,9 @@
             TransactionOutcome::Conflict(current) => {
                 (compare_with_stored(&current, record), "the job is stored already".to_owned())
             }
+            TransactionOutcome::NotApplied(error @ RowError::Refused { .. }) => {
+                too_large(error.to_string())
+            }
             TransactionOutcome::NotApplied(error) => (Submission::NotAccepted, error.to_string()),
             TransactionOutcome::Unknown(reason) => (Submission::Unknown, reason),
         }
@@ -343,9 +359,14 @@
     }
 }
 
+fn too_large(reason: String) -> (Submission, String) {
+    (Submission::TooLarge { reason: reason.clone() }, reason)
+}
+
 fn outcome_name(outcome: &Submission) -> &'static str {
     match outcome {
         Submission::Accepted => "accepted",
+        Submission::TooLarge { .. } => "too_large",
         Submission::DifferentJob => "different_job",
         Submission::NotAccepted => "not_accepted",
         Submission::Unknown => "unknown",
--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -6,6 +6,7 @@
 use crate::planner::PlannerSettings;
 use crate::prelude::*;
 use crate::wire::{FrameKey, LinkSettings};
+use crate::workflow::MAX_PART_BYTES;
 
 /// The longest lease of a worker after a renewal by the leader, and the lease if workers set no limit. It is longer than
 /// the restart of an agent (about 4 s) and most partitions.
@@ -20,6 +21,10 @@
 /// The longest time until a replaced leader that the store answers observes its replacement: the wait of a watch of the
 /// leadership plus the time-out of the watch.
 const REPLACEMENT_NOTICE_MS: u64 = 2_000;
+/// The maximum size of a row in bytes if the settings do not state it.
+pub const DEFAULT_ROW_LIMIT_BYTES: usize = 65_536;
+/// The smallest limit of rows that the coordinators accept: that of a job whose payload has the maximum size, 4,000 bytes.
+pub const MIN_ROW_LIMIT_BYTES: usize = 8_192;
 /// The silence after which a connection between processes counts as lost.
 const LINK_IDLE_MS: u64 = 1_500;
 
@@ -36,6 +41,8 @@
     pub frame_key: [u8; 32],
     /// The duration of a worker's lease after a renewal by the leader, in milliseconds.
     pub worker_lease_ms: u64,
+    /// The maximum size of a row of the store in bytes.
+    pub row_limit_bytes: usize,
 }
 
 /// Returns the duration of a worker's lease if workers shorten longer leases to `limit_ms`. A leader that counts on a
@@ -58,6 +65,8 @@
             takeover_lease_expiry_ms: lease_expiry_ms
                 + MAX_RENEWAL_STORE_AGE_MS
                 + REPLACEMENT_NOTICE_MS,
+            // The limit holds whether the store counts the bytes of a row or their base64 text.
+            record_limit_bytes: MAX_PART_BYTES.min(self.row_limit_bytes / 4 * 3),
         }
     }
 
--- a/src/coordinator/takeover.rs
+++ b/src/coordinator/takeover.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeMap;
 
 use super::job_rows::JobListing;
+use super::progress_rows::ProgressKey;
 use super::rejection::is_rejection;
 use super::relay::RelayingStore;
 use super::{CANCEL_SUFFIX, HEAD_KEY, HEAD_TABLE, LEAD_TABLE, LEADER_KEY, PROGRESS_TABLE};
 use crate::election::Leadership;
 use crate::prelude::*;
 use crate::store::{RowError, RowKey, RowResult, RowStore, Transaction};
-use crate::workflow::{self, JobRecord, OccurrenceRecord};
+use crate::workflow::{self, JobRecord, OccurrenceRecord, StoredParts};
 
 /// A coordinator that claims the leadership.
 #[derive(Clone, Debug)]
@@ -52,6 +53,15 @@
     pub is_cancelled: bool,
     /// Whether the state of an occurrence cannot be read.
     pub has_damaged_state: bool,
+    /// The numbers of the occurrences whose whole state an earlier version wrote into one row.
+    pub undivided_occurrences: Vec<u32>,
+}
+
+impl StoredJob {
+    fn hold(&mut self, problem: &str, key: &str) {
+        self.has_damaged_state = true;
+        log::error!(key; "stored state of an occurrence {problem}; the job starts no more tasks");
+    }
 }
 
 /// A leadership that is durable. From then on no transaction of an earlier leader is applied.
@@ -181,6 +191,7 @@
                     occurrences: Vec::new(),
                     is_cancelled: false,
                     has_damaged_state: false,
+                    undivided_occurrences: Vec::new(),
                 };
                 jobs.insert(row.key.key.clone(), job);
             }
@@ -198,21 +209,33 @@
             job.is_cancelled = true;
         }
     }
+    let mut parts: BTreeMap<(&str, u32), StoredParts> = BTreeMap::new();
     for row in &progress.rows {
-        let Some((id, occurrence)) = row.key.key.rsplit_once('.') else {
+        let Some(key) = ProgressKey::decode(&row.key.key) else {
             continue;
         };
-        let record = OccurrenceRecord::decode(&row.content);
-        match (jobs.get_mut(id), occurrence.parse(), record) {
-            (Some(job), Ok(occurrence), Ok(record)) => job.occurrences.push((occurrence, record)),
-            (None, ..) => {}
-            (Some(job), ..) => {
-                job.has_damaged_state = true;
-                log::error!(
-                    key = row.key.key.as_str();
-                    "stored state of an occurrence cannot be decoded; the job starts no more tasks"
-                );
+        let Some(job) = jobs.get_mut(key.job) else {
+            continue;
+        };
+        match (key.numbers, OccurrenceRecord::decode(&row.content)) {
+            (Some((occurrence, part)), Ok(record)) => {
+                parts.entry((key.job, occurrence)).or_default().insert(part, record);
+            }
+            _ => job.hold("cannot be decoded", &row.key.key),
+        }
+    }
+    for ((id, occurrence), parts) in parts {
+        let Some(job) = jobs.get_mut(id) else {
+            continue;
+        };
+        match parts.assemble(job.record.spec.tasks_per_occurrence()) {
+            Some(assembled) => {
+                job.occurrences.push((occurrence, assembled.record));
+                if assembled.is_in_one_part {
+                    job.undivided_occurrences.push(occurrence);
+                }
             }
+            None => job.hold("does not match the job", &format!("{id}.{occurrence}")),
         }
     }
     let mut jobs: Vec<StoredJob> = jobs.into_values().collect();
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -9,6 +9,7 @@
 mod rejection;
 mod replaced_coordinators;
 mod restarted_worker;
+mod row_limits;
 mod slow_takeover;
 mod submissions;
 mod transaction_retry;
@@ -134,6 +135,7 @@
     store.set_fault(fault);
     let settings = CoordinatorSettings {
         worker_lease_ms: MAX_WORKER_LEASE_MS,
+        row_limit_bytes: DEFAULT_ROW_LIMIT_BYTES,
         process: ProcessId::from(name),
         inner_address: address,
         seeds: seeds.to_vec(),
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -18,7 +18,7 @@
 use crate::planner::{AttemptsReport, StartOrder, StartRefusal, WorkerEvent, WorkerOrder};
 use crate::prelude::*;
 use crate::process::{BoottimeClock, InboxActor, Metrics};
-use crate::wire::LinkSender;
+use crate::wire::{LinkSender, MAX_FRAME_BYTES};
 use crate::workflow::{TaskId, WorkerIncarnation};
 
 /// The pause before a failed renewal is repeated.
@@ -32,6 +32,8 @@
 const UNACKNOWLEDGED_PAUSE_MS: u64 = 250;
 /// The number of refused connections in a row from which on the pause is [`REFUSED_RETRY_PAUSE_MS`].
 const FREQUENT_REFUSED_RETRIES: u32 = 5;
+/// The maximum length of all checkpoints in a list to the leader, in bytes; half of a frame.
+const MAX_LISTED_CHECKPOINT_BYTES: usize = MAX_FRAME_BYTES / 2;
 /// The time without a renewal by the leader after which the host connects to another coordinator.
 const RENEWAL_TIMEOUT_MS: u64 = 5_000;
 
@@ -377,13 +379,21 @@
         let is_first = self.lease.renewed_ms().is_none();
         self.last_ended = self.last_ended.max(last_ended);
         if self.leader.as_ref().is_some_and(|leader| leader.epoch == pending.epoch) {
-            let report = AttemptsReport {
+            let mut report = AttemptsReport {
                 incarnation,
                 running: answer.running,
                 ended: answer.ended,
                 starting: pending.starting.into_iter().collect(),
                 stopped: pending.stopped.into_iter().collect(),
             };
+            let omitted = report.limit_checkpoints(MAX_LISTED_CHECKPOINT_BYTES);
+            if omitted > 0 {
+                self.metrics.count("checkpoint", "not_listed");
+                log::warn!(
+                    checkpoints = omitted, attempts = report.running.len();
+                    "checkpoints are too long for the list to the leader and are left out"
+                );
+            }
             self.send_to_leader(HostMessage::Runs { asked_ms: now_ms, report });
         }
         if has_unacknowledged || is_first {
--- a/src/planner/end.rs
+++ b/src/planner/end.rs
@@ -67,6 +67,7 @@
         if let Some(worker) = self.workers.get_mut(&incarnation.worker) {
             worker.placed.remove(task);
         }
+        self.mark_changed(task);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -74,7 +75,6 @@
             return;
         };
         state.placement = None;
-        self.changed.insert((task.job.clone(), task.occurrence));
         if state.record.phase == TaskPhase::Done {
             self.clear_finished_occurrence(task);
             return;
@@ -109,6 +109,7 @@
             worker.failed_jobs.clear();
             worker.backoff_ms = 0;
         }
+        self.mark_gang_changed(task);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -124,6 +125,7 @@
             return;
         }
         occurrence.done = true;
+        self.mark_part_changed(&task.job, task.occurrence, 0);
         self.clear_finished_occurrence(task);
         let job = &self.jobs[&task.job];
         let expected = job.record.spec.occurrences() as usize;
@@ -142,6 +144,7 @@
         out: &mut Vec<Output>,
     ) {
         self.record_worker_failure(now, task, incarnation);
+        self.mark_gang_changed(task);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -242,12 +245,14 @@
         job.ended_wall_ms = now.wall_ms;
         let queue = job.record.queue.clone();
         let running = if result == JobResult::Done { Vec::new() } else { placed_tasks(id, job) };
-        self.changed.insert((id.clone(), 0));
-        self.effects.push(Output::Progress {
-            job: id.clone(),
-            queue,
-            progress: Some(JobProgress::Finished(result)),
-        });
+        self.mark_part_changed(id, 0, 0);
+        if !self.jobs[id].is_withheld {
+            self.effects.push(Output::Progress {
+                job: id.clone(),
+                queue,
+                progress: Some(JobProgress::Finished(result)),
+            });
+        }
         self.effects.push(Output::Decision {
             job: id.clone(),
             attempt: None,
@@ -280,7 +285,7 @@
         let is_free = occurrence.tasks.iter().all(|task| task.placement.is_none());
         if is_free && (is_finished || occurrence.done) && !occurrence.tasks.is_empty() {
             occurrence.tasks.clear();
-            self.changed.insert((task.job.clone(), task.occurrence));
+            self.mark_part_changed(&task.job, task.occurrence, 0);
         }
     }
 }
--- a/src/planner/incarnation.rs
+++ b/src/planner/incarnation.rs
@@ -158,7 +158,7 @@
             && !state.is_done()
         {
             state.record.phase = TaskPhase::Placed(incarnation.clone());
-            self.changed.insert((task.job.clone(), task.occurrence));
+            self.mark_changed(task);
         }
     }
 }
--- a/src/planner/message.rs
+++ b/src/planner/message.rs
@@ -121,6 +121,31 @@
 const MAX_LISTED_ENDS: usize = 500;
 
 impl AttemptsReport {
+    /// Removes checkpoints, the longest first, until all together have at most `limit_bytes`. Returns how many were
+    /// removed. A list that exceeds a frame of the connection to the leader would never arrive, and the worker's lease
+    /// would never be renewed.
+    pub fn limit_checkpoints(&mut self, limit_bytes: usize) -> usize {
+        let running = self.running.iter_mut().map(|entry| &mut entry.checkpoint);
+        let ended = self.ended.iter_mut().map(|end| &mut end.checkpoint);
+        let mut checkpoints: Vec<&mut Option<String>> =
+            running.chain(ended).filter(|checkpoint| checkpoint.is_some()).collect();
+        let length = |checkpoint: &Option<String>| checkpoint.as_ref().map_or(0, String::len);
+        let mut bytes: usize = checkpoints.iter().map(|checkpoint| length(checkpoint)).sum();
+        if bytes <= limit_bytes {
+            return 0;
+        }
+        checkpoints.sort_unstable_by_key(|checkpoint| length(checkpoint));
+        let mut removed = 0;
+        while bytes > limit_bytes
+            && let Some(checkpoint) = checkpoints.pop()
+        {
+            bytes -= length(checkpoint);
+            *checkpoint = None;
+            removed += 1;
+        }
+        removed
+    }
+
     /// Returns whether ends may be missing in the list. Attempts that it does not contain may then have ended, as done
     /// for example.
     pub fn may_lack_ends(&self) -> bool {
@@ -311,14 +336,18 @@
 /// Change of the durable records of a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RecordChange {
-    /// Write the record of an occurrence of a job.
+    /// Write the record of one part of an occurrence of a job.
     Occurrence {
         /// Id of the job.
         job: JobId,
         /// Number of the occurrence.
         occurrence: u32,
-        /// State of the occurrence.
+        /// Number of the part.
+        part: u16,
+        /// State of the tasks in the part.
         record: Box<OccurrenceRecord>,
+        /// Other parts, which are no longer needed and have to be removed.
+        obsolete_parts: std::ops::Range<u16>,
     },
     /// Remove records of a job that is no longer kept.
     Remove {
@@ -326,11 +355,22 @@
         job: JobId,
         /// Numbers of occurrences that may have a record.
         occurrences: std::ops::Range<u32>,
+        /// Number of parts of each occurrence.
+        parts: u16,
         /// Remove the record of the job too, since no other occurrences are left.
         is_complete: bool,
     },
 }
 
+impl RecordChange {
+    /// Returns the job whose records change.
+    pub fn job(&self) -> &JobId {
+        match self {
+            Self::Occurrence { job, .. } | Self::Remove { job, .. } => job,
+        }
+    }
+}
+
 /// Changes that have to be durable before their effects are released.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
@@ -338,4 +378,6 @@
     pub changes: Vec<RecordChange>,
     /// Effects to pass to [`super::Planner::release`] once the changes are durable.
     pub effects: Vec<Output>,
+    /// Number of checkpoints that are too long to be stored.
+    pub omitted_checkpoints: usize,
 }
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -22,6 +22,7 @@
 mod straggler;
 #[cfg(test)]
 mod tests;
+mod writes;
 
 pub use message::{
     AttemptEnd, AttemptsReport, Batch, Decision, EndedAttempt, Input, JobProgress, Output,
@@ -38,13 +39,6 @@
 use crate::workflow::{JobRecord, JobResult, OccurrenceRecord, StepSpec, TaskId, TaskPhase};
 use state::{Job, Occurrence, Placement, StartPhase, Task, Worker};
 
-/// Maximum number of records in one batch. The platform allows at most 100 entries per transaction.
-const MAX_BATCH_CHANGES: usize = 80;
-/// Size of the records in one batch, in bytes, from which on no more are added. The platform allows at most 1 MB per
-/// transaction, in which a record takes a third more than its size, and the last one may have 64 KiB.
-const MAX_BATCH_BYTES: usize = 500_000;
-/// Maximum number of occurrences whose records one batch removes.
-const MAX_REMOVED_OCCURRENCES: u32 = 80;
 /// Time for which the state of a finished job is kept. Clients may query it for 120 s.
 const ENDED_JOB_RETENTION_MS: u64 = 150_000;
 
@@ -57,7 +51,7 @@
 /// rack together: free workers may not have reported to it yet.
 const SETTLE_MS: u64 = 800;
 
-/// Lease times of the planner.
+/// Lease times and limits of the planner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannerSettings {
     /// Time without contact after which all attempts of a worker are guaranteed to have ended.
@@ -67,6 +61,8 @@
     /// leases for a while.
     #[serde(rename = "takeover_lease_over_ms")]
     pub takeover_lease_expiry_ms: u64,
+    /// Maximum size of a record in bytes, so that it fits into a row of the store.
+    pub record_limit_bytes: usize,
 }
 
 /// Removal of the records of a job that is no longer kept.
@@ -74,6 +70,8 @@
 struct Removal {
     /// Number below which records of occurrences remain; 0 once the removal of the last ones is being written.
     occurrences: u32,
+    /// Number of parts of each occurrence.
+    parts: u16,
     queue: String,
     result: JobResult,
 }
@@ -85,8 +83,14 @@
     directives: Directives,
     jobs: BTreeMap<JobId, Job>,
     workers: BTreeMap<WorkerId, Worker>,
-    /// Occurrences whose durable records have to be written again.
-    changed: BTreeSet<(JobId, u32)>,
+    /// Parts of occurrences whose durable records have to be written again.
+    changed: BTreeSet<(JobId, u32, u16)>,
+    /// Occurrences with changes in a transaction that the store refused. Each is written in a transaction of its own.
+    #[serde(default)]
+    refused: BTreeSet<(JobId, u32)>,
+    /// Jobs whose own changes the store refused, with the steady time at which they are written again.
+    #[serde(default)]
+    withheld: BTreeMap<JobId, u64>,
     /// Jobs whose records have to be removed.
     forgotten: BTreeMap<JobId, Removal>,
     /// Jobs that are no longer kept, with the time at which each was accepted and the steady time of its removal. A list
@@ -116,6 +120,8 @@
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             changed: BTreeSet::new(),
+            refused: BTreeSet::new(),
+            withheld: BTreeMap::new(),
             forgotten: BTreeMap::new(),
             removed: BTreeMap::new(),
             effects: Vec::new(),
@@ -208,6 +214,7 @@
             ended_wall_ms: 0,
             started: false,
             is_held: false,
+            is_withheld: false,
         }
     }
 
@@ -238,7 +245,10 @@
                 }
             }
             Input::Runs(report) => self.attempts_reported(now, report, &mut out),
-            Input::Tick => self.remove_expired_jobs(now),
+            Input::Tick => {
+                self.retry_withheld(now);
+                self.remove_expired_jobs(now);
+            }
         }
         self.expire_leases(now, &mut out);
         // The most frequent event, a list of attempts without changes, frees no capacity. Waiting times are checked at
@@ -288,43 +298,6 @@
         }
     }
 
-    /// Returns the next changes to make durable, together with the effects that depend on them. Returns `None` if there
-    /// is neither a change nor an effect.
-    pub fn take_batch(&mut self) -> Option<Batch> {
-        let mut batch = Batch::default();
-        let mut bytes = 0;
-        while batch.changes.len() < MAX_BATCH_CHANGES && bytes < MAX_BATCH_BYTES {
-            let Some((job, occurrence)) = self.changed.pop_first() else {
-                break;
-            };
-            if let Some(state) = self.jobs.get(&job) {
-                let record = Box::new(state.record_of(occurrence));
-                bytes += record.encode().len();
-                batch.changes.push(RecordChange::Occurrence { job, occurrence, record });
-            }
-        }
-        if batch.changes.is_empty()
-            && let Some((job, removal)) =
-                self.forgotten.iter_mut().find(|(_, removal)| removal.occurrences > 0)
-        {
-            // The rows of the job and of its result are removed last, so that a new leader repeats an interrupted removal.
-            let first = removal.occurrences.saturating_sub(MAX_REMOVED_OCCURRENCES);
-            let occurrences = first..std::mem::replace(&mut removal.occurrences, first);
-            let is_complete = first == 0;
-            let job = job.clone();
-            if is_complete {
-                // A client that asks for a job which is in no coordinator's view reads its row, as that of a pending job.
-                let queue = removal.queue.clone();
-                self.effects.push(Output::Progress { job: job.clone(), queue, progress: None });
-            }
-            batch.changes.push(RecordChange::Remove { job, occurrences, is_complete });
-        }
-        if self.changed.is_empty() {
-            batch.effects = std::mem::take(&mut self.effects);
-        }
-        (!batch.changes.is_empty() || !batch.effects.is_empty()).then_some(batch)
-    }
-
     /// Returns the effects of a batch that is now durable, without the starts that have become obsolete meanwhile.
     pub fn release(&mut self, now: PlannerTime, effects: Vec<Output>) -> Vec<Output> {
         let mut out = Vec::new();
@@ -433,9 +406,10 @@
             let Some(result) = job.result else {
                 continue;
             };
-            let occurrences = job.record.spec.occurrences();
+            let (occurrences, parts) = (job.record.spec.occurrences(), job.part_count());
             self.removed.insert(id.clone(), (job.record.accepted_ms, now.steady_ms));
-            self.forgotten.insert(id, Removal { occurrences, queue: job.record.queue, result });
+            let queue = job.record.queue;
+            self.forgotten.insert(id, Removal { occurrences, parts, queue, result });
         }
     }
 }
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -268,8 +268,8 @@
             }
         }
         occurrence.ready_ms.remove(&ready.step);
-        self.changed.insert((ready.job.clone(), ready.occurrence));
         for (worker, task) in started {
+            self.mark_changed(&task);
             if let Some(worker) = self.workers.get_mut(&worker) {
                 worker.placed.insert(task.clone());
             }
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -137,8 +137,9 @@
         }
         worker.last_processed_end = last;
         worker.acknowledged_ms = now.steady_ms;
-        let order =
-            WorkerOrder::AcknowledgeEnds { incarnation: report.incarnation.clone(), up_to: last };
+        let first_withheld = report.ended.iter().find(|end| self.is_withheld(&end.task.job));
+        let up_to = first_withheld.map_or(last, |end| last.min(end.number.saturating_sub(1)));
+        let order = WorkerOrder::AcknowledgeEnds { incarnation: report.incarnation.clone(), up_to };
         self.effects.push(Output::Order(order));
     }
 
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -8,7 +8,7 @@
 use super::straggler::Slowness;
 use crate::prelude::*;
 use crate::workflow::{
-    JobRecord, JobResult, OccurrenceRecord, StepSpec, TaskId, TaskPhase, TaskRecord,
+    self, JobRecord, JobResult, OccurrenceRecord, StepSpec, TaskId, TaskPhase, TaskRecord,
     WorkerIncarnation,
 };
 
@@ -110,6 +110,9 @@
     pub started: bool,
     /// Part of the stored state could not be read, so no task is started.
     pub is_held: bool,
+    /// The store refused the job's state, so nothing that depends on it takes effect.
+    #[serde(default)]
+    pub is_withheld: bool,
 }
 
 impl Job {
@@ -129,7 +132,7 @@
 
     /// Returns whether tasks of the job may start.
     pub fn may_start(&self) -> bool {
-        self.result.is_none() && !self.is_held
+        self.result.is_none() && !self.is_held && !self.is_withheld
     }
 
     pub fn is_placed(&self) -> bool {
@@ -170,15 +173,25 @@
         (0..step.tasks).map(|index| TaskId { index, ..task.clone() }).collect()
     }
 
-    pub fn record_of(&self, occurrence: u32) -> OccurrenceRecord {
+    /// Returns the number of parts into which the state of each occurrence is divided.
+    pub fn part_count(&self) -> u16 {
+        workflow::part_count(self.record.spec.tasks_per_occurrence())
+    }
+
+    /// Returns the durable state of the tasks in one part of an occurrence.
+    pub fn record_of(&self, occurrence: u32, part: u16) -> OccurrenceRecord {
         let state = self.occurrences.get(&occurrence);
-        let failed_attempts = state.into_iter().flat_map(|state| &state.tasks);
-        let failed_attempts: Vec<u32> = failed_attempts.map(|task| task.failed_attempt).collect();
+        let tasks = state.map(|state| state.tasks.as_slice()).unwrap_or_default();
+        let tasks = &tasks[workflow::part_range(part, tasks.len())];
+        let failed_attempts: Vec<u32> = tasks.iter().map(|task| task.failed_attempt).collect();
         let has_failed = failed_attempts.iter().any(|attempt| *attempt > 0);
+        // A task that is done never resumes.
+        let record = |task: &Task| TaskRecord {
+            checkpoint: task.record.checkpoint.clone().filter(|_| !task.is_done()),
+            ..task.record.clone()
+        };
         OccurrenceRecord {
-            tasks: state
-                .map(|state| state.tasks.iter().map(|task| task.record.clone()).collect())
-                .unwrap_or_default(),
+            tasks: tasks.iter().map(record).collect(),
             done: state.is_some_and(|state| state.done),
             job_result: self.result.map(|result| (result, self.ended_wall_ms)),
             failed_attempts: if has_failed { failed_attempts } else { Vec::new() },
--- a/src/store/memory_row_store.rs
+++ b/src/store/memory_row_store.rs
@@ -27,6 +27,13 @@
     Delayed,
 }
 
+/// Maximum number of entries of a transaction.
+const MAX_ENTRIES: usize = 100;
+/// Maximum size of a transaction in bytes, in which the content of rows is base64.
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
+/// Maximum size of a row in bytes, unless [`MemoryRowStore::set_row_limit`] sets another one.
+const DEFAULT_ROW_LIMIT_BYTES: usize = 65_536;
+
 #[derive(Debug, Default)]
 struct State {
     rows: BTreeMap<RowKey, (Vec<u8>, u64)>,
@@ -35,6 +42,8 @@
     version: u64,
     delayed_transactions: Vec<Transaction>,
     calls: u64,
+    refused_transactions: u64,
+    row_limit_bytes: Option<usize>,
 }
 
 /// Client of an in-memory row store. Clones share the store and the fault of the client;
@@ -138,6 +147,16 @@
         self.stalled_tables.lock().unwrap_or_else(PoisonError::into_inner).contains(table)
     }
 
+    /// Sets the maximum size of rows that are written from now on, in bytes.
+    pub fn set_row_limit(&self, limit_bytes: usize) {
+        self.with_state(|state| state.row_limit_bytes = Some(limit_bytes));
+    }
+
+    /// Returns the number of transactions that were refused for their size so far.
+    pub fn refused_transactions(&self) -> u64 {
+        self.with_state(|state| state.refused_transactions)
+    }
+
     /// Returns the number of calls by all clients so far.
     pub fn calls(&self) -> u64 {
         self.with_state(|state| state.calls)
@@ -170,6 +189,10 @@
 
     fn apply(&self, transaction: &Transaction) -> RowResult<u64> {
         let version = self.with_state(|state| {
+            if let Err(error) = check_size(transaction, state.row_limit_bytes) {
+                state.refused_transactions += 1;
+                return Err(error);
+            }
             let version_of = |key: &RowKey| state.rows.get(key).map_or(0, |(_, version)| *version);
             if transaction.conditions.iter().any(|(key, version)| version_of(key) != *version) {
                 let current = transaction.conditions.iter().filter_map(|(key, _)| state.row(key));
@@ -206,6 +229,23 @@
     }
 }
 
+/// Checks the limits of the platform's store.
+fn check_size(transaction: &Transaction, row_limit_bytes: Option<usize>) -> RowResult<()> {
+    let Transaction { conditions, puts, removals } = transaction;
+    let limit_bytes = row_limit_bytes.unwrap_or(DEFAULT_ROW_LIMIT_BYTES);
+    let entries = conditions.len() + puts.len() + removals.len();
+    let base64_bytes: usize = puts.iter().map(|(_, row)| row.len().div_ceil(3) * 4).sum();
+    let reason = match puts.iter().find(|(_, row)| row.len() > limit_bytes) {
+        Some((key, row)) => format!("row {} has {} bytes", key.key, row.len()),
+        None if entries > MAX_ENTRIES => format!("the transaction has {entries} entries"),
+        None if base64_bytes > MAX_TRANSACTION_BYTES => {
+            format!("the rows of the transaction take {base64_bytes} bytes")
+        }
+        None => return Ok(()),
+    };
+    Err(RowError::Refused { reason })
+}
+
 impl State {
     fn row(&self, key: &RowKey) -> Option<StoredRow> {
         let (content, version) = self.rows.get(key)?;
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -5,8 +5,8 @@
 
 /// Maximum number of steps of a job.
 pub const MAX_STEPS: usize = 64;
-/// Maximum number of tasks of one occurrence of a job. It keeps the durable record of an occurrence below the
-/// platform's maximum row size of 64 KiB.
+/// Maximum number of tasks of one occurrence of a job. It keeps the changes of an occurrence within one transaction of the
+/// platform's store ([`super::MAX_PART_BYTES`]).
 pub const MAX_TASKS: usize = 1_024;
 /// Maximum number of occurrences of a scheduled job.
 pub const MAX_OCCURRENCES: u32 = 10_000;
