Keep a restarted worker in use after a late notice of an earlier end

Cause: DELETE /instances/ID names a worker by its identifier alone. A late one of an earlier incarnation made the host report the new one as draining for the rest of its life.

Why this works: only the incarnation that the notice belongs to stays silent after it; a ready report with a higher sequence number shows that it was outdated. A worker that has reported that it drains stays so.

--- a/src/coordinator/tests/restarted_worker.rs
+++ b/src/coordinator/tests/restarted_worker.rs
@@ -25,3 +25,54 @@
     assert_eq!(wait_until_finished(&members[0], &job).await, JobResult::Done);
     assert_eq!(worker.with(|state| state.starts.len()), 2);
 }
+
+async fn wait_until_done(member: &Member, name: &str) {
+    let job = JobId::from(name);
+    assert_eq!(member.service().submit(&job, &record(), 3_000).await, Submission::Accepted);
+    assert_eq!(wait_until_finished(member, &job).await, JobResult::Done);
+}
+
+/// Guards against a worker that gets no more work because the notice of an earlier incarnation's end, which names the
+/// worker by its identifier alone, arrived late (review case 8).
+#[tokio::test]
+async fn late_notice_of_an_earlier_end_does_not_take_a_worker_out_of_use() {
+    let store = MemoryRowStore::default();
+    publish_rules(&store, &rules(1)).await;
+    let members = members(1, &store);
+    let (worker, host) = start_host(&addresses(&members), &store, 100).await;
+    wait_until_ready(&members).await;
+
+    for (index, notices) in [1, 2].into_iter().enumerate() {
+        worker.with(|state| state.restart());
+        assert!(host.heartbeat(heartbeat(&worker, 1)).await);
+        for _ in 0..notices {
+            assert!(host.worker_terminated("i").await);
+        }
+        assert!(host.heartbeat(heartbeat(&worker, 2)).await);
+
+        wait_until_done(&members[0], &format!("job{index}")).await;
+    }
+}
+
+/// Guards against starts on a worker that is ending, because a report that it sent before it began to drain arrives after
+/// the notice of its end.
+#[tokio::test]
+async fn late_ready_report_does_not_put_an_ending_worker_back_into_use() {
+    let store = MemoryRowStore::default();
+    publish_rules(&store, &rules(1)).await;
+    let members = members(1, &store);
+    let (worker, host) = start_host(&addresses(&members), &store, 100).await;
+    wait_until_ready(&members).await;
+    let mut draining = heartbeat(&worker, 3);
+    draining.report.draining = true;
+
+    assert!(host.heartbeat(draining).await);
+    assert!(host.worker_terminated("i").await);
+    assert!(host.heartbeat(heartbeat(&worker, 2)).await);
+    assert!(host.heartbeat(heartbeat(&worker, 4)).await);
+    let job = JobId::from("job");
+    assert_eq!(members[0].service().submit(&job, &record(), 3_000).await, Submission::Accepted);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+
+    assert!(worker.with(|state| state.starts.is_empty()));
+}
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -15,7 +15,9 @@
     Renewal, RenewalAnswer, WorkerError, WorkerHeartbeat, WorkerPort, WorkerTarget, orders,
 };
 use crate::coordinator::message::{DialerMessage, HostMessage, LeaderMessage};
-use crate::planner::{AttemptsReport, StartOrder, StartRefusal, WorkerEvent, WorkerOrder};
+use crate::planner::{
+    AttemptsReport, StartOrder, StartRefusal, WorkerEvent, WorkerOrder, WorkerReport,
+};
 use crate::prelude::*;
 use crate::process::{BoottimeClock, InboxActor, Metrics};
 use crate::wire::{LinkSender, MAX_FRAME_BYTES};
@@ -164,10 +166,19 @@
             }
             heartbeat.report.draining |= previous.report.draining;
         }
-        let is_changed = previous.is_none_or(|previous| previous.report != heartbeat.report);
+        let last_report = self.report();
         if is_new {
             self.begin_incarnation(&heartbeat);
+        } else if self.is_terminating && !heartbeat.report.draining {
+            // A notice names the worker by its identifier alone, so it may be a late one of an earlier incarnation.
+            log::info!(
+                instance = heartbeat.target.instance.as_str(), born_ms = incarnation.born_ms,
+                sequence = heartbeat.sequence;
+                "worker is ready after the notice of its end, which belonged to an earlier incarnation"
+            );
+            self.is_terminating = false;
         }
+        let is_changed = last_report.is_none_or(|last| last != heartbeat.report);
         if is_changed {
             log::info!(
                 instance = heartbeat.target.instance.as_str(), born_ms = incarnation.born_ms,
@@ -181,6 +192,13 @@
         self.renew();
     }
 
+    /// Returns the description of the worker for the leader. A worker whose program is ending gets no work.
+    fn report(&self) -> Option<WorkerReport> {
+        let mut report = self.last_heartbeat.as_ref()?.report.clone();
+        report.draining |= self.is_terminating;
+        Some(report)
+    }
+
     /// Resets the state that belongs to the earlier incarnation. Start calls that were not answered may still reach the
     /// new one, so their attempts are stopped there.
     fn begin_incarnation(&mut self, heartbeat: &WorkerHeartbeat) {
@@ -219,15 +237,17 @@
     /// reported as ended once connections are refused, or when their lease expires.
     fn on_worker_terminated(&mut self, instance: &str) {
         let Some(last) =
-            self.last_heartbeat.as_mut().filter(|last| last.target.instance == instance)
+            self.last_heartbeat.as_ref().filter(|last| last.target.instance == instance)
         else {
             return;
         };
-        log::info!(instance; "program of the worker is ending");
+        log::info!(
+            instance, born_ms = last.report.incarnation.born_ms, sequence = last.sequence;
+            "program of the worker is ending, unless it reports itself as ready again"
+        );
+        let was_draining = last.report.draining;
         self.is_terminating = true;
-        if !last.report.draining {
-            last.report.draining = true;
-            let report = last.report.clone();
+        if !was_draining && let Some(report) = self.report() {
             self.send_event(WorkerEvent::Reported(report));
         }
         self.renew_after_ms = 0;
@@ -270,8 +290,8 @@
         }
         self.highest_epoch = epoch;
         self.leader = Some(Leader { epoch, sender, since_ms: self.clock.now_ms() });
-        if let Some(heartbeat) = &self.last_heartbeat {
-            self.send_event(WorkerEvent::Reported(heartbeat.report.clone()));
+        if let Some(report) = self.report() {
+            self.send_event(WorkerEvent::Reported(report));
         }
         self.pending_renewal = None;
         self.renew_after_ms = 0;
