Send the progress of all jobs again after a connection was closed

With a second connection open it counted as known, and what was in transit on the closed one was lost; the close of an accepted connection was not reported at all.

The bytes a front sends were not measured at 300 machines.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -232,9 +232,16 @@
             *process = Some(gossip.process.clone());
         }
         let store_age_ms = if gossip.store_is_failing { u64::MAX } else { gossip.store_age_ms };
-        let is_new = self.peers.record(&gossip.process, sender.clone(), store_age_ms);
-        if is_new && let Some(leader_state) = &self.leader_state {
-            sender.send(leader_state.snapshot());
+        let needs_snapshot = self.peers.record(&gossip.process, sender.clone(), store_age_ms);
+        if needs_snapshot && let Some(leader_state) = &self.leader_state {
+            let messages = leader_state.snapshot();
+            log::info!(
+                peer = gossip.process.as_str(), epoch = leader_state.epoch().0, messages = messages.len();
+                "coordinator is new or may lack messages; sending the progress of all jobs"
+            );
+            if !messages.into_iter().all(|message| sender.send(message)) {
+                self.peers.connection_closed(&gossip.process);
+            }
         }
         if self.election.on_gossip(now_ms, gossip) {
             self.on_leadership_changed();
@@ -449,6 +456,7 @@
             }
             Event::Peer { sender, message } => self.on_peer(sender, message),
             Event::PeerLost(address) => self.on_peer_lost(address),
+            Event::PeerConnectionClosed(process) => self.peers.connection_closed(&process),
             Event::PeerUnreachable(address) => {
                 log::info!(
                     address = address.to_string();
--- a/src/coordinator/event.rs
+++ b/src/coordinator/event.rs
@@ -29,6 +29,8 @@
     Peer { sender: PeerSender, message: PeerMessage },
     /// The connection to the coordinator at this address is lost.
     PeerLost(SocketAddr),
+    /// A connection to this coordinator, which either side opened, is closed.
+    PeerConnectionClosed(ProcessId),
     /// Many attempts in a row to connect to this address have failed; from now on they are rare.
     PeerUnreachable(SocketAddr),
     /// The limit of failed attempts in a row to connect to this address is reached; no more are made.
--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -33,6 +33,9 @@
 /// The longest pause between two rounds of attempts.
 const MAX_COMMIT_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// The maximum number of jobs in one message of a snapshot; a job takes about 60 bytes, and a frame has up to 2 MiB.
+const MAX_SNAPSHOT_JOBS: usize = 10_000;
+
 /// The state of a coordinator that leads; dropping it aborts the watch of jobs and the commit in progress.
 #[derive(Debug)]
 pub struct LeaderState {
@@ -166,9 +169,19 @@
         self.planner.load(now)
     }
 
-    /// Returns a message with the progress of all jobs.
-    pub fn snapshot(&self) -> PeerMessage {
-        PeerMessage::Progress { epoch: self.epoch(), is_snapshot: true, jobs: self.updates() }
+    /// Returns messages with the progress of all jobs. The first one replaces what their receiver knows, the others add to
+    /// it, so that none exceeds a frame.
+    pub fn snapshot(&self) -> Vec<PeerMessage> {
+        let updates = self.updates();
+        let mut rest = updates.chunks(MAX_SNAPSHOT_JOBS);
+        let first = rest.next().unwrap_or_default();
+        let message = |is_snapshot, jobs: &[JobUpdate]| PeerMessage::Progress {
+            epoch: self.epoch(),
+            is_snapshot,
+            jobs: jobs.to_vec(),
+        };
+        let first = std::iter::once(message(true, first));
+        first.chain(rest.map(|jobs| message(false, jobs))).collect()
     }
 
     fn updates(&self) -> Vec<JobUpdate> {
@@ -232,7 +245,9 @@
         };
         let updates = leader_state.updates();
         self.service.shared.with_view(|view| view.update(epoch, true, &updates));
-        self.peers.send_to_all(&leader_state.snapshot());
+        for message in leader_state.snapshot() {
+            self.peers.send_to_all(&message);
+        }
         self.leader_state = Some(leader_state);
         for job in cancelled {
             self.plan(&Input::Cancelled { job });
--- a/src/coordinator/listener.rs
+++ b/src/coordinator/listener.rs
@@ -7,7 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::event::{Event, EventSender};
-use super::message::{AcceptorMessage, DialerMessage, HostMessage};
+use super::message::{AcceptorMessage, DialerMessage, HostMessage, PeerMessage};
 use super::peers::PeerSender;
 use crate::process::{self, BindSnafu};
 use crate::wire::{Link, LinkSettings};
@@ -55,9 +55,13 @@
         }
     };
     let mut is_host = false;
+    let mut peer = None;
     loop {
         let event = match link.receiver.receive().await {
             Ok(Some(DialerMessage::Peer(message))) => {
+                if let PeerMessage::Gossip(gossip) = &message {
+                    peer = Some(gossip.process.clone());
+                }
                 Event::Peer { sender: PeerSender::Accepted(link.sender.clone()), message }
             }
             Ok(Some(DialerMessage::Host(HostMessage::Hello { worker }))) => {
@@ -75,8 +79,11 @@
             return;
         }
     }
+    // The actor only ends with the process.
     if is_host {
-        // The actor only ends with the process.
         let _ = events.send(Event::HostLost { connection }).await;
     }
+    if let Some(process) = peer {
+        let _ = events.send(Event::PeerConnectionClosed(process)).await;
+    }
 }
--- a/src/coordinator/peers.rs
+++ b/src/coordinator/peers.rs
@@ -52,6 +52,8 @@
 struct ConnectedPeer {
     sender: PeerSender,
     store_age_ms: u64,
+    /// A message may have been lost with one of the connections to the coordinator, or was not accepted by it.
+    may_lack_messages: bool,
 }
 
 /// The connected coordinators. Clones share their state.
@@ -67,10 +69,21 @@
     }
 
     /// Records a connection to a coordinator and the age of the store's last answer to it. Returns true if there was no
-    /// connection to that coordinator.
+    /// connection to that coordinator, or if it may lack messages.
     pub fn record(&self, peer: &ProcessId, sender: PeerSender, store_age_ms: u64) -> bool {
-        self.with_peers(|peers| peers.insert(peer.clone(), ConnectedPeer { sender, store_age_ms }))
-            .is_none()
+        let connected = ConnectedPeer { sender, store_age_ms, may_lack_messages: false };
+        let previous = self.with_peers(|peers| peers.insert(peer.clone(), connected));
+        previous.is_none_or(|previous| previous.may_lack_messages)
+    }
+
+    /// Records that one of the connections to a coordinator was closed. The messages that were in transit on it are lost,
+    /// also if another connection replaces it at once.
+    pub fn connection_closed(&self, peer: &ProcessId) {
+        self.with_peers(|peers| {
+            if let Some(peer) = peers.get_mut(peer) {
+                peer.may_lack_messages = true;
+            }
+        });
     }
 
     /// Returns the lowest age of the store's last answer that a connected coordinator has reported, in milliseconds, or
@@ -88,11 +101,11 @@
 
     /// Sends a message to all connected coordinators.
     pub fn send_to_all(&self, message: &PeerMessage) {
-        let senders: Vec<PeerSender> =
-            self.with_peers(|peers| peers.values().map(|peer| peer.sender.clone()).collect());
-        for sender in senders {
-            sender.send(message.clone());
-        }
+        self.with_peers(|peers| {
+            for peer in peers.values_mut() {
+                peer.may_lack_messages |= !peer.sender.send(message.clone());
+            }
+        });
     }
 
     /// Sends a message to one coordinator, if it is connected.
@@ -141,10 +154,14 @@
     events: &EventSender,
 ) {
     let sender = PeerSender::Dialed(link.sender.clone());
+    let mut process = None;
     let _ = events.send(Event::PeerConnected { address, sender: sender.clone() }).await;
     loop {
         match link.receiver.receive().await {
             Ok(Some(AcceptorMessage::Peer(message))) => {
+                if let PeerMessage::Gossip(gossip) = &message {
+                    process = Some(gossip.process.clone());
+                }
                 let event = Event::Peer { sender: sender.clone(), message };
                 let _ = events.send(event).await;
             }
@@ -166,4 +183,7 @@
         }
     }
     let _ = events.send(Event::PeerLost(address)).await;
+    if let Some(process) = process {
+        let _ = events.send(Event::PeerConnectionClosed(process)).await;
+    }
 }
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -5,6 +5,7 @@
 mod directives_lag;
 mod host_connections;
 mod lost_answers;
+mod lost_progress;
 mod pause;
 mod rejection;
 mod replaced_coordinators;
