Let the worker's own list tell which incarnation is the current one

Cause: host and planner took an incarnation with a lower time of birth for an earlier one, for ever.

Change: a heartbeat with a lower time of birth makes the host ask the worker for its list, without extending a lease or acknowledging an end. The incarnation that answers is the current one. The planner follows the host and ignores only incarnations that were replaced before, once the current one has listed its attempts.

Simulated workers are born at 1,000,000 ms instead of 1, so that they can be born earlier.

--- a/src/coordinator/tests/host_connections.rs
+++ b/src/coordinator/tests/host_connections.rs
@@ -54,7 +54,10 @@
             percent: 0,
         });
         let report = AttemptsReport {
-            incarnation: WorkerIncarnation { worker: WorkerId::from("w"), born_ms: 1 },
+            incarnation: WorkerIncarnation {
+                worker: WorkerId::from("w"),
+                born_ms: worker::FIRST_BORN_MS,
+            },
             running: running.collect(),
             ended: Vec::new(),
             starting: Vec::new(),
--- a/src/coordinator/tests/restarted_worker.rs
+++ b/src/coordinator/tests/restarted_worker.rs
@@ -76,3 +76,50 @@
 
     assert!(worker.with(|state| state.starts.is_empty()));
 }
+
+/// Guards against a worker that gets no more work because its last incarnation was born while its clock was ahead (review
+/// case 9).
+#[test_case::test_case(&[-600]; "the clock is set back")]
+#[test_case::test_case(&[-5_000, -5_000]; "the clock is set back twice")]
+#[test_case::test_case(&[5_000, -4_000]; "the clock jumps forward and back")]
+#[tokio::test]
+async fn worker_that_was_born_earlier_than_its_last_incarnation_gets_work(born_after_ms: &[i64]) {
+    let store = MemoryRowStore::default();
+    publish_rules(&store, &rules(1)).await;
+    let members = members(1, &store);
+    let (worker, host) = start_host(&addresses(&members), &store, 100).await;
+    wait_until_ready(&members).await;
+    wait_until_done(&members[0], "first").await;
+
+    for (index, born_after_ms) in born_after_ms.iter().enumerate() {
+        worker.with(|state| state.restart_after(*born_after_ms));
+        assert!(host.heartbeat(heartbeat(&worker, 1)).await);
+        wait_until_done(&members[0], &format!("job{index}")).await;
+    }
+}
+
+/// Guards against tasks that are lost or run twice because a late heartbeat of an earlier incarnation, born before or after
+/// the current one by its clock, brings that one back.
+#[test_case::test_case(2_000; "born before the current one")]
+#[test_case::test_case(-2_000; "born after the current one")]
+#[tokio::test]
+async fn late_heartbeat_of_an_ended_incarnation_changes_nothing(born_after_ms: i64) {
+    let store = MemoryRowStore::default();
+    publish_rules(&store, &rules(1)).await;
+    let members = members(1, &store);
+    let (worker, host) = start_host(&addresses(&members), &store, 2_000).await;
+    wait_until_ready(&members).await;
+    let late = heartbeat(&worker, 9);
+    worker.with(|state| state.restart_after(born_after_ms));
+    assert!(host.heartbeat(heartbeat(&worker, 1)).await);
+    let job = JobId::from("job");
+    assert_eq!(members[0].service().submit(&job, &record(), 3_000).await, Submission::Accepted);
+    eventually("the tasks run", || worker.with(|state| state.running.len()) == 2).await;
+
+    assert!(host.heartbeat(late).await);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(host.heartbeat(heartbeat(&worker, 2)).await);
+
+    assert_eq!(wait_until_finished(&members[0], &job).await, JobResult::Done);
+    assert_eq!(worker.with(|state| state.starts.len()), 2);
+}
--- a/src/coordinator/tests/worker.rs
+++ b/src/coordinator/tests/worker.rs
@@ -12,6 +12,9 @@
 /// The duration of a list while answers to starts are lost; longer than the pause before a start is repeated.
 const SLOW_LIST_MS: u64 = 400;
 
+/// The birth of the first incarnation.
+pub const FIRST_BORN_MS: u64 = 1_000_000;
+
 /// A worker in the process of the test. Its attempts end by themselves after `task_duration_ms`.
 #[derive(Clone, Default)]
 pub struct InProcessWorker(Arc<Mutex<WorkerState>>);
@@ -19,8 +22,8 @@
 #[derive(Default)]
 pub struct WorkerState {
     pub fence: Epoch,
-    /// Number of restarts; the first incarnation was born at 1 ms.
-    restarts: u64,
+    /// Time by which the current incarnation was born later than the first one.
+    born_after_first_ms: i64,
     pub running: BTreeMap<TaskId, (u32, Instant)>,
     ended: Vec<EndedAttempt>,
     last_end_number: u64,
@@ -48,7 +51,12 @@
 impl WorkerState {
     /// Restarts the worker under the same name; the new incarnation knows nothing of the earlier one.
     pub fn restart(&mut self) {
-        self.restarts += 1;
+        self.restart_after(1);
+    }
+
+    /// Restarts the worker `born_after_ms` after the birth of the current incarnation by its clock.
+    pub fn restart_after(&mut self, born_after_ms: i64) {
+        self.born_after_first_ms += born_after_ms;
         self.fence = Epoch(0);
         self.running.clear();
         self.ended.clear();
@@ -57,7 +65,7 @@
 
     /// Returns the start of the current incarnation.
     pub fn born_ms(&self) -> u64 {
-        1 + self.restarts
+        FIRST_BORN_MS.saturating_add_signed(self.born_after_first_ms)
     }
 
     fn end(&mut self, task: &TaskId, kind: AttemptEnd) {
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -87,9 +87,12 @@
     is_terminating: bool,
     /// The worker's current incarnation has listed its attempts.
     has_listed: bool,
-    /// An answer came from a later incarnation, which has not sent a heartbeat yet. Orders may only be sent to an
-    /// incarnation that is known.
-    is_superseded: bool,
+    /// The birth of the incarnation that answered instead of the known one and has not sent a heartbeat yet. Orders may only
+    /// be sent to an incarnation that is known.
+    superseded_by_born_ms: Option<u64>,
+    /// A heartbeat of an incarnation that was born before the known one by its clock. It may be a late one of an earlier
+    /// incarnation, or the clock may have been set back; the worker's next list tells.
+    contested: Option<WorkerHeartbeat>,
     listing: ListingInterval,
 }
 
@@ -130,7 +133,8 @@
             refused_connections: 0,
             is_terminating: false,
             has_listed: false,
-            is_superseded: false,
+            superseded_by_born_ms: None,
+            contested: None,
             listing: ListingInterval::default(),
         }
     }
@@ -152,14 +156,19 @@
         let incarnation = heartbeat.report.incarnation.clone();
         let previous = self.last_heartbeat.as_ref();
         let known_born = previous.map_or(0, |previous| previous.report.incarnation.born_ms);
-        if incarnation.born_ms < known_born {
+        let has_answered = self.superseded_by_born_ms == Some(incarnation.born_ms);
+        if incarnation.born_ms < known_born && !has_answered {
             log::info!(
-                born_ms = incarnation.born_ms, known_born;
-                "heartbeat of an earlier incarnation is ignored"
+                born_ms = incarnation.born_ms, known_born, sequence = heartbeat.sequence;
+                "heartbeat of an incarnation that was born earlier; the worker is asked which one it is"
             );
+            self.contested = Some(heartbeat);
+            self.pending_renewal = None;
+            self.renew_after_ms = 0;
+            self.begin_renewal(0);
             return;
         }
-        let is_new = incarnation.born_ms > known_born;
+        let is_new = incarnation.born_ms != known_born;
         if let Some(previous) = previous.filter(|_| !is_new) {
             if heartbeat.sequence <= previous.sequence {
                 return;
@@ -206,7 +215,8 @@
         self.abort_orders();
         self.pending_renewal = None;
         (self.acknowledged, self.last_ended, self.refused_connections) = (0, 0, 0);
-        (self.has_listed, self.is_superseded, self.is_terminating) = (false, false, false);
+        (self.has_listed, self.is_terminating) = (false, false);
+        (self.superseded_by_born_ms, self.contested) = (None, None);
         self.renew_after_ms = 0;
         self.lease.reset_reference();
         let incarnation = &heartbeat.report.incarnation;
@@ -261,6 +271,7 @@
         self.abort_starts();
         self.abort_orders();
         self.pending_renewal = None;
+        self.contested = None;
         log::info!(
             instance = last.target.instance.as_str(), born_ms = last.report.incarnation.born_ms,
             unanswered_starts = self.unresolved.len(), reason;
@@ -312,23 +323,26 @@
         let (Some(heartbeat), Some(leader)) = (&self.last_heartbeat, &self.leader) else {
             return;
         };
-        if self.is_superseded {
+        if self.superseded_by_born_ms.is_some() && self.contested.is_none() {
             return;
         }
         self.last_renewal_number += 1;
-        let renewal = Renewal {
-            fence: leader.epoch,
-            deadline_ms: self.lease.deadline_ms(self.clock.now_ms()),
-            acknowledged: self.acknowledged,
-            wait_ms,
+        // The clock and the numbers of ends of another incarnation are its own.
+        let (target, deadline_ms, acknowledged) = match &self.contested {
+            Some(contested) => (contested.target.clone(), None, 0),
+            None => {
+                let deadline_ms = self.lease.deadline_ms(self.clock.now_ms());
+                (heartbeat.target.clone(), deadline_ms, self.acknowledged)
+            }
         };
+        let renewal = Renewal { fence: leader.epoch, deadline_ms, acknowledged, wait_ms };
         self.pending_renewal = Some(PendingRenewal {
             number: self.last_renewal_number,
             epoch: leader.epoch,
             starting: self.starts.keys().chain(&self.unresolved).cloned().collect(),
             stopped: self.stopped.clone(),
         });
-        let (port, target) = (self.port.clone(), heartbeat.target.clone());
+        let port = self.port.clone();
         let (events, number) = (self.events.clone(), self.last_renewal_number);
         tokio::spawn(async move {
             let result = port.renew_lease(&target, &renewal).await;
@@ -355,6 +369,9 @@
     /// Repeats a renewal after a pause. A refused connection does not prove that the worker has ended: a firewall may
     /// refuse connections to a worker that goes on running its attempts.
     fn on_renewal_failed(&mut self, now_ms: u64, error: &WorkerError) {
+        if *error == WorkerError::OtherIncarnation {
+            self.contested = None;
+        }
         let is_refused = *error == WorkerError::ConnectionRefused;
         self.refused_connections = if is_refused { self.refused_connections + 1 } else { 0 };
         if is_refused && self.is_terminating {
@@ -377,14 +394,20 @@
         else {
             return;
         };
+        let contested = self.contested.take();
         if answer.born_ms != incarnation.born_ms {
             log::info!(
                 born_ms = answer.born_ms, known = incarnation.born_ms;
                 "list of attempts of another incarnation; no orders until that one sends a heartbeat"
             );
-            if answer.born_ms > incarnation.born_ms {
-                self.is_superseded = true;
-                self.abort_starts();
+            self.superseded_by_born_ms = Some(answer.born_ms);
+            self.abort_starts();
+            let has_answered = |heartbeat: &WorkerHeartbeat| {
+                heartbeat.report.incarnation.born_ms == answer.born_ms
+            };
+            if let Some(heartbeat) = contested.filter(has_answered) {
+                self.on_heartbeat(heartbeat);
+                return;
             }
             self.renew_after_ms = now_ms + RENEWAL_RETRY_PAUSE_MS;
             self.renew_later(RENEWAL_RETRY_PAUSE_MS);
@@ -478,8 +501,9 @@
             return;
         };
         let deadline_ms = self.lease.deadline_ms(self.clock.now_ms());
-        let is_current =
-            self.is_current(&order.incarnation) && !self.is_superseded && !self.is_terminating;
+        let is_current = self.is_current(&order.incarnation)
+            && self.superseded_by_born_ms.is_none()
+            && !self.is_terminating;
         let (true, Some(deadline_ms)) = (is_current, deadline_ms) else {
             let refusal = StartRefusal::Lapsed;
             let StartOrder { incarnation, task, attempt, .. } = order;
@@ -641,7 +665,8 @@
             "starts_under_way": self.starts.len(),
             "stops_under_way": self.stops.len(),
             "unresolved_starts": self.unresolved.len(),
-            "is_superseded": self.is_superseded,
+            "superseded_by_born_ms": self.superseded_by_born_ms,
+            "contested_born_ms": self.contested.as_ref().map(|heartbeat| heartbeat.report.incarnation.born_ms),
         })
     }
 }
--- a/src/planner/incarnation.rs
+++ b/src/planner/incarnation.rs
@@ -46,15 +46,17 @@
 }
 
 impl Planner {
-    /// Ends the attempts on an incarnation that has ended, and on earlier ones.
+    /// Ends the attempts on an incarnation that has ended. If it is the current one, those on all earlier ones have ended
+    /// too.
     pub(super) fn end_ended_incarnations(
         &mut self,
         now: PlannerTime,
         ended: &WorkerIncarnation,
+        is_current: bool,
         out: &mut Vec<Output>,
     ) {
         for (task, placement) in self.placements_on(ended) {
-            if placement.incarnation.born_ms <= ended.born_ms {
+            if is_current || placement.incarnation == *ended {
                 let attempt = (&task, placement.attempt);
                 self.attempt_ended(
                     now,
@@ -76,7 +78,7 @@
         out: &mut Vec<Output>,
     ) {
         for (task, placement) in self.placements_on(&report.incarnation) {
-            if placement.incarnation.born_ms >= report.incarnation.born_ms {
+            if placement.incarnation == report.incarnation {
                 continue;
             }
             let key = (task, placement.attempt);
--- a/src/planner/report.rs
+++ b/src/planner/report.rs
@@ -7,7 +7,7 @@
     AttemptEnd, AttemptsReport, Decision, Output, PlannerTime, StartRefusal, WorkerEvent,
     WorkerOrder, WorkerReport,
 };
-use super::state::{StartPhase, Worker};
+use super::state::StartPhase;
 use super::{JobProgress, Planner};
 use crate::prelude::*;
 use crate::workflow::{TaskId, WorkerIncarnation};
@@ -39,14 +39,13 @@
     fn worker_reported(&mut self, now: PlannerTime, report: &WorkerReport, out: &mut Vec<Output>) {
         let id = &report.incarnation.worker;
         let worker = self.workers.entry(id.clone()).or_default();
-        let last_born_ms =
-            worker.report.as_ref().map_or(0, |last_report| last_report.incarnation.born_ms);
-        if last_born_ms > report.incarnation.born_ms {
-            return;
-        }
-        if last_born_ms < report.incarnation.born_ms {
-            // Attempts of the earlier incarnation are resolved by the first list of the new one.
-            *worker = Worker { placed: std::mem::take(&mut worker.placed), ..Worker::default() };
+        // The host tells which incarnation is the current one. Times of birth do not: the worker's clock may be set back.
+        let last = worker.report.as_ref().map(|last_report| &last_report.incarnation);
+        if last != Some(&report.incarnation) {
+            if worker.is_late_report(report.incarnation.born_ms) {
+                return;
+            }
+            worker.begin_incarnation();
         }
         worker.report = Some(report.clone());
         worker.leaves_ms = report.leaves_in_ms.map(|in_ms| now.steady_ms.saturating_add(in_ms));
@@ -64,11 +63,13 @@
         let Some(worker) = self.workers.get_mut(&incarnation.worker) else {
             return;
         };
-        if worker.report.as_ref().is_some_and(|report| report.incarnation == *incarnation) {
+        let is_current =
+            worker.report.as_ref().is_some_and(|report| report.incarnation == *incarnation);
+        if is_current {
             worker.report = None;
             worker.synced = false;
         }
-        self.end_ended_incarnations(now, incarnation, out);
+        self.end_ended_incarnations(now, incarnation, is_current, out);
     }
 
     pub(super) fn placement_of(&self, task: &TaskId) -> Option<(WorkerIncarnation, u32)> {
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -1,6 +1,6 @@
 //! State of jobs, tasks and workers in the planner.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -16,6 +16,9 @@
 /// that does not may have ended.
 const MAX_LIST_AGE_MS: u64 = 3_000;
 
+/// Number of replaced incarnations that are remembered for each worker. Reports arrive some seconds late at most.
+const MAX_REPLACED_INCARNATIONS: usize = 16;
+
 /// Phase of the start of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum StartPhase {
@@ -213,6 +216,9 @@
     /// lease.
     #[serde(rename = "heard_ms")]
     pub last_contact_ms: u64,
+    /// Births of the last incarnations that were replaced by another one.
+    #[serde(default)]
+    pub replaced_born_ms: VecDeque<u64>,
     /// Tasks that are placed on the worker.
     pub placed: BTreeSet<TaskId>,
     /// Attempts that the worker lists, but that are not placed on it according to this planner.
@@ -240,6 +246,23 @@
 }
 
 impl Worker {
+    /// Returns whether a report of another incarnation than the current one is a late one: the current one has listed its
+    /// attempts, and that other one was replaced before. Times of birth alone do not tell, because clocks may be set back.
+    pub fn is_late_report(&self, born_ms: u64) -> bool {
+        self.synced && self.replaced_born_ms.contains(&born_ms)
+    }
+
+    /// Begins a new incarnation. The attempts of earlier ones stay placed until its first list resolves them.
+    pub fn begin_incarnation(&mut self) {
+        let mut replaced_born_ms = std::mem::take(&mut self.replaced_born_ms);
+        if let Some(last) = &self.report {
+            replaced_born_ms.truncate(MAX_REPLACED_INCARNATIONS - 1);
+            replaced_born_ms.push_front(last.incarnation.born_ms);
+        }
+        let placed = std::mem::take(&mut self.placed);
+        *self = Self { placed, replaced_born_ms, ..Self::default() };
+    }
+
     /// Returns whether the worker has listed its attempts recently enough to get work.
     pub fn has_recent_list(&self, now_ms: u64) -> bool {
         self.synced && now_ms <= self.listed_ms + MAX_LIST_AGE_MS
