Encode each record once, and keep one field for withheld jobs

Cause: reading the change again. A record was encoded to measure it, to limit it and to write it; a withheld job was marked in the job and in a map of the planner; 'contested' is no usual term.

Change: OccurrenceRecord::encode_within returns the bytes that are written; Job::withheld_until_ms is the only mark; the module that fills transactions is named batch; a heartbeat whose incarnation is open is 'unconfirmed'.

Result: 568 tests of the library pass; checks and expectations are as before.

--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -460,7 +460,7 @@
 fn add_change(transaction: &mut Transaction, change: &RecordChange) {
     match change {
         RecordChange::Occurrence { job, occurrence, part, record, obsolete_parts } => {
-            transaction.puts.push((progress_key(job, *occurrence, *part), record.encode()));
+            transaction.puts.push((progress_key(job, *occurrence, *part), record.clone()));
             let obsolete = obsolete_parts.clone().map(|part| progress_key(job, *occurrence, part));
             transaction.removals.extend(obsolete);
         }
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -92,7 +92,7 @@
     superseded_by_born_ms: Option<u64>,
     /// A heartbeat of an incarnation that was born before the known one by its clock. It may be a late one of an earlier
     /// incarnation, or the clock may have been set back; the worker's next list tells.
-    contested: Option<WorkerHeartbeat>,
+    unconfirmed: Option<WorkerHeartbeat>,
     listing: ListingInterval,
 }
 
@@ -134,7 +134,7 @@
             is_terminating: false,
             has_listed: false,
             superseded_by_born_ms: None,
-            contested: None,
+            unconfirmed: None,
             listing: ListingInterval::default(),
         }
     }
@@ -162,7 +162,7 @@
                 born_ms = incarnation.born_ms, known_born, sequence = heartbeat.sequence;
                 "heartbeat of an incarnation that was born earlier; the worker is asked which one it is"
             );
-            self.contested = Some(heartbeat);
+            self.unconfirmed = Some(heartbeat);
             self.pending_renewal = None;
             self.renew_after_ms = 0;
             self.begin_renewal(0);
@@ -216,7 +216,7 @@
         self.pending_renewal = None;
         (self.acknowledged, self.last_ended, self.refused_connections) = (0, 0, 0);
         (self.has_listed, self.is_terminating) = (false, false);
-        (self.superseded_by_born_ms, self.contested) = (None, None);
+        (self.superseded_by_born_ms, self.unconfirmed) = (None, None);
         self.renew_after_ms = 0;
         self.lease.reset_reference();
         let incarnation = &heartbeat.report.incarnation;
@@ -271,7 +271,7 @@
         self.abort_starts();
         self.abort_orders();
         self.pending_renewal = None;
-        self.contested = None;
+        self.unconfirmed = None;
         log::info!(
             instance = last.target.instance.as_str(), born_ms = last.report.incarnation.born_ms,
             unanswered_starts = self.unresolved.len(), reason;
@@ -323,13 +323,13 @@
         let (Some(heartbeat), Some(leader)) = (&self.last_heartbeat, &self.leader) else {
             return;
         };
-        if self.superseded_by_born_ms.is_some() && self.contested.is_none() {
+        if self.superseded_by_born_ms.is_some() && self.unconfirmed.is_none() {
             return;
         }
         self.last_renewal_number += 1;
         // The clock and the numbers of ends of another incarnation are its own.
-        let (target, deadline_ms, acknowledged) = match &self.contested {
-            Some(contested) => (contested.target.clone(), None, 0),
+        let (target, deadline_ms, acknowledged) = match &self.unconfirmed {
+            Some(unconfirmed) => (unconfirmed.target.clone(), None, 0),
             None => {
                 let deadline_ms = self.lease.deadline_ms(self.clock.now_ms());
                 (heartbeat.target.clone(), deadline_ms, self.acknowledged)
@@ -370,7 +370,7 @@
     /// refuse connections to a worker that goes on running its attempts.
     fn on_renewal_failed(&mut self, now_ms: u64, error: &WorkerError) {
         if *error == WorkerError::OtherIncarnation {
-            self.contested = None;
+            self.unconfirmed = None;
         }
         let is_refused = *error == WorkerError::ConnectionRefused;
         self.refused_connections = if is_refused { self.refused_connections + 1 } else { 0 };
@@ -394,7 +394,7 @@
         else {
             return;
         };
-        let contested = self.contested.take();
+        let unconfirmed = self.unconfirmed.take();
         if answer.born_ms != incarnation.born_ms {
             log::info!(
                 born_ms = answer.born_ms, known = incarnation.born_ms;
@@ -405,7 +405,7 @@
             let has_answered = |heartbeat: &WorkerHeartbeat| {
                 heartbeat.report.incarnation.born_ms == answer.born_ms
             };
-            if let Some(heartbeat) = contested.filter(has_answered) {
+            if let Some(heartbeat) = unconfirmed.filter(has_answered) {
                 self.on_heartbeat(heartbeat);
                 return;
             }
@@ -666,7 +666,7 @@
             "stops_under_way": self.stops.len(),
             "unresolved_starts": self.unresolved.len(),
             "superseded_by_born_ms": self.superseded_by_born_ms,
-            "contested_born_ms": self.contested.as_ref().map(|heartbeat| heartbeat.report.incarnation.born_ms),
+            "unconfirmed_born_ms": self.unconfirmed.as_ref().map(|heartbeat| heartbeat.report.incarnation.born_ms),
         })
     }
 }
--- a/src/planner/writes.rs
+++ b/src/planner/batch.rs
@@ -6,6 +6,7 @@
 use super::message::{
     AttemptEnd, Batch, JobProgress, Output, PlannerTime, RecordChange, WorkerOrder,
 };
+use super::state::Job;
 use crate::prelude::*;
 use crate::workflow::{TaskId, part_of};
 
@@ -29,7 +30,7 @@
     fn of(change: &RecordChange) -> Self {
         match change {
             RecordChange::Occurrence { record, obsolete_parts, .. } => {
-                Self { rows: 1 + obsolete_parts.len(), bytes: record.encode().len() }
+                Self { rows: 1 + obsolete_parts.len(), bytes: record.len() }
             }
             RecordChange::Remove { occurrences, parts, .. } => {
                 Self { rows: occurrences.len() * usize::from(*parts), bytes: 0 }
@@ -78,7 +79,7 @@
 
     /// Returns whether the store refused the state of a job, so that nothing that depends on it takes effect.
     pub(super) fn is_withheld(&self, job: &JobId) -> bool {
-        self.withheld.contains_key(job)
+        self.jobs.get(job).is_some_and(|state| state.withheld_until_ms.is_some())
     }
 
     /// Returns the next changes to make durable, together with the effects that depend on them. Returns `None` if there
@@ -139,14 +140,15 @@
             if !has_tasks && !is_first {
                 continue;
             }
-            let mut record = job.record_of(occurrence, *part);
-            omitted += record.limit_size(self.settings.record_limit_bytes);
+            let (record, omitted_here) =
+                job.record_of(occurrence, *part).encode_within(self.settings.record_limit_bytes);
+            omitted += omitted_here;
             let obsolete_parts = if has_tasks { 0..0 } else { 1..job.part_count() };
             changes.push(RecordChange::Occurrence {
                 job: id.clone(),
                 occurrence,
                 part: *part,
-                record: Box::new(record),
+                record,
                 obsolete_parts,
             });
         }
@@ -210,9 +212,8 @@
     }
 
     fn withhold(&mut self, now: PlannerTime, id: &JobId, out: &mut Vec<Output>) {
-        self.withheld.insert(id.clone(), now.steady_ms + RETRY_WITHHELD_MS);
         if let Some(job) = self.jobs.get_mut(id) {
-            job.is_withheld = true;
+            job.withheld_until_ms = Some(now.steady_ms + RETRY_WITHHELD_MS);
         }
         self.changed.retain(|(job, _, _)| job != id);
         for effect in std::mem::take(&mut self.effects) {
@@ -222,7 +223,7 @@
                     let incarnation = &order.incarnation;
                     self.attempt_ended(now, incarnation, attempt, AttemptEnd::Stopped, None, out);
                 }
-                Output::Progress { job, .. } if job == *id => {}
+                effect if effect.is_progress_of(id) => {}
                 // It may acknowledge ends of the job. It is repeated as far as it does not.
                 Output::Order(WorkerOrder::AcknowledgeEnds { .. }) => {}
                 other => self.effects.push(other),
@@ -232,15 +233,15 @@
 
     /// Writes the states of withheld jobs again after a pause.
     pub(super) fn retry_withheld(&mut self, now: PlannerTime) {
-        let is_due = |(_, retry_ms): &(&JobId, &u64)| now.steady_ms >= **retry_ms;
-        let due: Vec<JobId> =
-            self.withheld.iter().filter(is_due).map(|(id, _)| id.clone()).collect();
+        let is_due = |(_, job): &(&JobId, &Job)| {
+            job.withheld_until_ms.is_some_and(|until_ms| now.steady_ms >= until_ms)
+        };
+        let due: Vec<JobId> = self.jobs.iter().filter(is_due).map(|(id, _)| id.clone()).collect();
         for id in due {
-            self.withheld.remove(&id);
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            job.is_withheld = false;
+            job.withheld_until_ms = None;
             let occurrences: Vec<u32> = job.occurrences.keys().copied().collect();
             if let Some(result) = job.result {
                 let (job, queue) = (id.clone(), job.record.queue.clone());
--- a/src/planner/end.rs
+++ b/src/planner/end.rs
@@ -246,7 +246,7 @@
         let queue = job.record.queue.clone();
         let running = if result == JobResult::Done { Vec::new() } else { placed_tasks(id, job) };
         self.mark_part_changed(id, 0, 0);
-        if !self.jobs[id].is_withheld {
+        if !self.is_withheld(id) {
             self.effects.push(Output::Progress {
                 job: id.clone(),
                 queue,
--- a/src/planner/message.rs
+++ b/src/planner/message.rs
@@ -4,9 +4,7 @@
 
 use crate::prelude::*;
 use crate::rules::Directives;
-use crate::workflow::{
-    JobRecord, JobResult, OccurrenceRecord, Resources, TaskId, WorkerIncarnation,
-};
+use crate::workflow::{JobRecord, JobResult, Resources, TaskId, WorkerIncarnation};
 
 /// Time of an input, by the steady clock and the wall clock.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
@@ -309,6 +307,13 @@
     },
 }
 
+impl Output {
+    /// Returns whether this publishes the progress of a job.
+    pub(super) fn is_progress_of(&self, id: &JobId) -> bool {
+        matches!(self, Self::Progress { job, .. } if job == id)
+    }
+}
+
 /// Kind of a decision of the planner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 pub enum Decision {
@@ -344,8 +349,8 @@
         occurrence: u32,
         /// Number of the part.
         part: u16,
-        /// State of the tasks in the part.
-        record: Box<OccurrenceRecord>,
+        /// Encoded state of the tasks in the part.
+        record: Vec<u8>,
         /// Other parts, which are no longer needed and have to be removed.
         obsolete_parts: std::ops::Range<u16>,
     },
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -4,6 +4,7 @@
 //! intent to start an attempt is durable before the order is sent, and the end of an attempt is durable before it is
 //! acknowledged. See docs/platform-deployment.md.
 
+mod batch;
 mod departure;
 mod end;
 mod evict;
@@ -22,7 +23,6 @@
 mod straggler;
 #[cfg(test)]
 mod tests;
-mod writes;
 
 pub use message::{
     AttemptEnd, AttemptsReport, Batch, Decision, EndedAttempt, Input, JobProgress, Output,
@@ -88,9 +88,6 @@
     /// Occurrences with changes in a transaction that the store refused. Each is written in a transaction of its own.
     #[serde(default)]
     refused: BTreeSet<(JobId, u32)>,
-    /// Jobs whose own changes the store refused, with the steady time at which they are written again.
-    #[serde(default)]
-    withheld: BTreeMap<JobId, u64>,
     /// Jobs whose records have to be removed.
     forgotten: BTreeMap<JobId, Removal>,
     /// Jobs that are no longer kept, with the time at which each was accepted and the steady time of its removal. A list
@@ -121,7 +118,6 @@
             workers: BTreeMap::new(),
             changed: BTreeSet::new(),
             refused: BTreeSet::new(),
-            withheld: BTreeMap::new(),
             forgotten: BTreeMap::new(),
             removed: BTreeMap::new(),
             effects: Vec::new(),
@@ -214,7 +210,7 @@
             ended_wall_ms: 0,
             started: false,
             is_held: false,
-            is_withheld: false,
+            withheld_until_ms: None,
         }
     }
 
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -113,9 +113,9 @@
     pub started: bool,
     /// Part of the stored state could not be read, so no task is started.
     pub is_held: bool,
-    /// The store refused the job's state, so nothing that depends on it takes effect.
+    /// Steady time until which nothing that depends on the job's state takes effect, because the store refused that state.
     #[serde(default)]
-    pub is_withheld: bool,
+    pub withheld_until_ms: Option<u64>,
 }
 
 impl Job {
@@ -135,7 +135,7 @@
 
     /// Returns whether tasks of the job may start.
     pub fn may_start(&self) -> bool {
-        self.result.is_none() && !self.is_held && !self.is_withheld
+        self.result.is_none() && !self.is_held && self.withheld_until_ms.is_none()
     }
 
     pub fn is_placed(&self) -> bool {
--- a/src/planner/tests/rules.rs
+++ b/src/planner/tests/rules.rs
@@ -353,7 +353,7 @@
     let mut batches = 0;
     while let Some(batch) = world.planner.take_batch() {
         let base64_bytes = |change: &RecordChange| match change {
-            RecordChange::Occurrence { record, .. } => record.encode().len().div_ceil(3) * 4,
+            RecordChange::Occurrence { record, .. } => record.len().div_ceil(3) * 4,
             RecordChange::Remove { .. } => 0,
         };
         assert!(batch.changes.iter().map(base64_bytes).sum::<usize>() < 980_000);
--- a/src/planner/tests/world.rs
+++ b/src/planner/tests/world.rs
@@ -425,10 +425,9 @@
     fn apply(&mut self, change: &RecordChange) {
         match change {
             RecordChange::Occurrence { job, occurrence, part, record, obsolete_parts } => {
-                let encoded = record.encode();
-                self.largest_record_bytes = self.largest_record_bytes.max(encoded.len());
+                self.largest_record_bytes = self.largest_record_bytes.max(record.len());
                 let record =
-                    OccurrenceRecord::decode(&encoded).expect("encoded record can be decoded");
+                    OccurrenceRecord::decode(record).expect("encoded record can be decoded");
                 match part {
                     0 => self.occurrences.insert((job.clone(), *occurrence), record),
                     _ => self.parts.insert((job.clone(), *occurrence, *part), record),
--- a/src/workflow/parts.rs
+++ b/src/workflow/parts.rs
@@ -32,26 +32,27 @@
 }
 
 impl OccurrenceRecord {
-    /// Removes checkpoints, the longest first, until the encoded record has at most `limit_bytes`. Returns how many were
-    /// removed; their tasks resume from the start if a new leader has to start them again.
-    pub fn limit_size(&mut self, limit_bytes: usize) -> usize {
-        let mut size = self.encode().len();
-        let mut lengths: Vec<(usize, usize)> = Vec::new();
-        if size > limit_bytes {
-            let length = |task: &TaskRecord| task.checkpoint.as_ref().map(String::len);
-            let tasks = self.tasks.iter().enumerate();
-            lengths.extend(tasks.filter_map(|(index, task)| Some((length(task)?, index))));
-            lengths.sort_unstable();
+    /// Encodes the record, without the longest checkpoints if it exceeds `limit_bytes`. Returns how many were left out;
+    /// their tasks start from the beginning if a new leader has to start them again.
+    pub fn encode_within(mut self, limit_bytes: usize) -> (Vec<u8>, usize) {
+        let encoded = self.encode();
+        if encoded.len() <= limit_bytes {
+            return (encoded, 0);
         }
-        let mut removed = 0;
-        while size > limit_bytes
+        let length = |task: &TaskRecord| task.checkpoint.as_ref().map(String::len);
+        let tasks = self.tasks.iter().enumerate();
+        let mut lengths: Vec<(usize, usize)> =
+            tasks.filter_map(|(index, task)| Some((length(task)?, index))).collect();
+        lengths.sort_unstable();
+        let (mut bytes, mut omitted) = (encoded.len(), 0);
+        while bytes > limit_bytes
             && let Some((length, index)) = lengths.pop()
         {
             self.tasks[index].checkpoint = None;
-            size -= length;
-            removed += 1;
+            bytes -= length;
+            omitted += 1;
         }
-        removed
+        (self.encode(), omitted)
     }
 }
 
