Write the first part of an occurrence with its first placement

What callers would see: after a change back to earlier programs, tasks of a large job run twice.

Cause: found by reading. If only a later step of a job of more than 64 tasks could start, its first part had no row. A leader of an earlier version ignores the rows of other parts, takes the occurrence as one that has not begun, and starts all tasks.

Change: each placement writes the first part too, in the same transaction. An earlier version then finds too few tasks in it and holds the job. Jobs of up to 64 tasks have one part, so nothing changes for them.

Result: occurrence_that_has_begun_has_a_first_part failed before ('assertion failed: occurrences.contains_key') and passes. Mixed versions were not played. docs/platform-deployment.md lists how old processes cope with each name of this change.

--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -268,6 +268,8 @@
             }
         }
         occurrence.ready_ms.remove(&ready.step);
+        // A leader of an earlier version recognises an occurrence that has begun by its first part alone.
+        self.mark_part_changed(&ready.job, ready.occurrence, 0);
         for (worker, task) in started {
             self.mark_changed(&task);
             if let Some(worker) = self.workers.get_mut(&worker) {
--- a/src/planner/tests/records.rs
+++ b/src/planner/tests/records.rs
@@ -114,6 +114,19 @@
     assert_eq!(world.progress[&id("j")], JobProgress::Finished(JobResult::Done));
 }
 
+/// Guards against a leader of an earlier version that starts all tasks of an occurrence again, because it finds no first part
+/// of it: only a later step could start.
+#[test]
+fn occurrence_that_has_begun_has_a_first_part() {
+    let mut world = World::new(1);
+    let unplaceable = StepSpec { required_label: Some("none".to_owned()), ..wide_step(64) };
+
+    world.submit("j", job(1, vec![unplaceable, wide_step(1)]));
+
+    assert_eq!(world.placements("j").len(), 1);
+    assert!(world.store.occurrences.contains_key(&(id("j"), 0)));
+}
+
 /// Guards against jobs that stand still, and against starts and results that are not durable, because the store refuses
 /// the state of one job.
 #[test]
