Keep a job visible if the removal of its rows is refused

What callers would see: a finished job is shown as pending.

If the store refused the removal, its effect, the report that the job is gone, was released with the next batch, while the rows remained.

Change: the effect is dropped with the removal. The next leader removes the rows.

Result: job_whose_removal_is_refused_stays_visible failed before ('no entry found for key') and passes.

--- a/src/planner/batch.rs
+++ b/src/planner/batch.rs
@@ -193,9 +193,10 @@
                     self.changed.insert((job.clone(), *occurrence, *part));
                     occurrences.insert((job.clone(), *occurrence));
                 }
-                // The rows remain until the next leader removes them.
+                // The rows remain until the next leader removes them, and the job remains visible as long.
                 RecordChange::Remove { job, .. } => {
                     self.forgotten.remove(job);
+                    self.effects.retain(|effect| !effect.is_progress_of(job));
                 }
             }
         }
--- a/src/planner/tests/records.rs
+++ b/src/planner/tests/records.rs
@@ -127,6 +127,20 @@
     assert!(world.store.occurrences.contains_key(&(id("j"), 0)));
 }
 
+/// Guards against a finished job that is shown as pending because the removal of its rows was refused.
+#[test]
+fn job_whose_removal_is_refused_stays_visible() {
+    let mut world = World::new(1);
+    world.submit("j", wide_job(1));
+    finish(&mut world, "j", 0..1);
+    world.store.refuses = Some(id("j"));
+
+    world.advance(ENDED_JOB_RETENTION_MS + 1_000);
+
+    assert!(world.store.jobs.contains_key(&id("j")));
+    assert_eq!(world.progress[&id("j")], JobProgress::Finished(JobResult::Done));
+}
+
 /// Guards against jobs that stand still, and against starts and results that are not durable, because the store refuses
 /// the state of one job.
 #[test]
