--- a/src/coordinator/tests/restarted_worker.rs
+++ b/src/coordinator/tests/restarted_worker.rs
@@ -2,15 +2,23 @@
 
 use super::*;
 
-/// Guards against tasks that are started again although the new incarnation of their worker runs them: it accepted the
-/// orders for the earlier one before its first heartbeat.
-#[tokio::test]
-async fn tasks_are_started_once_if_the_worker_reports_its_restart_late() {
+/// Starts a coordinator and a host with its worker.
+async fn start_with_worker(
+    task_duration_ms: u64,
+) -> (Vec<Member>, InProcessWorker, HostHandle<InProcessWorker>) {
     let store = MemoryRowStore::default();
     publish_rules(&store, &rules(1)).await;
     let members = members(1, &store);
-    let (worker, host) = start_host(&addresses(&members), &store, 2_000).await;
+    let (worker, host) = start_host(&addresses(&members), &store, task_duration_ms).await;
     wait_until_ready(&members).await;
+    (members, worker, host)
+}
+
+/// Guards against tasks that are started again although the new incarnation of their worker runs them: it accepted the
+/// orders for the earlier one before its first heartbeat.
+#[tokio::test]
+async fn tasks_are_started_once_if_the_worker_reports_its_restart_late() {
+    let (members, worker, host) = start_with_worker(2_000).await;
     let first = JobId::from("first");
     assert_eq!(members[0].service().submit(&first, &record(), 3_000).await, Submission::Accepted);
     assert_eq!(wait_until_finished(&members[0], &first).await, JobResult::Done);
@@ -36,11 +44,7 @@
 /// worker by its identifier alone, arrived late (review case 8).
 #[tokio::test]
 async fn late_notice_of_an_earlier_end_does_not_take_a_worker_out_of_use() {
-    let store = MemoryRowStore::default();
-    publish_rules(&store, &rules(1)).await;
-    let members = members(1, &store);
-    let (worker, host) = start_host(&addresses(&members), &store, 100).await;
-    wait_until_ready(&members).await;
+    let (members, worker, host) = start_with_worker(100).await;
 
     for (index, notices) in [1, 2].into_iter().enumerate() {
         worker.with(|state| state.restart());
@@ -58,11 +62,7 @@
 /// the notice of its end.
 #[tokio::test]
 async fn late_ready_report_does_not_put_an_ending_worker_back_into_use() {
-    let store = MemoryRowStore::default();
-    publish_rules(&store, &rules(1)).await;
-    let members = members(1, &store);
-    let (worker, host) = start_host(&addresses(&members), &store, 100).await;
-    wait_until_ready(&members).await;
+    let (members, worker, host) = start_with_worker(100).await;
     let mut draining = heartbeat(&worker, 3);
     draining.report.draining = true;
 
@@ -84,11 +84,7 @@
 #[test_case::test_case(&[5_000, -4_000]; "the clock jumps forward and back")]
 #[tokio::test]
 async fn worker_that_was_born_earlier_than_its_last_incarnation_gets_work(born_after_ms: &[i64]) {
-    let store = MemoryRowStore::default();
-    publish_rules(&store, &rules(1)).await;
-    let members = members(1, &store);
-    let (worker, host) = start_host(&addresses(&members), &store, 100).await;
-    wait_until_ready(&members).await;
+    let (members, worker, host) = start_with_worker(100).await;
     wait_until_done(&members[0], "first").await;
 
     for (index, born_after_ms) in born_after_ms.iter().enumerate() {
@@ -104,11 +100,7 @@
 #[test_case::test_case(-2_000; "born after the current one")]
 #[tokio::test]
 async fn late_heartbeat_of_an_ended_incarnation_changes_nothing(born_after_ms: i64) {
-    let store = MemoryRowStore::default();
-    publish_rules(&store, &rules(1)).await;
-    let members = members(1, &store);
-    let (worker, host) = start_host(&addresses(&members), &store, 2_000).await;
-    wait_until_ready(&members).await;
+    let (members, worker, host) = start_with_worker(2_000).await;
     let late = heartbeat(&worker, 9);
     worker.with(|state| state.restart_after(born_after_ms));
     assert!(host.heartbeat(heartbeat(&worker, 1)).await);
