Place urgent gangs on fast workers, and long work on slow ones

Change: the leader estimates speeds from attempts of the same step on different workers. From a ratio of TEASELHALL_SPEED_SPREAD_PERCENT on, urgent gangs use workers that are not slow, other work uses slow ones while it meets its objective there, and gangs mix both classes last. Changed estimates are sent to all coordinators, so a new leader starts with them.

--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -67,6 +67,7 @@
 fn loaded_planner(workers: usize) -> (Planner, PlannerTime) {
     let now = PlannerTime { steady_ms: 10_000, wall_ms: 1_700_000_000_000 };
     let settings = PlannerSettings {
+        speed_spread_percent: None,
         lease_expiry_ms: 9_500,
         takeover_lease_expiry_ms: 15_500,
         record_limit_bytes: MAX_PART_BYTES,
--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -17,7 +17,7 @@
 use super::service::Service;
 use super::settings::MAX_RENEWAL_STORE_AGE_MS;
 use crate::election::{ElectionRole, ElectionStep, Gossip, LeaderElection};
-use crate::planner::{Input, PlannerTime};
+use crate::planner::{Input, PlannerTime, Speeds};
 use crate::prelude::*;
 use crate::process::{InboxActor, new_incarnation};
 use crate::rules::Directives;
@@ -60,6 +60,8 @@
     pub(super) restoring: Option<Restoring>,
     /// The worker of each host connection, by the number of the connection.
     pub(super) host_workers: HashMap<u64, WorkerId>,
+    /// The estimated speeds of workers that the leader has reported, with which this coordinator would begin to lead.
+    pub(super) speeds: Speeds,
     ticks: u64,
     pub(super) ending: Option<oneshot::Sender<()>>,
 }
@@ -93,6 +95,7 @@
             leader_state: None,
             restoring: None,
             host_workers: HashMap::new(),
+            speeds: Speeds::default(),
             ticks: 0,
             ending: None,
         };
@@ -146,10 +149,12 @@
         }
         if self.ticks.is_multiple_of(TICKS_PER_LOAD) {
             self.publish_load();
+            self.publish_speeds();
             self.announce_coordinators();
         }
         if self.ticks.is_multiple_of(TICKS_PER_TRAFFIC_REPORT) {
             self.report_traffic();
+            self.report_speeds();
         }
         self.plan(&Input::Tick);
     }
@@ -222,6 +227,7 @@
                 }
             }
             PeerMessage::Load { epoch, load } => self.on_load(epoch, load),
+            PeerMessage::Speeds { epoch, speeds } => self.on_speeds(epoch, &speeds),
         }
     }
 
@@ -234,7 +240,8 @@
         let store_age_ms = if gossip.store_is_failing { u64::MAX } else { gossip.store_age_ms };
         let needs_snapshot = self.peers.record(&gossip.process, sender.clone(), store_age_ms);
         if needs_snapshot && let Some(leader_state) = &self.leader_state {
-            let messages = leader_state.snapshot();
+            let mut messages = leader_state.snapshot();
+            messages.extend(leader_state.all_speeds());
             log::info!(
                 peer = gossip.process.as_str(), epoch = leader_state.epoch().0, messages = messages.len();
                 "coordinator is new or may lack messages; sending the progress of all jobs"
--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -15,7 +15,7 @@
 use super::takeover::{Head, Takeover};
 use crate::admission::LoadSummary;
 use crate::election::Leadership;
-use crate::planner::{Batch, Input, JobProgress, Output, Planner, PlannerTime};
+use crate::planner::{Batch, Input, JobProgress, Output, Planner, PlannerTime, SpeedReport};
 use crate::prelude::*;
 use crate::process::Metrics;
 use crate::store::{RowChange, RowStore};
@@ -173,6 +173,28 @@
         first.chain(rest.map(|jobs| message(false, jobs))).collect()
     }
 
+    /// Returns the estimated speeds of all workers.
+    pub fn speed_reports(&self) -> Vec<SpeedReport> {
+        self.planner.speed_reports()
+    }
+
+    /// Returns a message with the estimated speeds of all workers, if there are any.
+    pub fn all_speeds(&self) -> Option<PeerMessage> {
+        let speeds = self.speed_reports();
+        (!speeds.is_empty()).then(|| PeerMessage::Speeds { epoch: self.epoch(), speeds })
+    }
+
+    /// Returns a message with the estimated speeds that have changed since the last call, if there are any.
+    pub fn changed_speeds(&mut self) -> Option<PeerMessage> {
+        let speeds = self.planner.take_speed_changes();
+        (!speeds.is_empty()).then(|| PeerMessage::Speeds { epoch: self.epoch(), speeds })
+    }
+
+    /// Returns the ratio of the speeds of fast and slow workers of each service, in percent, and whether placement uses it.
+    pub fn speed_spreads(&self) -> impl Iterator<Item = (&str, u32, bool)> {
+        self.planner.speed_spreads()
+    }
+
     fn updates(&self) -> Vec<JobUpdate> {
         self.planner
             .progress()
@@ -215,6 +237,7 @@
                 planner.rewrite(&job.id, occurrence);
             }
         }
+        planner.restore_speeds(&self.speeds.reports());
         for (key, version) in takeover.rejections {
             tokio::spawn(remove_later(self.store().clone(), key, version));
         }
--- a/src/coordinator/leadership.rs
+++ b/src/coordinator/leadership.rs
@@ -90,6 +90,7 @@
     pub(super) fn step_down(&mut self, reason: &str) {
         let now_ms = self.service.clock.now_ms();
         if let Some(leader_state) = self.leader_state.take() {
+            self.speeds.restore(&leader_state.speed_reports());
             leader_state.redirect_hosts(self.election.leadership().cloned());
             log::warn!(reason; "this coordinator no longer leads");
             self.service.metrics.count("leadership", "given_up");
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -6,7 +6,7 @@
 
 use crate::admission::LoadSummary;
 use crate::election::{Gossip, Leadership};
-use crate::planner::{AttemptsReport, JobProgress, WorkerEvent, WorkerOrder};
+use crate::planner::{AttemptsReport, JobProgress, SpeedReport, WorkerEvent, WorkerOrder};
 use crate::prelude::*;
 use crate::rules::Directives;
 use crate::store::{RowChange, RowError, RowKey, StoredRow, Transaction};
@@ -112,6 +112,13 @@
         /// The load.
         load: LoadSummary,
     },
+    /// Estimates of the speeds of workers, sent by the leader where placement uses them.
+    Speeds {
+        /// The leader's epoch.
+        epoch: Epoch,
+        /// The estimates that are new or have changed.
+        speeds: Vec<SpeedReport>,
+    },
 }
 
 /// The progress of a job.
@@ -175,6 +182,7 @@
             Self::Relayed { .. } => "peer_relayed",
             Self::RequestDirectives => "peer_request_directives",
             Self::Load { .. } => "peer_load",
+            Self::Speeds { .. } => "peer_speeds",
         }
     }
 }
--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -43,6 +43,9 @@
     pub worker_lease_ms: u64,
     /// The maximum size of a row of the store in bytes.
     pub row_limit_bytes: usize,
+    /// The ratio of the speeds of workers, in percent, from which on placement takes their speed into account; `None`
+    /// switches that off.
+    pub speed_spread_percent: Option<u32>,
 }
 
 /// Returns the duration of a worker's lease if workers shorten longer leases to `limit_ms`. A leader that counts on a
@@ -67,6 +70,7 @@
                 + REPLACEMENT_NOTICE_MS,
             // The limit holds whether the store counts the bytes of a row or their base64 text.
             record_limit_bytes: MAX_PART_BYTES.min(self.row_limit_bytes / 4 * 3),
+            speed_spread_percent: self.speed_spread_percent,
         }
     }
 
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -135,6 +135,7 @@
     let store = store.new_client();
     store.set_fault(fault);
     let settings = CoordinatorSettings {
+        speed_spread_percent: None,
         worker_lease_ms: MAX_WORKER_LEASE_MS,
         row_limit_bytes: DEFAULT_ROW_LIMIT_BYTES,
         process: ProcessId::from(name),
--- a/src/planner/end.rs
+++ b/src/planner/end.rs
@@ -54,6 +54,9 @@
         if self.placement_of(task).is_none_or(|placed| placed != (incarnation.clone(), attempt)) {
             return;
         }
+        if kind == AttemptEnd::Done {
+            self.observe_attempt_speed(now, incarnation, task, true);
+        }
         self.keep_checkpoint(task, attempt, checkpoint);
         out.push(Output::Decision {
             job: task.job.clone(),
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -19,11 +19,14 @@
 mod report;
 mod reservation;
 mod scope;
+mod speed;
 mod state;
 mod straggler;
 #[cfg(test)]
 mod tests;
 
+pub use speed::{SpeedReport, Speeds};
+
 pub use message::{
     AttemptEnd, AttemptsReport, Batch, Decision, EndedAttempt, Input, JobProgress, Output,
     PlannerTime, RecordChange, RunningAttempt, StartOrder, StartRefusal, WorkerEvent, WorkerOrder,
@@ -63,6 +66,10 @@
     pub takeover_lease_expiry_ms: u64,
     /// Maximum size of a record in bytes, so that it fits into a row of the store.
     pub record_limit_bytes: usize,
+    /// Ratio of the speeds of fast and slow workers of a service, in percent, from which on placement takes the speed of
+    /// workers into account; `None` switches that off.
+    #[serde(default)]
+    pub speed_spread_percent: Option<u32>,
 }
 
 /// Removal of the records of a job that is no longer kept.
@@ -103,6 +110,9 @@
     typical_ms: BTreeMap<String, f64>,
     /// Latency objectives by queue, from the directives.
     objectives: BTreeMap<String, Objective>,
+    /// Estimated speeds of the workers.
+    #[serde(default)]
+    speeds: Speeds,
 }
 
 impl Planner {
@@ -112,6 +122,7 @@
             settled_ms: now.steady_ms + SETTLE_MS,
             typical_ms: BTreeMap::new(),
             objectives: objectives_of(&directives),
+            speeds: Speeds::default(),
             settings,
             directives,
             jobs: BTreeMap::new(),
@@ -247,6 +258,7 @@
             }
         }
         self.expire_leases(now, &mut out);
+        self.update_speeds(now);
         // The most frequent event, a list of attempts without changes, frees no capacity. Waiting times are checked at
         // each tick.
         let may_place = match input {
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -8,6 +8,7 @@
 use super::pool::{Allocation, Candidate, Horizon, PlacementRequest};
 use super::queue::ReadyStep;
 use super::scope::Scope;
+use super::speed::SpeedPreference;
 use super::state::{Job, Placement, StartPhase, Task};
 use crate::prelude::*;
 use crate::workflow::{Resources, TaskId, TaskPhase};
@@ -102,7 +103,8 @@
         out: &mut Vec<Output>,
     ) -> bool {
         let job = &self.jobs[&ready.job];
-        let request = placement_request(job, ready, pool);
+        let speed = self.speed_preference(now, ready);
+        let request = PlacementRequest { speed, ..placement_request(job, ready, pool) };
         let waited_ms = job.occurrences[&ready.occurrence]
             .ready_ms
             .get(&ready.step)
@@ -141,9 +143,20 @@
         waited_ms: u64,
         out: &mut Vec<Output>,
     ) -> bool {
-        for may_leave in [false, true] {
+        let speed = self.speed_preference(now, ready);
+        // A slow worker makes the job late, so it is the last resort.
+        let speeds = match speed {
+            SpeedPreference::UsualOnly => &[speed, SpeedPreference::UsualFirst][..],
+            SpeedPreference::Any | SpeedPreference::UsualFirst | SpeedPreference::SlowFirst => {
+                &[speed][..]
+            }
+        };
+        let stages = [false, true]
+            .into_iter()
+            .flat_map(|may_leave| speeds.iter().map(move |speed| (may_leave, *speed)));
+        for (may_leave, speed) in stages {
             let job = &self.jobs[&ready.job];
-            let request = placement_request(job, ready, pool);
+            let request = PlacementRequest { speed, ..placement_request(job, ready, pool) };
             let wait_ms = (request.step.estimate_ms / URGENT_WAIT_DIVISOR)
                 .clamp(*URGENT_WAIT_MS.start(), *URGENT_WAIT_MS.end());
             let has_settled = self.has_settled(now);
@@ -167,7 +180,7 @@
                 return true;
             }
             let may_evict = has_settled && ready.eviction_right != EvictionRight::Wait;
-            if may_evict && self.evict_for(now, ready, &scope, pool, out) {
+            if may_evict && self.evict_for(now, ready, &scope, speed, pool, out) {
                 return true;
             }
         }
@@ -179,11 +192,12 @@
         now: PlannerTime,
         ready: &ReadyStep,
         scope: &Scope,
+        speed: SpeedPreference,
         pool: &mut [Candidate],
         out: &mut Vec<Output>,
     ) -> bool {
         let job = &self.jobs[&ready.job];
-        let request = placement_request(job, ready, pool);
+        let request = PlacementRequest { speed, ..placement_request(job, ready, pool) };
         let victims = self.victims(now, job, ready.eviction_right);
         let Some((allocation, chosen)) =
             super::evict::choose_victims(&request, scope, pool, &victims)
@@ -291,6 +305,19 @@
         }
     }
 
+    /// Returns the preference of a step for workers of a speed class, if those of its service differ enough.
+    fn speed_preference(&self, now: PlannerTime, ready: &ReadyStep) -> SpeedPreference {
+        let job = &self.jobs[&ready.job];
+        let Some(split) = self.speed_split(&job.record.service) else {
+            return SpeedPreference::Any;
+        };
+        let is_urgent = ready.priority == URGENT_PRIORITY;
+        let Some(times) = self.job_times(now, job, ready.occurrence) else {
+            return SpeedPreference::SlowFirst;
+        };
+        SpeedPreference::of(is_urgent, split.slow_factor(), &times)
+    }
+
     pub(super) fn start_order(&self, task: &TaskId) -> Option<StartOrder> {
         let job = self.jobs.get(&task.job)?;
         let state = job.task(task)?;
@@ -340,6 +367,7 @@
         tasks: waiting.clone().count() as u32,
         present,
         avoid: waiting.filter_map(|task| task.avoid.clone()).collect(),
+        speed: SpeedPreference::Any,
     }
 }
 
--- a/src/planner/pool.rs
+++ b/src/planner/pool.rs
@@ -2,6 +2,7 @@
 
 use super::Planner;
 use super::message::PlannerTime;
+use super::speed::{SpeedClass, SpeedPreference};
 use super::state::Job;
 use crate::prelude::*;
 use crate::workflow::{Resources, StepSpec, WorkerIncarnation};
@@ -29,6 +30,7 @@
     pub is_unreliable: bool,
     /// An attempt or a gang with a member on the worker recently made no progress or was too slow.
     pub is_suspect: bool,
+    pub speed_class: SpeedClass,
 }
 
 /// Resources that count as available in a search.
@@ -83,6 +85,8 @@
     pub present: Vec<u32>,
     /// Workers on which waiting tasks of the step last failed or stalled.
     pub avoid: Vec<WorkerId>,
+    /// Preference for workers of a speed class.
+    pub speed: SpeedPreference,
 }
 
 impl PlacementRequest<'_> {
@@ -133,6 +137,7 @@
             (
                 !self.is_near_data(candidate),
                 is_avoided || candidate.is_unreliable,
+                self.speed.rank(candidate.speed_class),
                 too_small && self.step.gang,
                 available.accelerators,
                 available.cores_milli,
@@ -203,6 +208,7 @@
                     || now.steady_ms < worker.suspect_until_ms
                     || worker.slowness.is_slow(now.steady_ms),
                 is_suspect: now.steady_ms < worker.suspect_until_ms,
+                speed_class: self.speed_class(&report.service, &report.incarnation),
             });
         }
         // A stalled gang can make all workers of a small deployment suspect. If more than half are, they are only
--- a/src/planner/queue.rs
+++ b/src/planner/queue.rs
@@ -100,11 +100,19 @@
 
     /// Returns the prospect of an occurrence of a job. Jobs without an objective always count as timely.
     pub(super) fn outlook(&self, now: PlannerTime, job: &Job, occurrence: u32) -> Outlook {
+        self.job_times(now, job, occurrence).map_or(Outlook::Timely, |times| times.outlook())
+    }
+
+    /// Returns the times of an occurrence of a job, or `None` for jobs without an objective.
+    pub(super) fn job_times(
+        &self,
+        now: PlannerTime,
+        job: &Job,
+        occurrence: u32,
+    ) -> Option<JobTimes> {
         let spec = &job.record.spec;
-        let objective = self.objectives.get(&job.record.queue).filter(|_| !spec.is_long_running());
-        let Some(objective) = objective else {
-            return Outlook::Timely;
-        };
+        let objective =
+            self.objectives.get(&job.record.queue).filter(|_| !spec.is_long_running())?;
         let tasks = &job.occurrences[&occurrence].tasks;
         let is_done = |step: usize| all_done(&tasks[job.range(step)]);
         let estimate_ms = |step: usize| job.step(step).estimate_ms;
@@ -114,13 +122,12 @@
             None => job.record.accepted_ms,
         };
         let chain_ms = spec.longest_chain_ms(estimate_ms);
-        let times = JobTimes {
+        Some(JobTimes {
             waited_ms: now.wall_ms.saturating_sub(since_wall_ms),
             remaining_ms: spec.longest_chain_ms(remaining_ms),
             objective_ms: objective.of_chain_ms(chain_ms),
             late_limit_ms: objective.late_limit_ms(chain_ms),
-        };
-        times.outlook()
+        })
     }
 }
 
--- a/src/planner/scope.rs
+++ b/src/planner/scope.rs
@@ -1,6 +1,7 @@
 //! Limits the workers on which the tasks of a step may run: those of one rack, those near its data, or all.
 
 use super::pool::{Allocation, Candidate, Horizon, PlacementRequest};
+use super::speed::SpeedScope;
 use crate::prelude::*;
 
 /// Limits of a search for free resources.
@@ -24,8 +25,10 @@
         pool: &[Candidate],
         horizon: Horizon,
     ) -> Option<Allocation> {
+        let scopes = request.speed.scopes();
         if request.step.same_rack {
-            if let Some(allocation) = self.find_rack(request, pool, horizon) {
+            let in_rack = |scope| self.find_rack(request, pool, horizon, scope);
+            if let Some(allocation) = scopes.iter().copied().find_map(in_rack) {
                 return Some(allocation);
             }
             if self.stays_in_rack(request, pool) {
@@ -42,8 +45,14 @@
                 return None;
             }
         }
-        let allocation = request.allocate(pool, horizon, |_| true);
-        is_sufficient(request, &allocation).then_some(allocation)
+        // The tasks of other steps than gangs run independently of each other, so they may be on workers of both classes.
+        let last_scope = scopes.last().copied().unwrap_or(SpeedScope::All);
+        let scopes = if request.step.gang { scopes } else { &[last_scope] };
+        scopes.iter().copied().find_map(|scope| {
+            let is_in_scope = |candidate: &Candidate| scope.contains(candidate.speed_class);
+            let allocation = request.allocate(pool, horizon, is_in_scope);
+            is_sufficient(request, &allocation).then_some(allocation)
+        })
     }
 
     /// Returns the sets of candidates within one of which the step has to be placed, as indices: each rack, the rack of
@@ -53,8 +62,12 @@
         request: &PlacementRequest<'_>,
         pool: &[Candidate],
     ) -> Vec<Vec<usize>> {
+        let may_use = |candidate: &Candidate| {
+            request.speed.scopes().iter().any(|scope| scope.contains(candidate.speed_class))
+        };
         let indices = |keep: &dyn Fn(&Candidate) -> bool| -> Vec<usize> {
-            (0..pool.len()).filter(|index| keep(&pool[*index])).collect()
+            let is_kept = |index: &usize| may_use(&pool[*index]) && keep(&pool[*index]);
+            (0..pool.len()).filter(is_kept).collect()
         };
         if request.step.same_rack && self.stays_in_rack(request, pool) {
             let racks = self.racks(pool).into_iter();
@@ -85,7 +98,8 @@
     }
 
     fn stays_in_rack(&self, request: &PlacementRequest<'_>, pool: &[Candidate]) -> bool {
-        let is_possible = || self.find_rack(request, pool, Horizon::Empty).is_some();
+        let is_possible =
+            || self.find_rack(request, pool, Horizon::Empty, SpeedScope::All).is_some();
         !self.may_leave_rack && (!self.has_settled || is_possible())
     }
 
@@ -113,12 +127,15 @@
         request: &PlacementRequest<'_>,
         pool: &[Candidate],
         horizon: Horizon,
+        scope: SpeedScope,
     ) -> Option<Allocation> {
         let data_rack = request.step.data_rack.as_deref();
         self.racks(pool)
             .into_iter()
             .map(|rack| {
-                let is_in_rack = |candidate: &Candidate| candidate.rack.as_ref() == Some(rack);
+                let is_in_rack = |candidate: &Candidate| {
+                    candidate.rack.as_ref() == Some(rack) && scope.contains(candidate.speed_class)
+                };
                 (rack, request.allocate(pool, horizon, is_in_rack))
             })
             .filter(|(_, allocation)| request.is_complete(allocation))
--- a/src/planner/straggler.rs
+++ b/src/planner/straggler.rs
@@ -102,6 +102,7 @@
         for task in worker.placed.clone() {
             if is_due {
                 self.observe_speed(now, incarnation, &task);
+                self.observe_attempt_speed(now, incarnation, &task, false);
             }
             self.back_off_stalled_worker(now, incarnation, &task);
             if let Some(because) = self.restart_reason(now, incarnation, &task) {
--- a/src/planner/tests/mod.rs
+++ b/src/planner/tests/mod.rs
@@ -8,6 +8,7 @@
 mod reservation;
 mod rules;
 mod schedules;
+mod speed;
 mod straggler;
 mod takeover;
 mod world;
@@ -23,6 +24,7 @@
     lease_expiry_ms: 9_500,
     takeover_lease_expiry_ms: 13_500,
     record_limit_bytes: MAX_PART_BYTES,
+    speed_spread_percent: None,
 };
 /// Wall-clock time at which tests begin, in milliseconds since 1970.
 const BEGIN_WALL_MS: u64 = 1_700_000_000_000;
