Estimate the speed of workers from gangs too, and prefer known fast workers

Change: the duration of a gang relative to its estimate is attributed to the members that are expected to be slowest. Unknown workers come after known fast ones for urgent work, and together with slow ones for other work, which shows their speed.

--- a/src/planner/speed/choice.rs
+++ b/src/planner/speed/choice.rs
@@ -8,10 +8,12 @@
 pub enum SpeedScope {
     /// All workers.
     All,
-    /// Workers that are not slow.
+    /// Workers that are known not to be slow.
     Usual,
-    /// Slow workers.
-    Slow,
+    /// Workers that are not known to be slow.
+    NotSlow,
+    /// Workers that are not known to be fast.
+    NotFast,
 }
 
 impl SpeedScope {
@@ -20,7 +22,8 @@
         match self {
             Self::All => true,
             Self::Usual => class == SpeedClass::Usual,
-            Self::Slow => class == SpeedClass::Slow,
+            Self::NotSlow => class != SpeedClass::Slow,
+            Self::NotFast => class != SpeedClass::Usual,
         }
     }
 }
@@ -59,9 +62,9 @@
     pub fn scopes(self) -> &'static [SpeedScope] {
         match self {
             Self::Any => &[SpeedScope::All],
-            Self::UsualOnly => &[SpeedScope::Usual],
-            Self::UsualFirst => &[SpeedScope::Usual, SpeedScope::Slow, SpeedScope::All],
-            Self::SlowFirst => &[SpeedScope::Slow, SpeedScope::Usual, SpeedScope::All],
+            Self::UsualOnly => &[SpeedScope::Usual, SpeedScope::NotSlow],
+            Self::UsualFirst => &[SpeedScope::Usual, SpeedScope::NotSlow, SpeedScope::All],
+            Self::SlowFirst => &[SpeedScope::NotFast, SpeedScope::NotSlow, SpeedScope::All],
         }
     }
 
@@ -69,10 +72,12 @@
     pub fn rank(self, class: SpeedClass) -> u8 {
         match (self, class) {
             (Self::Any, _) => 0,
-            (Self::SlowFirst, SpeedClass::Usual)
-            | (Self::UsualFirst | Self::UsualOnly, SpeedClass::Slow) => 1,
-            (Self::SlowFirst, SpeedClass::Slow)
-            | (Self::UsualFirst | Self::UsualOnly, SpeedClass::Usual) => 0,
+            // Work without haste shows how fast unknown workers are.
+            (Self::SlowFirst, SpeedClass::Slow | SpeedClass::Unknown) => 0,
+            (Self::SlowFirst, SpeedClass::Usual) => 1,
+            (Self::UsualFirst | Self::UsualOnly, SpeedClass::Usual) => 0,
+            (Self::UsualFirst | Self::UsualOnly, SpeedClass::Unknown) => 1,
+            (Self::UsualFirst | Self::UsualOnly, SpeedClass::Slow) => 2,
         }
     }
 }
--- a/src/planner/speed/estimates.rs
+++ b/src/planner/speed/estimates.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::gangs::{GangObservation, GangObservations};
 use super::split::{SpeedClass, SpeedSplit};
 use crate::prelude::*;
 use crate::workflow::WorkerIncarnation;
@@ -22,8 +23,10 @@
 const FIT_ROUNDS: usize = 4;
 /// Minimum interval between two updates of the estimates.
 const UPDATE_INTERVAL_MS: u64 = 500;
+/// Minimum number of observations from which the class of a worker is known.
+const MIN_KNOWN_OBSERVATIONS: f64 = 0.9;
 /// Minimum number of observations of a worker that counts in the division of a service's workers.
-const MIN_DIVIDED_OBSERVATIONS: f64 = 3.0;
+const MIN_DIVIDED_OBSERVATIONS: f64 = 2.0;
 /// Change of the logarithm of a speed from which other coordinators are told again.
 const REPORTED_CHANGE: f64 = 0.15;
 
@@ -62,6 +65,17 @@
     fn is_reliable(&self) -> bool {
         self.observations >= MIN_DIVIDED_OBSERVATIONS
     }
+
+    /// Adds an observation that is no longer kept by itself.
+    fn add_past(&mut self, log_speed: f64, weight: f64) {
+        self.past_sum += log_speed.clamp(-MAX_LOG_RATIO, MAX_LOG_RATIO) * weight;
+        self.past_observations += weight;
+        let excess = self.past_observations / MAX_PAST_OBSERVATIONS;
+        if excess > 1.0 {
+            self.past_sum /= excess;
+            self.past_observations = MAX_PAST_OBSERVATIONS;
+        }
+    }
 }
 
 /// Logarithm of the duration of an attempt on a worker.
@@ -77,6 +91,7 @@
     workers: BTreeMap<WorkerId, Estimate>,
     /// Observations of each step by index of the task; the oldest step is first.
     steps: VecDeque<(StepKey, BTreeMap<u32, Observation>)>,
+    gangs: GangObservations,
     /// Division of the workers of each service.
     splits: BTreeMap<String, SpeedSplit>,
     changed: BTreeSet<WorkerId>,
@@ -107,6 +122,26 @@
         self.has_new_observations = true;
     }
 
+    /// Records the duration of a gang on its workers, relative to the client's estimate.
+    pub fn observe_gang(&mut self, queue: &str, members: Vec<WorkerIncarnation>, ratio: f64) {
+        let queue = queue.to_owned();
+        let oldest = self.gangs.push(GangObservation { queue, log_ratio: ratio.ln(), members });
+        if let Some(oldest) = oldest {
+            let log_speed_of = |incarnation: &WorkerIncarnation| self.log_speed(incarnation);
+            let contributions = self.gangs.contributions_of(&oldest, log_speed_of);
+            let past: Vec<_> = contributions
+                .iter()
+                .map(|found| (found.incarnation.clone(), found.log_speed, found.weight))
+                .collect();
+            for (incarnation, log_speed, weight) in past {
+                if let Some(estimate) = self.estimate_mut(&incarnation) {
+                    estimate.add_past(log_speed, weight);
+                }
+            }
+        }
+        self.has_new_observations = true;
+    }
+
     /// Moves the observations of the oldest step into the estimates.
     fn retire_oldest_step(&mut self) {
         let Some((_, observations)) = self.steps.pop_front() else {
@@ -118,13 +153,7 @@
         for observation in observations.values() {
             let log_ratio = log_ratio(base, observation);
             if let Some(estimate) = self.estimate_mut(&observation.incarnation) {
-                estimate.past_sum += log_ratio;
-                estimate.past_observations += 1.0;
-                let excess = estimate.past_observations / MAX_PAST_OBSERVATIONS;
-                if excess > 1.0 {
-                    estimate.past_sum /= excess;
-                    estimate.past_observations = MAX_PAST_OBSERVATIONS;
-                }
+                estimate.add_past(log_ratio, 1.0);
             }
         }
     }
@@ -166,8 +195,9 @@
         self.has_new_observations = false;
         self.updated_ms = now_ms;
         let incarnations = self.steps.iter().flat_map(|(_, observations)| observations.values());
+        let incarnations = incarnations.map(|observation| &observation.incarnation);
         let incarnations: Vec<WorkerIncarnation> =
-            incarnations.map(|observation| observation.incarnation.clone()).collect();
+            incarnations.chain(self.gangs.members()).cloned().collect();
         for incarnation in incarnations {
             let estimate = self.workers.entry(incarnation.worker).or_default();
             // Times of birth may go back, so any other incarnation than the known one is a new one.
@@ -203,6 +233,15 @@
                 }
             }
         }
+        let log_speed_of = |incarnation: &WorkerIncarnation| self.log_speed(incarnation);
+        for found in self.gangs.contributions(log_speed_of) {
+            if self.estimate(found.incarnation).is_some() {
+                let log_speed = found.log_speed.clamp(-MAX_LOG_RATIO, MAX_LOG_RATIO);
+                let sum = sums.entry(found.incarnation.worker.clone()).or_default();
+                sum.0 += log_speed * found.weight;
+                sum.1 += found.weight;
+            }
+        }
         for (worker, estimate) in &mut self.workers {
             let (sum, count) = sums.get(worker).copied().unwrap_or_default();
             estimate.observations = count + estimate.past_observations;
@@ -236,8 +275,10 @@
     /// Returns the class of a worker in a division of the workers of its service.
     pub fn class_of(&self, split: &SpeedSplit, incarnation: &WorkerIncarnation) -> SpeedClass {
         match self.estimate(incarnation) {
-            Some(estimate) => split.class_of(estimate.log_speed),
-            None => SpeedClass::Usual,
+            Some(estimate) if estimate.observations >= MIN_KNOWN_OBSERVATIONS => {
+                split.class_of(estimate.log_speed)
+            }
+            Some(_) | None => SpeedClass::Unknown,
         }
     }
 
--- a/src/planner/speed/mod.rs
+++ b/src/planner/speed/mod.rs
@@ -6,6 +6,7 @@
 
 mod choice;
 mod estimates;
+mod gangs;
 mod split;
 
 pub use choice::{SpeedPreference, SpeedScope};
@@ -23,7 +24,7 @@
 
 impl Planner {
     /// Compares an attempt on a worker with those of the same step. Ignores attempts whose duration also depends on other
-    /// things than the worker: gangs, tasks with a data rack, and resumed or long-running tasks.
+    /// things than the worker: tasks with a data rack, and resumed or long-running tasks.
     pub(super) fn observe_attempt_speed(
         &mut self,
         now: PlannerTime,
@@ -38,7 +39,13 @@
             return;
         };
         let step = job.step(task.step.into());
-        if step.gang || step.tasks < 2 || step.data_rack.is_some() || step.long_running {
+        if step.data_rack.is_some() || step.long_running {
+            return;
+        }
+        if step.gang {
+            if is_done {
+                self.observe_gang_speed(now, task);
+            }
             return;
         }
         let placement = job.task(task).and_then(|state| state.placement.as_ref());
@@ -58,6 +65,35 @@
         self.speeds.observe(key, task.index, incarnation, duration_ms);
     }
 
+    /// Compares the duration of a gang that has ended with the client's estimate. Ignores gangs that resumed from a
+    /// checkpoint, and those whose end another member has shown before.
+    fn observe_gang_speed(&mut self, now: PlannerTime, task: &TaskId) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let members = job.members(task);
+        let placements: Vec<_> = members
+            .iter()
+            .filter_map(|member| job.task(member).filter(|state| !state.is_done()))
+            .filter_map(|state| state.placement.as_ref())
+            .filter(|placement| placement.checkpoint_at_start.is_none())
+            .collect();
+        if placements.len() < members.len() {
+            return;
+        }
+        let began_ms = placements.iter().map(|placement| placement.started_ms).max();
+        let duration_ms = now.steady_ms.saturating_sub(began_ms.unwrap_or(now.steady_ms));
+        let estimate_ms = job.step(task.step.into()).estimate_ms;
+        let mut workers: Vec<WorkerIncarnation> =
+            placements.iter().map(|placement| placement.incarnation.clone()).collect();
+        workers.sort();
+        workers.dedup();
+        if duration_ms > 0 && estimate_ms > 0 {
+            let ratio = duration_ms as f64 / estimate_ms as f64;
+            self.speeds.observe_gang(&job.record.queue, workers, ratio);
+        }
+    }
+
     /// Updates the estimates from the observations since the last update, and the division of each service's workers into
     /// classes. A no-op unless the settings switch the part on.
     pub(super) fn update_speeds(&mut self, now: PlannerTime) {
--- a/src/planner/speed/split.rs
+++ b/src/planner/speed/split.rs
@@ -11,8 +11,10 @@
 /// Class of a worker by its speed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SpeedClass {
-    /// The worker is not known to be slow.
+    /// The worker is in the faster class of its service, or its service is not divided.
     Usual,
+    /// The worker was not observed yet.
+    Unknown,
     /// The worker is in the slower class of its service.
     Slow,
 }
