Weigh the stops for urgent jobs by what callers lose

Victims were chosen by unsaved work alone: a checkpointable task counted as free to stop, and neither the time of the stop, nor the restart, nor the victim's objective counted. Urgent jobs beyond every guarantee stopped long gangs near their end.

With TEASELHALL_STOP_MS, TEASELHALL_CHECKPOINT_INTERVAL_S and TEASELHALL_RESTORE_MS, the planner values the work that a stop discards and the delay of its occurrence, and stops something for an urgent job beyond its guarantee only if that gains half as much again as it loses. It waits for an attempt that is about to end or to write a checkpoint where that gains more. Urgent jobs within a guarantee stop as before; the cost then selects the victims. Without the variables, all decisions are as before.

--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -70,6 +70,7 @@
         lease_expiry_ms: 9_500,
         takeover_lease_expiry_ms: 15_500,
         record_limit_bytes: MAX_PART_BYTES,
+        cost: None,
     };
     let mut planner = Planner::new(now, settings, Directives::default());
     for number in 0..workers {
--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -330,6 +330,8 @@
         Decision::Ended => "ended",
         Decision::StartRefused => "start_refused",
         Decision::Finished => "over",
+        Decision::StopWithheld => "stop_withheld",
+        Decision::StopAwaited => "stop_awaited",
     }
 }
 
--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::election::ElectionSettings;
-use crate::planner::PlannerSettings;
+use crate::planner::{CostSettings, PlannerSettings};
 use crate::prelude::*;
 use crate::wire::{FrameKey, LinkSettings};
 use crate::workflow::MAX_PART_BYTES;
@@ -43,6 +43,8 @@
     pub worker_lease_ms: u64,
     /// The maximum size of a row of the store in bytes.
     pub row_limit_bytes: usize,
+    /// The times from which the costs of stops follow; without them, costs are not taken into account.
+    pub cost: Option<CostSettings>,
 }
 
 /// Returns the duration of a worker's lease if workers shorten longer leases to `limit_ms`. A leader that counts on a
@@ -67,6 +69,7 @@
                 + REPLACEMENT_NOTICE_MS,
             // The limit holds whether the store counts the bytes of a row or their base64 text.
             record_limit_bytes: MAX_PART_BYTES.min(self.row_limit_bytes / 4 * 3),
+            cost: self.cost,
         }
     }
 
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -137,6 +137,7 @@
     let settings = CoordinatorSettings {
         worker_lease_ms: MAX_WORKER_LEASE_MS,
         row_limit_bytes: DEFAULT_ROW_LIMIT_BYTES,
+        cost: None,
         process: ProcessId::from(name),
         inner_address: address,
         seeds: seeds.to_vec(),
--- a/src/planner/evict.rs
+++ b/src/planner/evict.rs
@@ -4,15 +4,14 @@
 
 use super::Planner;
 use super::message::PlannerTime;
-use super::overload::EvictionRight;
+use super::overload::{EvictionRight, StopTerms};
 use super::pool::{Allocation, Candidate, Horizon, PlacementRequest};
 use super::scope::Scope;
 use super::state::Job;
+use super::stop_cost::{RunningOccurrence, weight};
 use crate::prelude::*;
 use crate::workflow::{Resources, TaskId};
 
-/// Processor capacity that has the same weight as one accelerator in the cost of a stop, in thousandths of a core.
-const ACCELERATOR_CORES_MILLI: u64 = 8_000;
 /// Lost work that each stopped attempt counts at least, in milliseconds, so that few large victims are preferred to
 /// many small ones.
 const MIN_STOP_COST_MS: u64 = 200;
@@ -22,12 +21,28 @@
 pub(super) struct Victim {
     /// Task of the attempt, or one member of the gang.
     pub task: TaskId,
-    /// Work that the stop loses, in thousandths of core-milliseconds, with a higher weight for urgent jobs.
+    /// Work that the stop loses, in thousandths of core-milliseconds, with a higher weight for urgent jobs. With
+    /// [`super::CostSettings`], the value of that work.
     pub cost: u64,
+    /// Value that the occurrence loses because it ends later, whatever the number of its attempts that are stopped; 0
+    /// without [`super::CostSettings`].
+    pub delay_cost: u64,
+    /// Terms of the stop, with [`super::CostSettings`].
+    pub terms: Option<StopTerms>,
     /// Resources that the stop frees, by worker.
     pub released: BTreeMap<WorkerId, Resources>,
 }
 
+impl Victim {
+    /// Returns the cost of the stop if attempts of these occurrences are stopped as well.
+    fn added_cost(&self, delayed: &BTreeSet<(&JobId, u32)>) -> u64 {
+        match delayed.contains(&(&self.task.job, self.task.occurrence)) {
+            true => self.cost,
+            false => self.cost.saturating_add(self.delay_cost),
+        }
+    }
+}
+
 impl Planner {
     /// Returns the organisations whose urgent jobs need more accelerators than their guarantee.
     pub(super) fn organisations_over_guarantee(&self) -> BTreeSet<OrganisationId> {
@@ -56,12 +71,14 @@
         }
     }
 
-    /// Returns the attempts that an urgent job may stop, according to its [`EvictionRight`].
+    /// Returns the attempts that an urgent job may stop, according to its [`EvictionRight`]. `outage_ms` is the time for
+    /// which it uses their resources.
     pub(super) fn victims(
         &self,
         now: PlannerTime,
         urgent: &Job,
         right: EvictionRight,
+        outage_ms: u64,
     ) -> Vec<Victim> {
         let over_guarantee = self.organisations_over_guarantee();
         let may_stop = |job: &Job| {
@@ -76,6 +93,7 @@
                 continue;
             }
             let mut seen_gangs = BTreeSet::new();
+            let mut running: BTreeMap<u32, RunningOccurrence> = BTreeMap::new();
             for task in super::end::placed_tasks(id, job) {
                 if job.step(task.step.into()).gang
                     && !seen_gangs.insert((task.occurrence, task.step))
@@ -83,9 +101,23 @@
                     continue;
                 }
                 let evictions = job.task(&task).map_or(0, |state| state.evictions);
-                if right.may_stop_again(evictions) {
-                    victims.extend(victim(now, job, &task));
+                if !right.may_stop_again(evictions) {
+                    continue;
                 }
+                let Some(mut victim) = victim(now, job, &task) else {
+                    continue;
+                };
+                if let Some(settings) = &self.settings.cost {
+                    let running = running
+                        .entry(task.occurrence)
+                        .or_insert_with(|| RunningOccurrence::new(self, now, job, task.occurrence));
+                    let terms = running.terms(now, job, &task);
+                    let loss = terms.loss(settings, outage_ms, 0);
+                    victim.cost = loss.work;
+                    victim.delay_cost = loss.delay;
+                    victim.terms = Some(terms);
+                }
+                victims.push(victim);
             }
         }
         victims
@@ -113,11 +145,10 @@
         };
         lost_ms += unsaved_ms + MIN_STOP_COST_MS;
     }
-    let weight = u64::from(step.need.cores_milli)
-        + u64::from(step.need.accelerators) * ACCELERATOR_CORES_MILLI;
     // Urgent work costs more, so that it is stopped last.
     let priority_weight = if job.record.priority == 0 { 4 } else { 1 };
-    Some(Victim { task: task.clone(), cost: lost_ms * weight * priority_weight, released })
+    let cost = lost_ms * weight(&step.need) * priority_weight;
+    Some(Victim { task: task.clone(), cost, delay_cost: 0, terms: None, released })
 }
 
 /// Chooses victims of low total cost whose stops make the step fit. Returns the allocation and the indices of the
@@ -182,6 +213,8 @@
     F: Fn(&Candidate) -> bool,
 {
     let mut best: Option<(u64, Vec<usize>)> = None;
+    let delayed: BTreeSet<(&JobId, u32)> =
+        chosen.iter().map(|victim| occurrence_of(&victims[*victim])).collect();
     for (index, candidate) in pool.iter().enumerate() {
         if !allowed(candidate) {
             continue;
@@ -191,14 +224,16 @@
             .filter(|victim| !chosen.contains(victim))
             .filter(|victim| victims[*victim].released.contains_key(worker))
             .collect();
-        local_victims.sort_by_key(|victim| victims[*victim].cost);
+        local_victims.sort_by_key(|victim| victims[*victim].added_cost(&delayed));
         let before = request.fits(index, candidate, Horizon::AfterStops);
         let mut trial = candidate.clone();
         let (mut cost, mut used) = (0, Vec::new());
+        let mut delayed = delayed.clone();
         for victim in local_victims {
             trial.free_after_stops =
                 trial.free_after_stops.saturating_add(&victims[victim].released[worker]);
-            cost += victims[victim].cost;
+            cost += victims[victim].added_cost(&delayed);
+            delayed.insert(occurrence_of(&victims[victim]));
             used.push(victim);
             if request.fits(index, &trial, Horizon::AfterStops) > before {
                 if best.as_ref().is_none_or(|(least, _)| cost < *least) {
@@ -210,3 +245,7 @@
     }
     best
 }
+
+fn occurrence_of(victim: &Victim) -> (&JobId, u32) {
+    (&victim.task.job, victim.task.occurrence)
+}
--- a/src/planner/message.rs
+++ b/src/planner/message.rs
@@ -336,6 +336,12 @@
     #[display("over")]
     #[serde(rename = "Over")]
     Finished,
+    /// Stops for an urgent job would destroy more than they gain.
+    #[display("stop_withheld")]
+    StopWithheld,
+    /// An urgent job waits for attempts that are about to end or to write a checkpoint.
+    #[display("stop_awaited")]
+    StopAwaited,
 }
 
 /// Change of the durable records of a job.
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -6,6 +6,7 @@
 
 mod batch;
 mod departure;
+mod description;
 mod end;
 mod evict;
 mod incarnation;
@@ -20,6 +21,7 @@
 mod reservation;
 mod scope;
 mod state;
+mod stop_cost;
 mod straggler;
 #[cfg(test)]
 mod tests;
@@ -29,6 +31,7 @@
     PlannerTime, RecordChange, RunningAttempt, StartOrder, StartRefusal, WorkerEvent, WorkerOrder,
     WorkerReport,
 };
+pub use overload::CostSettings;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -36,7 +39,8 @@
 
 use crate::prelude::*;
 use crate::rules::{Directives, Objective};
-use crate::workflow::{JobRecord, JobResult, OccurrenceRecord, StepSpec, TaskId, TaskPhase};
+use crate::workflow::{JobRecord, JobResult, OccurrenceRecord, TaskId, TaskPhase};
+use description::describe;
 use state::{Job, Occurrence, Placement, StartPhase, Task, Worker};
 
 /// Time for which the state of a finished job is kept. Clients may query it for 120 s.
@@ -45,8 +49,6 @@
 /// Time for which a removed job is recognised in a list of the stored jobs that was read before the removal.
 const REMOVED_JOB_RETENTION_MS: u64 = 300_000;
 
-/// Maximum number of steps of a job that its log line describes, which bounds the length of the line.
-const MAX_DESCRIBED_STEPS: usize = 6;
 /// Time after a takeover during which a new leader evicts nothing for urgent jobs and keeps gangs that belong in one
 /// rack together: free workers may not have reported to it yet.
 const SETTLE_MS: u64 = 800;
@@ -63,6 +65,9 @@
     pub takeover_lease_expiry_ms: u64,
     /// Maximum size of a record in bytes, so that it fits into a row of the store.
     pub record_limit_bytes: usize,
+    /// Times from which the costs of stops follow; without them, stops are chosen by unsaved work alone.
+    #[serde(default)]
+    pub cost: Option<CostSettings>,
 }
 
 /// Removal of the records of a job that is no longer kept.
@@ -435,42 +440,6 @@
     Task { record, placement, ..Task::default() }
 }
 
-/// Describes the requirements of a job for the log.
-fn describe(record: &JobRecord) -> String {
-    let step = |step: &StepSpec| {
-        let mut text = format!(
-            "{} tasks of {} millicores, {} MB, {} accelerators, about {} ms",
-            step.tasks,
-            step.need.cores_milli,
-            step.need.memory_mb,
-            step.need.accelerators,
-            step.estimate_ms
-        );
-        for (applies, what) in [
-            (step.gang, "gang"),
-            (step.same_rack, "same rack"),
-            (step.data_rack.is_some(), "data in a rack"),
-            (step.checkpointable, "checkpointable"),
-            (step.speculative, "speculative"),
-        ] {
-            if applies {
-                text.push_str(", ");
-                text.push_str(what);
-            }
-        }
-        text
-    };
-    let mut texts: Vec<String> =
-        record.spec.steps.iter().take(MAX_DESCRIBED_STEPS).map(step).collect();
-    if let Some(schedule) = record.spec.schedule {
-        texts.push(format!(
-            "{} occurrences, one every {} ms",
-            schedule.occurrences, schedule.interval_ms
-        ));
-    }
-    texts.join("; ")
-}
-
 /// Marks the attempts that an earlier leader was stopping: those of a finished job, and the remaining members of a
 /// broken gang.
 fn mark_leftover_attempts_stopping(job: &mut Job) {
--- a/src/planner/overload/mod.rs
+++ b/src/planner/overload/mod.rs
@@ -2,12 +2,15 @@
 //! function of values that the planner passes in, and names the load pattern that it answers. See
 //! docs/platform-deployment.md.
 
+mod cost;
 mod eviction;
 mod guarantee;
 mod outlook;
 #[cfg(test)]
 mod tests;
 
+pub use cost::CostSettings;
+pub(super) use cost::{OccurrenceValue, StopBalance, StopLoss, StopTerms, StopVerdict};
 pub(super) use eviction::{EvictionRight, restart_pause_ms};
 pub(super) use guarantee::{UrgentJob, within_guarantee};
 pub(super) use outlook::{JobTimes, Outlook};
--- a/src/planner/overload/outlook.rs
+++ b/src/planner/overload/outlook.rs
@@ -39,15 +39,20 @@
 }
 
 impl JobTimes {
+    /// Returns whether the job has waited so long that it is placed before all others of its priority.
+    pub fn is_aged(&self) -> bool {
+        let age_bound_ms = MIN_AGE_BOUND_MS.max(self.objective_ms.saturating_mul(AGE_BOUND_FACTOR));
+        self.waited_ms >= age_bound_ms
+    }
+
     /// Returns the prospect of the job if it starts now.
     ///
     /// Load pattern: more urgent work arrives than fits, for longer than its objective. In the order of age each job
     /// then starts when it can no longer be in time, and none is; jobs that can be in time go first instead.
     pub fn outlook(&self) -> Outlook {
-        let age_bound_ms = MIN_AGE_BOUND_MS.max(self.objective_ms.saturating_mul(AGE_BOUND_FACTOR));
         let finish_ms = self.waited_ms.saturating_add(self.remaining_ms);
         let timely_ms = self.objective_ms / 100 * TIMELY_PERCENT;
-        if finish_ms <= timely_ms || self.waited_ms >= age_bound_ms {
+        if finish_ms <= timely_ms || self.is_aged() {
             Outlook::Timely
         } else if finish_ms <= self.objective_ms {
             Outlook::Tight
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -3,8 +3,9 @@
 use std::collections::HashSet;
 
 use super::Planner;
+use super::evict::Victim;
 use super::message::{Decision, Output, PlannerTime, StartOrder, WorkerOrder};
-use super::overload::EvictionRight;
+use super::overload::{EvictionRight, StopBalance, StopVerdict};
 use super::pool::{Allocation, Candidate, Horizon, PlacementRequest};
 use super::queue::ReadyStep;
 use super::scope::Scope;
@@ -166,7 +167,9 @@
                 claim_after_stops(pool, &request, &allocation);
                 return true;
             }
-            let may_evict = has_settled && ready.eviction_right != EvictionRight::Wait;
+            let may_evict = has_settled
+                && ready.eviction_right != EvictionRight::Wait
+                && !(ready.exceeds_guarantee && self.was_withheld(now, ready));
             if may_evict && self.evict_for(now, ready, &scope, pool, out) {
                 return true;
             }
@@ -184,17 +187,38 @@
     ) -> bool {
         let job = &self.jobs[&ready.job];
         let request = placement_request(job, ready, pool);
-        let victims = self.victims(now, job, ready.eviction_right);
+        let outage_ms = request.step.estimate_ms;
+        let victims = self.victims(now, job, ready.eviction_right, outage_ms);
         let Some((allocation, chosen)) =
             super::evict::choose_victims(&request, scope, pool, &victims)
         else {
             return false;
         };
+        let chosen_victims: Vec<&Victim> = chosen.iter().map(|victim| &victims[*victim]).collect();
+        let balance = self.stop_balance(now, ready, pool, &allocation, &chosen_victims);
+        let verdict = balance.map(|balance| balance.verdict).filter(|_| ready.exceeds_guarantee);
+        match verdict {
+            None | Some(StopVerdict::Stop) => {}
+            Some(StopVerdict::Await { in_ms }) => {
+                // Other work must not take the rest of these resources meanwhile.
+                claim_after_stops(pool, &request, &allocation);
+                let text = format!("attempts end or write a checkpoint in {in_ms} ms");
+                let because = stop_reason(text, balance, chosen.len());
+                self.record_stop_refusal(now, ready, (Decision::StopAwaited, because), out);
+                return true;
+            }
+            Some(StopVerdict::Withhold) => {
+                let because = stop_reason("the loss is too high".to_owned(), balance, chosen.len());
+                self.record_stop_refusal(now, ready, (Decision::StopWithheld, because), out);
+                return false;
+            }
+        }
         for victim in &chosen {
             super::evict::release_victim(pool, &victims[*victim]);
         }
         claim_after_stops(pool, &request, &allocation);
-        let because = format!("room for urgent job {}", ready.job);
+        let text = format!("room for urgent job {}", ready.job);
+        let because = stop_reason(text, balance, chosen.len());
         for victim in chosen {
             let task = &victims[victim].task;
             for member in self.jobs[&task.job].members(task) {
@@ -315,6 +339,17 @@
     }
 }
 
+/// Returns a reason for the log that names the balance of the stops.
+fn stop_reason(reason: String, balance: Option<StopBalance>, stops: usize) -> String {
+    match balance {
+        Some(StopBalance { gain, loss, .. }) => {
+            let (gain, loss) = (gain / 1_000, loss / 1_000);
+            format!("{reason}: {stops} stops gain {gain} and lose {loss} thousandths")
+        }
+        None => reason,
+    }
+}
+
 /// Returns the placement request for the waiting tasks of a step.
 pub(super) fn placement_request<'a>(
     job: &'a Job,
--- a/src/planner/queue.rs
+++ b/src/planner/queue.rs
@@ -100,30 +100,44 @@
 
     /// Returns the prospect of an occurrence of a job. Jobs without an objective always count as timely.
     pub(super) fn outlook(&self, now: PlannerTime, job: &Job, occurrence: u32) -> Outlook {
+        let times = self.job_times(now, job, occurrence, remaining_step_ms(job, occurrence));
+        times.map_or(Outlook::Timely, |times| times.outlook())
+    }
+
+    /// Returns the times of an occurrence, given the remaining time of each step, or `None` if it has no objective.
+    pub(super) fn job_times<F>(
+        &self,
+        now: PlannerTime,
+        job: &Job,
+        occurrence: u32,
+        remaining_ms: F,
+    ) -> Option<JobTimes>
+    where
+        F: Fn(usize) -> u64,
+    {
         let spec = &job.record.spec;
         let objective = self.objectives.get(&job.record.queue).filter(|_| !spec.is_long_running());
-        let Some(objective) = objective else {
-            return Outlook::Timely;
-        };
-        let tasks = &job.occurrences[&occurrence].tasks;
-        let is_done = |step: usize| all_done(&tasks[job.range(step)]);
-        let estimate_ms = |step: usize| job.step(step).estimate_ms;
-        let remaining_ms = |step| if is_done(step) { 0 } else { estimate_ms(step) };
+        let objective = objective?;
         let since_wall_ms = match spec.schedule {
             Some(_) => spec.due_ms(occurrence),
             None => job.record.accepted_ms,
         };
-        let chain_ms = spec.longest_chain_ms(estimate_ms);
-        let times = JobTimes {
+        let chain_ms = spec.longest_chain_ms(|step| job.step(step).estimate_ms);
+        Some(JobTimes {
             waited_ms: now.wall_ms.saturating_sub(since_wall_ms),
             remaining_ms: spec.longest_chain_ms(remaining_ms),
             objective_ms: objective.of_chain_ms(chain_ms),
             late_limit_ms: objective.late_limit_ms(chain_ms),
-        };
-        times.outlook()
+        })
     }
 }
 
+/// Returns the estimated time of each step of an occurrence that is not done.
+pub(super) fn remaining_step_ms(job: &Job, occurrence: u32) -> impl Fn(usize) -> u64 + use<'_> {
+    let tasks = &job.occurrences[&occurrence].tasks;
+    move |step| if all_done(&tasks[job.range(step)]) { 0 } else { job.step(step).estimate_ms }
+}
+
 /// Returns the numbers of the steps of an occurrence with tasks that can start.
 fn ready_steps_of(job: &Job, occurrence: &Occurrence) -> Vec<usize> {
     if occurrence.done || occurrence.tasks.is_empty() {
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::message::{JobProgress, WorkerReport};
+use super::message::{Decision, JobProgress, WorkerReport};
 use super::straggler::Slowness;
 use crate::prelude::*;
 use crate::workflow::{
@@ -93,6 +93,9 @@
     pub done: bool,
     /// Steady time from which the waiting tasks of a step could start, by step.
     pub ready_ms: BTreeMap<usize, u64>,
+    /// Last decision against stops for the occurrence, and the steady time at which it was made.
+    #[serde(default)]
+    pub stop_refusal: Option<(Decision, u64)>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/src/planner/tests/mod.rs
+++ b/src/planner/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the planner against simulated workers that behave like those of the platform.
 
 mod campaign;
+mod cost;
 mod gangs;
 mod incarnation;
 mod overload;
@@ -23,6 +24,7 @@
     lease_expiry_ms: 9_500,
     takeover_lease_expiry_ms: 13_500,
     record_limit_bytes: MAX_PART_BYTES,
+    cost: None,
 };
 /// Wall-clock time at which tests begin, in milliseconds since 1970.
 const BEGIN_WALL_MS: u64 = 1_700_000_000_000;
