Order waiting work and set Retry-After by the cost of delay

A job with a near objective waited behind an older one with ample time, and rejected clients were asked to come back as soon as their results would be of some use, when they would still be late.

With the settings of the cost of delay, waiting work of one priority and outlook starts in the order of the loss that a second of delay causes for each unit of its work; urgent jobs within a guarantee keep the order of age.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::planner::{JobTimes, OccurrenceValue};
 use crate::prelude::*;
 use crate::rules::Objective;
 use crate::workflow::{JobRecord, Resources, StepSpec};
@@ -18,6 +19,8 @@
 pub const MAX_LOAD_AGE_MS: u64 = 3_000;
 /// Earliest and latest time after which a rejected client is asked to come back.
 const RETRY_AFTER_S: std::ops::RangeInclusive<u64> = 1..=30;
+/// Expected value of a result, in percent of that in time, below which a job is rejected by value.
+const MIN_VALUE_PERCENT: u64 = 10;
 /// Time after which the client of a job that no set of workers can run is asked to come back: workers may be added.
 const INFEASIBLE_RETRY_AFTER_S: u64 = 30;
 
@@ -102,6 +105,14 @@
         steps.iter().position(|step| self.fit_count(step) < needed(step))
     }
 
+    /// Returns the time until the accepted work in front of a job is finished, and the longest chain of the job's work.
+    fn wait_and_chain_ms(&self, record: &JobRecord) -> (u64, u64) {
+        let ahead = self.backlog_ms.iter().filter(|(priority, _)| *priority <= record.priority);
+        let wait_ms = ahead.fold(0, |sum: u64, (_, backlog_ms)| sum.saturating_add(*backlog_ms));
+        let steps = &record.spec.steps;
+        (wait_ms, record.spec.longest_chain_ms(|step| steps[step].estimate_ms))
+    }
+
     /// Returns the time in which all workers together finish tasks of a step that run for `duration_ms` each.
     pub fn work_ms(&self, step: &StepSpec, tasks: u64, duration_ms: u64) -> u64 {
         match self.fit_count(step) {
@@ -137,9 +148,7 @@
         if record.priority == 0 && self.is_within_guarantee(record, guarantee) {
             return Admission::Accept;
         }
-        let ahead = load.backlog_ms.iter().filter(|(priority, _)| *priority <= record.priority);
-        let wait_ms = ahead.fold(0, |sum: u64, (_, backlog_ms)| sum.saturating_add(*backlog_ms));
-        let chain_ms = spec.longest_chain_ms(|step| spec.steps[step].estimate_ms);
+        let (wait_ms, chain_ms) = load.wait_and_chain_ms(record);
         let limit_ms = objective.late_limit_ms(chain_ms);
         if (wait_ms / ESTIMATE_ERROR_FACTOR).saturating_add(chain_ms) <= limit_ms {
             return Admission::Accept;
@@ -148,6 +157,39 @@
         Admission::Overload { wait_ms, retry_after_s: retry_after_s(job, excess_ms) }
     }
 
+    /// Decides on a job as [`Self::decide`] does, but by the expected value of its result: a job is rejected if that value
+    /// is next to nothing, and its client comes back when the result is expected in time.
+    ///
+    /// Load pattern: rejected clients come back as soon as their results would be of some use, so that the work in front
+    /// of all accepted jobs stays as long as it can be, and all results are late.
+    pub fn decide_by_value(
+        &self,
+        job: &JobId,
+        record: &JobRecord,
+        objective: Objective,
+        guarantee: u32,
+    ) -> Admission {
+        let decision = self.decide(job, record, objective, guarantee);
+        let load = self.services.iter().find(|load| load.service == record.service);
+        let (Some(load), Admission::Overload { .. }) = (load, &decision) else {
+            return decision;
+        };
+        let (wait_ms, chain_ms) = load.wait_and_chain_ms(record);
+        let times = JobTimes {
+            waited_ms: 0,
+            remaining_ms: chain_ms,
+            objective_ms: objective.of_chain_ms(chain_ms),
+            late_limit_ms: objective.late_limit_ms(chain_ms),
+        };
+        let value = OccurrenceValue { priority: record.priority, times: Some(times) };
+        let expected = value.expected(wait_ms / ESTIMATE_ERROR_FACTOR);
+        if expected.saturating_mul(100) >= value.timely().saturating_mul(MIN_VALUE_PERCENT) {
+            return Admission::Accept;
+        }
+        let excess_ms = wait_ms.saturating_add(chain_ms).saturating_sub(times.objective_ms);
+        Admission::Overload { wait_ms, retry_after_s: retry_after_s(job, excess_ms) }
+    }
+
     fn is_within_guarantee(&self, record: &JobRecord, guarantee: u32) -> bool {
         let in_use = self
             .urgent_accelerators
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -105,3 +105,30 @@
     assert!(times.first() >= Some(&10) && times.last() <= Some(&15), "{times:?}");
     assert!(times.len() >= 4, "{times:?}");
 }
+
+/// Guards against clients that come back while their results would still be late, and against rejections by value of jobs
+/// that are accepted otherwise. The objective is 4,000 ms.
+#[test]
+fn clients_rejected_by_value_come_back_when_the_result_is_in_time() {
+    let decide = |backlog_ms: u64| {
+        let job = JobId::from("0123456789abcdef");
+        load(&[(0, backlog_ms)]).decide_by_value(&job, &record(0, gang(1, 1)), OBJECTIVE, 0)
+    };
+
+    assert_eq!(decide(19_001), Admission::Accept);
+    let Admission::Overload { retry_after_s, .. } = decide(19_500) else {
+        panic!("the job is rejected");
+    };
+    assert!((18..=27).contains(&retry_after_s), "{retry_after_s}");
+}
+
+/// Guards against a rejection of work whose late result is still worth much, while the load leaves it some chance.
+#[test]
+fn late_results_of_value_are_accepted_longer() {
+    let load = load(&[(0, 20_000)]);
+    let job = JobId::from("0123456789abcdef");
+
+    let decision = load.decide_by_value(&job, &record(1, gang(1, 1)), OBJECTIVE, 0);
+
+    assert_eq!(decision, Admission::Accept);
+}
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -118,6 +118,7 @@
         readiness: Readiness::default(),
         events: events.clone(),
         row_limit_bytes: settings.row_limit_bytes,
+        rejects_by_value: settings.cost.is_some(),
     };
     let settings = Arc::new(settings);
     let links = settings.links();
--- a/src/coordinator/rejection.rs
+++ b/src/coordinator/rejection.rs
@@ -10,7 +10,7 @@
 use super::relay::RelayingStore;
 use super::service::{Service, Submission, compare_with_stored};
 use super::transaction_retry::TransactionOutcome;
-use crate::admission::Admission;
+use crate::admission::{Admission, LoadSummary};
 use crate::prelude::*;
 use crate::store::{RowKey, RowStore, StoredRow, Transaction};
 use crate::workflow::JobRecord;
@@ -63,7 +63,11 @@
         let rules = self.rules()?;
         let queue = rules.queues.iter().find(|queue| queue.name == record.queue)?;
         let guarantee = rules.guarantee_of(&record.organisation);
-        let admission = load.decide(job, record, queue.objective(), guarantee);
+        let decide = match self.rejects_by_value {
+            true => LoadSummary::decide_by_value,
+            false => LoadSummary::decide,
+        };
+        let admission = decide(&load, job, record, queue.objective(), guarantee);
         let (kind, reason, retry_after_s) = match admission {
             Admission::Accept => return None,
             Admission::Overload { wait_ms, retry_after_s } => {
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -117,6 +117,8 @@
     pub(super) readiness: Readiness,
     pub(super) events: EventSender,
     pub(super) row_limit_bytes: usize,
+    /// Jobs are rejected by the expected value of their results.
+    pub(super) rejects_by_value: bool,
 }
 
 impl<S> Service<S>
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -32,6 +32,7 @@
     WorkerReport,
 };
 pub use overload::CostSettings;
+pub(crate) use overload::{JobTimes, OccurrenceValue};
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/planner/overload/cost.rs
+++ b/src/planner/overload/cost.rs
@@ -49,10 +49,19 @@
 }
 
 impl OccurrenceValue {
+    /// Returns the value of the result in time.
+    pub fn timely(&self) -> u64 {
+        self.result_values().0
+    }
+
+    /// Returns the values of the result in time and late.
+    fn result_values(&self) -> (u64, u64) {
+        RESULT_VALUES[usize::from(self.priority).min(RESULT_VALUES.len() - 1)]
+    }
+
     /// Returns the expected value of the result if the occurrence ends `delay_ms` later than expected.
     pub fn expected(&self, delay_ms: u64) -> u64 {
-        let index = usize::from(self.priority).min(RESULT_VALUES.len() - 1);
-        let (timely, late) = RESULT_VALUES[index];
+        let (timely, late) = self.result_values();
         let Some(times) = &self.times else {
             return timely;
         };
@@ -68,7 +77,7 @@
         let is_aged = self.times.is_some_and(|times| times.is_aged());
         match delay_ms {
             0 => 0,
-            _ if is_aged => Self { times: None, ..*self }.expected(0),
+            _ if is_aged => self.timely(),
             _ => self.expected(0).saturating_sub(self.expected(delay_ms)),
         }
     }
--- a/src/planner/overload/mod.rs
+++ b/src/planner/overload/mod.rs
@@ -10,7 +10,9 @@
 mod tests;
 
 pub use cost::CostSettings;
-pub(super) use cost::{OccurrenceValue, StopBalance, StopLoss, StopTerms, StopVerdict};
+pub(crate) use cost::OccurrenceValue;
+pub(super) use cost::{StopBalance, StopLoss, StopTerms, StopVerdict};
 pub(super) use eviction::{EvictionRight, restart_pause_ms};
 pub(super) use guarantee::{UrgentJob, within_guarantee};
-pub(super) use outlook::{JobTimes, Outlook};
+pub(crate) use outlook::JobTimes;
+pub(super) use outlook::Outlook;
--- a/src/planner/queue.rs
+++ b/src/planner/queue.rs
@@ -19,6 +19,8 @@
     /// The job is urgent, but no guarantee covers it.
     pub exceeds_guarantee: bool,
     pub outlook: Outlook,
+    /// Rank by the loss of a delay, the largest loss first; 0 unless costs are taken into account.
+    pub delay_rank: u64,
     pub order: u64,
     pub occurrence: u32,
     pub step: usize,
@@ -45,6 +47,8 @@
                     continue;
                 }
                 let outlook = self.outlook(now, job, *number);
+                // Covered jobs keep their order, since the stops for each are ordered in that order.
+                let delay_rank = if is_covered { 0 } else { self.delay_rank(now, job, *number) };
                 let is_within = !over_guarantee.contains(&job.record.organisation);
                 for step in steps {
                     ready.push(ReadyStep {
@@ -52,6 +56,7 @@
                         priority: job.record.priority,
                         exceeds_guarantee: job.record.priority == 0 && !is_covered,
                         outlook,
+                        delay_rank,
                         order: job.order,
                         occurrence: *number,
                         step,
--- a/src/planner/stop_cost.rs
+++ b/src/planner/stop_cost.rs
@@ -22,6 +22,11 @@
 /// Time after which workers list the progress of their attempts at the latest. Without progress for longer, the
 /// projection from the last one would keep an attempt about to end forever.
 const REPORT_MS: u64 = 1_000;
+/// Delay by whose loss waiting work is ordered. Work that ends frees capacity several times a second, so the next
+/// opportunity to start is less than this away.
+const RANK_DELAY_MS: u64 = 1_000;
+/// Factor that keeps the ratio of a loss to the work of a large job distinct from 0.
+const RANK_SCALE: u64 = 1_000_000;
 /// Time after which stops that were withheld are weighed again. The balance changes with the progress of the attempts,
 /// and weighing takes time for each waiting urgent job.
 const WEIGH_INTERVAL_MS: u64 = 250;
@@ -41,6 +46,12 @@
     u64::from(need.cores_milli) + u64::from(need.accelerators) * ACCELERATOR_CORES_MILLI
 }
 
+/// Returns the work of all tasks of a step, as milliseconds of tasks with a weight of 1.
+fn step_work(step: &StepSpec) -> u64 {
+    let task_work = step.estimate_ms.saturating_mul(weight(&step.need));
+    task_work.saturating_mul(step.tasks.into())
+}
+
 /// Returns the time for which an attempt has worked. After a takeover or a resumption it is derived from the reported
 /// progress, which then is more than twice as fast as estimated.
 fn worked_ms(now: PlannerTime, step: &StepSpec, placement: &Placement) -> u64 {
@@ -89,10 +100,6 @@
                 tasks.iter().map(|task| task_left_ms(&steps[index], task)).max().unwrap_or_default()
             })
             .collect();
-        let step_work = |step: &StepSpec| {
-            let task_work = step.estimate_ms.saturating_mul(weight(&step.need));
-            task_work.saturating_mul(step.tasks.into())
-        };
         let times = planner.job_times(now, job, number, |step| step_left_ms[step]);
         Self {
             value: OccurrenceValue { priority: job.record.priority, times },
@@ -145,6 +152,21 @@
 }
 
 impl Planner {
+    /// Returns the rank of a waiting occurrence within its priority and outlook: the more callers lose for each unit of its
+    /// work if it starts later, the lower. Returns 0 unless costs are taken into account.
+    ///
+    /// Load pattern: a short job with a near objective waits behind an older, longer one that still has ample time.
+    pub(super) fn delay_rank(&self, now: PlannerTime, job: &Job, number: u32) -> u64 {
+        if self.settings.cost.is_none() {
+            return 0;
+        }
+        let times = self.job_times(now, job, number, remaining_step_ms(job, number));
+        let value = OccurrenceValue { priority: job.record.priority, times };
+        let work = job.record.spec.steps.iter().map(step_work).fold(0, u64::saturating_add);
+        let loss = value.delay_loss(RANK_DELAY_MS).saturating_mul(RANK_SCALE);
+        u64::MAX - loss / work.max(1)
+    }
+
     /// Weighs the stops of chosen victims against the timely start of an urgent step, or returns `None` if costs are not
     /// taken into account.
     pub(super) fn stop_balance(
--- a/src/planner/tests/cost.rs
+++ b/src/planner/tests/cost.rs
@@ -5,13 +5,13 @@
 use crate::rules::Queue;
 
 /// Times of the wind farm service.
-const COST: CostSettings =
+pub const COST: CostSettings =
     CostSettings { stop_ms: 200, checkpoint_interval_ms: 2_000, restore_ms: 250 };
 /// Time between two lists of attempts.
 const STEP_MS: u64 = 100;
 
 /// Returns the rules of three queues, and a guarantee for `org-a`.
-fn directives(guaranteed_accelerators: u32) -> Directives {
+pub fn directives(guaranteed_accelerators: u32) -> Directives {
     let objectives = [(0, 1.5, 250), (1, 3.0, 1_000), (2, 3.0, 3_000)];
     let queue = |(priority, stretch, objective_ms): (u8, f64, u64)| Queue {
         name: format!("queue-{priority}"),
@@ -151,3 +151,19 @@
 
     assert!(world.stops.is_empty(), "{:?}", world.stops);
 }
+
+/// Guards against a short job with a near objective that waits behind an older one with ample time.
+#[test]
+fn job_that_loses_more_by_waiting_starts_first() {
+    let mut world = world(1, 0);
+    let short = StepSpec { estimate_ms: 2_000, ..gang(1, 8) };
+    submit(&mut world, "first", 1, short.clone());
+    submit(&mut world, "long", 1, long_gang(1));
+    submit(&mut world, "short", 1, short);
+    work(&mut world, 2_400);
+
+    world.end(&task("first", 0, 0), AttemptEnd::Done);
+
+    assert_eq!(world.placements("short").len(), 1);
+    assert_eq!(world.placements("long").len(), 0);
+}
