--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::election::ElectionSettings;
-use crate::planner::PlannerSettings;
+use crate::planner::{CostSettings, PlannerSettings};
 use crate::prelude::*;
 use crate::wire::{FrameKey, LinkSettings};
 use crate::workflow::MAX_PART_BYTES;
@@ -46,6 +46,8 @@
     /// The ratio of the speeds of workers, in percent, from which on placement takes their speed into account; `None`
     /// switches that off.
     pub speed_spread_percent: Option<u32>,
+    /// The times from which the costs of stops follow; without them, costs are not taken into account.
+    pub cost: Option<CostSettings>,
 }
 
 /// Returns the duration of a worker's lease if workers shorten longer leases to `limit_ms`. A leader that counts on a
@@ -71,6 +73,7 @@
             // The limit holds whether the store counts the bytes of a row or their base64 text.
             record_limit_bytes: MAX_PART_BYTES.min(self.row_limit_bytes / 4 * 3),
             speed_spread_percent: self.speed_spread_percent,
+            cost: self.cost,
         }
     }
 
--- a/src/planner/queue.rs
+++ b/src/planner/queue.rs
@@ -19,6 +19,8 @@
     /// The job is urgent, but no guarantee covers it.
     pub exceeds_guarantee: bool,
     pub outlook: Outlook,
+    /// Rank by the loss of a delay, the largest loss first; 0 unless costs are taken into account.
+    pub delay_rank: u64,
     pub order: u64,
     pub occurrence: u32,
     pub step: usize,
@@ -45,6 +47,8 @@
                     continue;
                 }
                 let outlook = self.outlook(now, job, *number);
+                // Covered jobs keep their order, since the stops for each are ordered in that order.
+                let delay_rank = if is_covered { 0 } else { self.delay_rank(now, job, *number) };
                 let is_within = !over_guarantee.contains(&job.record.organisation);
                 for step in steps {
                     ready.push(ReadyStep {
@@ -52,6 +56,7 @@
                         priority: job.record.priority,
                         exceeds_guarantee: job.record.priority == 0 && !is_covered,
                         outlook,
+                        delay_rank,
                         order: job.order,
                         occurrence: *number,
                         step,
@@ -100,28 +105,29 @@
 
     /// Returns the prospect of an occurrence of a job. Jobs without an objective always count as timely.
     pub(super) fn outlook(&self, now: PlannerTime, job: &Job, occurrence: u32) -> Outlook {
-        self.job_times(now, job, occurrence).map_or(Outlook::Timely, |times| times.outlook())
+        let times = self.job_times(now, job, occurrence, remaining_step_ms(job, occurrence));
+        times.map_or(Outlook::Timely, |times| times.outlook())
     }
 
-    /// Returns the times of an occurrence of a job, or `None` for jobs without an objective.
-    pub(super) fn job_times(
+    /// Returns the times of an occurrence, given the remaining time of each step, or `None` if it has no objective.
+    pub(super) fn job_times<F>(
         &self,
         now: PlannerTime,
         job: &Job,
         occurrence: u32,
-    ) -> Option<JobTimes> {
+        remaining_ms: F,
+    ) -> Option<JobTimes>
+    where
+        F: Fn(usize) -> u64,
+    {
         let spec = &job.record.spec;
-        let objective =
-            self.objectives.get(&job.record.queue).filter(|_| !spec.is_long_running())?;
-        let tasks = &job.occurrences[&occurrence].tasks;
-        let is_done = |step: usize| all_done(&tasks[job.range(step)]);
-        let estimate_ms = |step: usize| job.step(step).estimate_ms;
-        let remaining_ms = |step| if is_done(step) { 0 } else { estimate_ms(step) };
+        let objective = self.objectives.get(&job.record.queue).filter(|_| !spec.is_long_running());
+        let objective = objective?;
         let since_wall_ms = match spec.schedule {
             Some(_) => spec.due_ms(occurrence),
             None => job.record.accepted_ms,
         };
-        let chain_ms = spec.longest_chain_ms(estimate_ms);
+        let chain_ms = spec.longest_chain_ms(|step| job.step(step).estimate_ms);
         Some(JobTimes {
             waited_ms: now.wall_ms.saturating_sub(since_wall_ms),
             remaining_ms: spec.longest_chain_ms(remaining_ms),
@@ -131,6 +137,12 @@
     }
 }
 
+/// Returns the estimated time of each step of an occurrence that is not done.
+pub(super) fn remaining_step_ms(job: &Job, occurrence: u32) -> impl Fn(usize) -> u64 + use<'_> {
+    let tasks = &job.occurrences[&occurrence].tasks;
+    move |step| if all_done(&tasks[job.range(step)]) { 0 } else { job.step(step).estimate_ms }
+}
+
 /// Returns the numbers of the steps of an occurrence with tasks that can start.
 fn ready_steps_of(job: &Job, occurrence: &Occurrence) -> Vec<usize> {
     if occurrence.done || occurrence.tasks.is_empty() {
--- a/src/planner/tests/mod.rs
+++ b/src/planner/tests/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of the planner against simulated workers that behave like those of the platform.
 
+mod bursts;
 mod campaign;
+mod cost;
 mod gangs;
 mod incarnation;
 mod overload;
@@ -25,6 +27,7 @@
     takeover_lease_expiry_ms: 13_500,
     record_limit_bytes: MAX_PART_BYTES,
     speed_spread_percent: None,
+    cost: None,
 };
 /// Wall-clock time at which tests begin, in milliseconds since 1970.
 const BEGIN_WALL_MS: u64 = 1_700_000_000_000;
