Give workers that fail or stall whatever they start only probes

Cause: a worker got a backoff of 3 s to 15 s after two jobs failed on it, a stalled gang took all its members' workers out of use for 5 s, and gangs used up their attempts on bad workers that were last in the order only.

Change: src/planner/blame keeps a record of incidents (failures, stalls, start orders without an answer) and proofs (attempts that run well) for each worker. Incidents of two jobs with no proof in between make a worker doubtful for 5 s: it gets no gang, no urgent task and one other task at a time, at least 2 s after the last incident. At most a quarter of a service's workers, but one in any case, are doubtful. A job that failed on two workers that do well with other jobs speaks against no worker. The backoff after failures is replaced by this.

Not measured on a deployment yet.

--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -253,7 +253,13 @@
         let outputs = leader_state.planner.handle(now, input);
         if matches!(input, Input::Tick) {
             let (jobs, placed, workers) = leader_state.planner.counts();
-            for (name, value) in [("jobs", jobs), ("placed_tasks", placed), ("workers", workers)] {
+            let doubtful = leader_state.planner.doubtful_workers();
+            for (name, value) in [
+                ("jobs", jobs),
+                ("placed_tasks", placed),
+                ("workers", workers),
+                ("doubtful_workers", doubtful),
+            ] {
                 self.service.metrics.set("planner", name, i64::try_from(value).unwrap_or(i64::MAX));
             }
         }
@@ -287,6 +293,14 @@
                         "{what}"
                     );
                 }
+                Output::StandingChanged { worker, is_doubtful, because } => {
+                    let name = if is_doubtful { "doubtful" } else { "trusted" };
+                    self.service.metrics.count("blame", name);
+                    log::info!(
+                        worker = worker.as_str(), epoch = leader_state.epoch().0, because = because.as_str();
+                        "worker is now {name}"
+                    );
+                }
             }
         }
         let epoch = leader_state.epoch();
@@ -330,6 +344,7 @@
         Decision::Ended => "ended",
         Decision::StartRefused => "start_refused",
         Decision::Finished => "over",
+        Decision::Blamed => "blamed",
     }
 }
 
--- a/src/planner/end.rs
+++ b/src/planner/end.rs
@@ -1,18 +1,11 @@
 //! Handles the ends of attempts and of jobs.
 
 use super::message::{AttemptEnd, Decision, Output, PlannerTime, WorkerOrder};
-use super::state::{Job, Occurrence};
+use super::state::{Job, Occurrence, Placement};
 use super::{JobProgress, Planner};
 use crate::prelude::*;
 use crate::workflow::{JobResult, TaskId, TaskPhase, WorkerIncarnation};
 
-/// Number of different jobs that have to fail in a row on a worker before it gets a backoff.
-const FAILED_JOBS_BEFORE_BACKOFF: usize = 2;
-/// First backoff of a worker on which all jobs fail. It doubles with each further failure.
-const INITIAL_BACKOFF_MS: u64 = 3_000;
-/// Maximum backoff of a worker on which all jobs fail.
-const MAX_BACKOFF_MS: u64 = 15_000;
-
 impl Planner {
     pub(super) fn keep_checkpoint(
         &mut self,
@@ -74,7 +67,9 @@
         let Some(state) = job.task_mut(task) else {
             return;
         };
-        state.placement = None;
+        let Some(placement) = state.placement.take() else {
+            return;
+        };
         if state.record.phase == TaskPhase::Done {
             self.clear_finished_occurrence(task);
             return;
@@ -86,8 +81,8 @@
         }
         let long_running = job.step(task.step.into()).long_running;
         match kind {
-            AttemptEnd::Done if !long_running => self.task_done(now, task, incarnation, out),
-            AttemptEnd::Failed => self.task_failed(now, (task, attempt), incarnation, out),
+            AttemptEnd::Done if !long_running => self.task_done(now, task, &placement, out),
+            AttemptEnd::Failed => self.task_failed(now, task, &placement, out),
             AttemptEnd::Done
             | AttemptEnd::Stopped
             | AttemptEnd::Lapsed
@@ -102,13 +97,13 @@
         &mut self,
         now: PlannerTime,
         task: &TaskId,
-        incarnation: &WorkerIncarnation,
+        placement: &Placement,
         out: &mut Vec<Output>,
     ) {
-        if let Some(worker) = self.workers.get_mut(&incarnation.worker) {
+        if let Some(worker) = self.workers.get_mut(&placement.incarnation.worker) {
             worker.failed_jobs.clear();
-            worker.backoff_ms = 0;
         }
+        self.credit_success(now, &task.job, placement);
         self.mark_gang_changed(task);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -139,11 +134,15 @@
     fn task_failed(
         &mut self,
         now: PlannerTime,
-        (task, attempt): (&TaskId, u32),
-        incarnation: &WorkerIncarnation,
+        task: &TaskId,
+        placement: &Placement,
         out: &mut Vec<Output>,
     ) {
-        self.record_worker_failure(now, task, incarnation);
+        let worker = &placement.incarnation.worker;
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.failed_jobs.insert(task.job.clone());
+        }
+        self.blame_failure(now, task, placement, out);
         self.mark_gang_changed(task);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -155,11 +154,11 @@
                 continue;
             };
             // Several members of a gang may report the failure of one attempt.
-            if state.failed_attempt != attempt {
-                state.failed_attempt = attempt;
+            if state.failed_attempt != placement.attempt {
+                state.failed_attempt = placement.attempt;
                 state.record.failures += 1;
             }
-            state.avoid = Some(incarnation.worker.clone());
+            state.avoid = Some(worker.clone());
             failures = failures.max(state.record.failures);
         }
         if failures >= job.record.attempts && !is_long_running {
@@ -170,23 +169,6 @@
         }
     }
 
-    /// Records a failed job of a worker, and sets a backoff for the worker if different jobs failed on it in a row.
-    fn record_worker_failure(
-        &mut self,
-        now: PlannerTime,
-        task: &TaskId,
-        incarnation: &WorkerIncarnation,
-    ) {
-        let Some(worker) = self.workers.get_mut(&incarnation.worker) else {
-            return;
-        };
-        worker.failed_jobs.insert(task.job.clone());
-        if worker.failed_jobs.len() >= FAILED_JOBS_BEFORE_BACKOFF {
-            worker.backoff_ms = (worker.backoff_ms * 2).clamp(INITIAL_BACKOFF_MS, MAX_BACKOFF_MS);
-            worker.backoff_until_ms = now.steady_ms + worker.backoff_ms;
-        }
-    }
-
     fn stop_gang(&mut self, now: PlannerTime, task: &TaskId, because: &str, out: &mut Vec<Output>) {
         let Some(job) = self.jobs.get(&task.job) else {
             return;
--- a/src/planner/message.rs
+++ b/src/planner/message.rs
@@ -305,6 +305,15 @@
         /// Reason for the decision.
         because: String,
     },
+    /// Log that a worker counts as doubtful or is trusted again.
+    StandingChanged {
+        /// Worker whose standing changed.
+        worker: WorkerId,
+        /// The worker is probably at fault for what fails or stalls on it.
+        is_doubtful: bool,
+        /// Outcomes that decided it.
+        because: String,
+    },
 }
 
 impl Output {
@@ -336,6 +345,9 @@
     #[display("over")]
     #[serde(rename = "Over")]
     Finished,
+    /// A job fails on workers that do well with other jobs.
+    #[display("blamed")]
+    Blamed,
 }
 
 /// Change of the durable records of a job.
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -5,6 +5,7 @@
 //! acknowledged. See docs/platform-deployment.md.
 
 mod batch;
+mod blame;
 mod departure;
 mod end;
 mod evict;
@@ -247,6 +248,7 @@
             }
         }
         self.expire_leases(now, &mut out);
+        self.update_standings(now, &mut out);
         // The most frequent event, a list of attempts without changes, frees no capacity. Waiting times are checked at
         // each tick.
         let may_place = match input {
--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -5,7 +5,7 @@
 use super::Planner;
 use super::message::{Decision, Output, PlannerTime, StartOrder, WorkerOrder};
 use super::overload::EvictionRight;
-use super::pool::{Allocation, Candidate, Horizon, PlacementRequest};
+use super::pool::{Allocation, Candidate, DoubtfulUse, Horizon, PlacementRequest};
 use super::queue::ReadyStep;
 use super::scope::Scope;
 use super::state::{Job, Placement, StartPhase, Task};
@@ -26,6 +26,11 @@
 /// Minimum and maximum of the wait of urgent tasks. Urgent jobs within a guarantee start within 2.7 s, and stops take
 /// up to 0.9 s.
 const URGENT_WAIT_MS: std::ops::RangeInclusive<u64> = 300..=1_200;
+/// Time after which urgent tasks use doubtful workers rather than wait for others. Urgent jobs within a guarantee start
+/// within 2.7 s.
+const URGENT_DOUBTFUL_WAIT_MS: u64 = 1_200;
+/// The same for gangs and last attempts of other jobs. Workers that have recovered are trusted again within some seconds.
+const DOUBTFUL_WAIT_MS: u64 = 3_000;
 /// Lowest priority of gangs for which workers are reserved.
 const MAX_RESERVING_PRIORITY: u8 = 1;
 /// Priority of jobs for which attempts of other jobs may be stopped.
@@ -39,6 +44,7 @@
     required_label: Option<String>,
     gang_tasks: Option<u32>,
     may_use_reserved: bool,
+    doubtful_use: DoubtfulUse,
 }
 
 impl Planner {
@@ -58,7 +64,7 @@
             if urgent_waits && is_paused {
                 continue;
             }
-            let shape = self.demand_shape(&step, reserved_ms);
+            let shape = self.demand_shape(now, &step, &pool, reserved_ms);
             // Free resources only shrink during a pass, so a step of the same shape cannot be placed either.
             if shape.as_ref().is_some_and(|shape| unplaceable.contains(shape)) {
                 continue;
@@ -76,7 +82,13 @@
 
     /// Returns the demand shape of a step, or `None` if its placement also depends on racks, its data, its tasks on
     /// other workers, or evictions. `reserved_ms` is the duration of the reservation, if there is one.
-    fn demand_shape(&self, ready: &ReadyStep, reserved_ms: Option<u64>) -> Option<DemandShape> {
+    fn demand_shape(
+        &self,
+        now: PlannerTime,
+        ready: &ReadyStep,
+        pool: &[Candidate],
+        reserved_ms: Option<u64>,
+    ) -> Option<DemandShape> {
         let job = &self.jobs[&ready.job];
         let step = job.step(ready.step);
         let is_simple = ready.priority != URGENT_PRIORITY
@@ -89,6 +101,7 @@
             required_label: step.required_label.clone(),
             gang_tasks: step.gang.then_some(step.tasks),
             may_use_reserved: reserved_ms.is_none_or(|reserved_ms| step.ends_within(reserved_ms)),
+            doubtful_use: doubtful_use(job, ready, pool, waited_ms(now, job, ready)),
         })
     }
 
@@ -102,11 +115,8 @@
         out: &mut Vec<Output>,
     ) -> bool {
         let job = &self.jobs[&ready.job];
-        let request = placement_request(job, ready, pool);
-        let waited_ms = job.occurrences[&ready.occurrence]
-            .ready_ms
-            .get(&ready.step)
-            .map_or(0, |ready_ms| now.steady_ms.saturating_sub(*ready_ms));
+        let waited_ms = waited_ms(now, job, ready);
+        let mut request = placement_request(job, ready, pool);
         if ready.priority == URGENT_PRIORITY {
             return self.place_urgent_step(now, ready, pool, waited_ms, out);
         }
@@ -122,7 +132,16 @@
             has_settled,
             current_rack: rack_of_step(self, job, ready),
         };
-        let Some(allocation) = scope.find(&request, pool, Horizon::Now) else {
+        let doubtful_use = doubtful_use(job, ready, pool, waited_ms);
+        if !request.step.gang {
+            request.doubtful_use = doubtful_use;
+        }
+        let mut found = scope.find(&request, pool, Horizon::Now);
+        if found.is_none() && request.doubtful_use != doubtful_use {
+            request.doubtful_use = doubtful_use;
+            found = scope.find(&request, pool, Horizon::Now);
+        }
+        let Some(allocation) = found else {
             return false;
         };
         let is_complete = request.is_complete(&allocation);
@@ -171,7 +190,37 @@
                 return true;
             }
         }
-        false
+        self.place_on_doubtful(now, ready, pool, waited_ms, out)
+    }
+
+    /// Places an urgent step for which neither free resources nor stops on trusted workers suffice, also on doubtful ones.
+    /// Returns whether all its tasks were placed.
+    fn place_on_doubtful(
+        &mut self,
+        now: PlannerTime,
+        ready: &ReadyStep,
+        pool: &mut [Candidate],
+        waited_ms: u64,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let job = &self.jobs[&ready.job];
+        let doubtful_use = doubtful_use(job, ready, pool, waited_ms);
+        if doubtful_use == DoubtfulUse::Excluded {
+            return false;
+        }
+        let request = PlacementRequest { doubtful_use, ..placement_request(job, ready, pool) };
+        let scope = Scope {
+            may_leave_rack: true,
+            may_leave_data: true,
+            has_settled: self.has_settled(now),
+            current_rack: rack_of_step(self, job, ready),
+        };
+        let Some(allocation) = scope.find(&request, pool, Horizon::Now) else {
+            return false;
+        };
+        let is_complete = request.is_complete(&allocation);
+        self.start_tasks(now, ready, pool, &allocation, waited_ms, out);
+        is_complete
     }
 
     fn evict_for(
@@ -315,6 +364,37 @@
     }
 }
 
+/// Returns how long the waiting tasks of a step could have started already.
+fn waited_ms(now: PlannerTime, job: &Job, ready: &ReadyStep) -> u64 {
+    let ready_ms = job.occurrences[&ready.occurrence].ready_ms.get(&ready.step);
+    ready_ms.map_or(0, |ready_ms| now.steady_ms.saturating_sub(*ready_ms))
+}
+
+/// Returns how a step may use doubtful workers. Gangs, urgent tasks and tasks that would fail their job with one more
+/// failure use them only after a wait.
+fn doubtful_use(job: &Job, ready: &ReadyStep, pool: &[Candidate], waited_ms: u64) -> DoubtfulUse {
+    if !has_doubtful(pool, &job.record.service) {
+        return DoubtfulUse::Excluded;
+    }
+    let step = job.step(ready.step);
+    let is_urgent = ready.priority == URGENT_PRIORITY;
+    let wait_ms = if is_urgent { URGENT_DOUBTFUL_WAIT_MS } else { DOUBTFUL_WAIT_MS };
+    if waited_ms >= wait_ms {
+        return DoubtfulUse::Allowed;
+    }
+    let tasks = &job.occurrences[&ready.occurrence].tasks[job.range(ready.step)];
+    let is_last_attempt = |task: &Task| task.record.failures + 1 >= job.record.attempts;
+    let has_last_attempt = tasks.iter().any(|task| task.is_waiting() && is_last_attempt(task));
+    match step.gang || is_urgent || (has_last_attempt && !step.long_running) {
+        true => DoubtfulUse::Excluded,
+        false => DoubtfulUse::Probe,
+    }
+}
+
+fn has_doubtful(pool: &[Candidate], service: &str) -> bool {
+    pool.iter().any(|candidate| candidate.is_doubtful && candidate.service == service)
+}
+
 /// Returns the placement request for the waiting tasks of a step.
 pub(super) fn placement_request<'a>(
     job: &'a Job,
@@ -339,7 +419,10 @@
         step,
         tasks: waiting.clone().count() as u32,
         present,
+        prefers_proven: (step.gang || waiting.clone().any(|task| task.record.failures > 0))
+            && has_doubtful(pool, &job.record.service),
         avoid: waiting.filter_map(|task| task.avoid.clone()).collect(),
+        doubtful_use: DoubtfulUse::Excluded,
     }
 }
 
--- a/src/planner/pool.rs
+++ b/src/planner/pool.rs
@@ -1,10 +1,11 @@
 //! Free resources of the workers during one placement pass.
 
 use super::Planner;
+use super::blame::WorkerStanding;
 use super::message::PlannerTime;
-use super::state::Job;
+use super::state::{Job, Worker};
 use crate::prelude::*;
-use crate::workflow::{Resources, StepSpec, WorkerIncarnation};
+use crate::workflow::{Resources, StepSpec, TaskId, WorkerIncarnation};
 
 /// Worker that may get work.
 #[derive(Clone, Debug)]
@@ -29,6 +30,24 @@
     pub is_unreliable: bool,
     /// An attempt or a gang with a member on the worker recently made no progress or was too slow.
     pub is_suspect: bool,
+    /// The worker is probably at fault for what fails or stalls on it.
+    pub is_doubtful: bool,
+    /// Number of tasks that may start on the worker as a probe, if it is doubtful.
+    pub probes: u32,
+    /// An attempt recently ran well on the worker.
+    pub is_proven: bool,
+}
+
+/// How a step may use doubtful workers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub(super) enum DoubtfulUse {
+    /// Not at all.
+    #[default]
+    Excluded,
+    /// For one task at a time.
+    Probe,
+    /// Like other workers, but last.
+    Allowed,
 }
 
 /// Resources that count as available in a search.
@@ -60,6 +79,7 @@
             self.free = self.free.saturating_sub(need);
             self.free_after_stops = self.free_after_stops.saturating_sub(need);
         }
+        self.probes = self.probes.saturating_sub(tasks);
     }
 
     /// Claims resources for tasks that start once ordered stops have completed.
@@ -83,6 +103,9 @@
     pub present: Vec<u32>,
     /// Workers on which waiting tasks of the step last failed or stalled.
     pub avoid: Vec<WorkerId>,
+    pub doubtful_use: DoubtfulUse,
+    /// Workers on which an attempt recently ran well are preferred to others.
+    pub prefers_proven: bool,
 }
 
 impl PlacementRequest<'_> {
@@ -101,9 +124,36 @@
             0 => u32::MAX,
             limit => limit.saturating_sub(self.present[index]),
         };
+        let limit = limit.min(self.doubtful_limit(candidate, horizon));
         candidate.available_at(horizon).fit_count(&self.step.need).min(limit).min(self.tasks)
     }
 
+    /// Returns how many tasks may start on a candidate in view of its standing. Doubt passes within seconds, so it does not
+    /// reduce the total resources.
+    fn doubtful_limit(&self, candidate: &Candidate, horizon: Horizon) -> u32 {
+        match self.doubtful_use {
+            _ if !candidate.is_doubtful || horizon == Horizon::Empty => u32::MAX,
+            DoubtfulUse::Excluded => 0,
+            DoubtfulUse::Probe => candidate.probes,
+            DoubtfulUse::Allowed => u32::MAX,
+        }
+    }
+
+    /// Returns whether a candidate is chosen only if others do not suffice.
+    pub fn is_risky(&self, candidate: &Candidate) -> bool {
+        candidate.is_unreliable || (self.prefers_proven && !candidate.is_proven)
+    }
+
+    /// Returns the class of a candidate in the order of choice: usual, not proven, unreliable, doubtful.
+    fn risk_class(&self, candidate: &Candidate) -> u8 {
+        let is_avoided = self.avoid.contains(&candidate.incarnation.worker);
+        match (candidate.is_doubtful, is_avoided || candidate.is_unreliable) {
+            (true, _) => 3,
+            (false, true) => 2,
+            (false, false) => u8::from(self.is_risky(candidate)),
+        }
+    }
+
     /// Returns whether a candidate is in the rack that holds the data. Returns true if the step has no such rack.
     pub fn is_near_data(&self, candidate: &Candidate) -> bool {
         self.step.data_rack.as_deref().is_none_or(|rack| {
@@ -127,12 +177,11 @@
             .collect();
         order.sort_by_key(|(index, fits)| {
             let candidate = &pool[*index];
-            let is_avoided = self.avoid.contains(&candidate.incarnation.worker);
             let too_small = *fits < self.tasks;
             let available = candidate.available_at(horizon);
             (
                 !self.is_near_data(candidate),
-                is_avoided || candidate.is_unreliable,
+                self.risk_class(candidate),
                 too_small && self.step.gang,
                 available.accelerators,
                 available.cores_milli,
@@ -189,6 +238,7 @@
                 }
             }
             let free = report.room.saturating_sub(&used);
+            let is_doubtful = worker.record.standing == WorkerStanding::Doubtful;
             pool.push(Candidate {
                 incarnation: report.incarnation.clone(),
                 service: report.service.clone(),
@@ -199,10 +249,14 @@
                 free_after_stops: free.saturating_add(&stopping),
                 capacity_after_work: report.room.saturating_sub(&without_end),
                 reserved_ms: None,
-                is_unreliable: !worker.failed_jobs.is_empty()
+                is_unreliable: is_doubtful
+                    || !worker.failed_jobs.is_empty()
                     || now.steady_ms < worker.suspect_until_ms
                     || worker.slowness.is_slow(now.steady_ms),
                 is_suspect: now.steady_ms < worker.suspect_until_ms,
+                is_doubtful,
+                probes: self.probes(now, worker),
+                is_proven: worker.record.is_proven(now.steady_ms),
             });
         }
         // A stalled gang can make all workers of a small deployment suspect. If more than half are, they are only
@@ -213,10 +267,20 @@
         }
         pool
     }
+
+    /// Returns the number of tasks that may start on a doubtful worker: one, a while after the last incident, and if none
+    /// has been placed on it since it became doubtful.
+    fn probes(&self, now: PlannerTime, worker: &Worker) -> u32 {
+        let placement = |task: &TaskId| self.jobs.get(&task.job)?.task(task)?.placement.as_ref();
+        let mut placements = worker.placed.iter().filter_map(placement);
+        let has_probe =
+            placements.any(|placement| placement.since_ms > worker.record.standing_since_ms);
+        u32::from(!has_probe && worker.record.may_probe(now.steady_ms))
+    }
 }
 
 /// Returns whether a placed attempt is about to end: its stop was ordered, or its task is done.
-fn is_ending(job: &Job, task: &crate::workflow::TaskId) -> bool {
+fn is_ending(job: &Job, task: &TaskId) -> bool {
     job.task(task).is_some_and(|state| {
         state.is_done()
             || state.placement.as_ref().is_some_and(|placement| placement.stopping_ms.is_some())
--- a/src/planner/scope.rs
+++ b/src/planner/scope.rs
@@ -124,7 +124,7 @@
             .filter(|(_, allocation)| request.is_complete(allocation))
             .min_by_key(|(rack, allocation)| {
                 let doubtful =
-                    allocation.iter().filter(|(index, _)| pool[*index].is_unreliable).count();
+                    allocation.iter().filter(|(index, _)| request.is_risky(&pool[*index])).count();
                 let free: u32 = allocation
                     .iter()
                     .map(|(index, _)| pool[*index].free_after_stops.accelerators)
--- a/src/planner/state.rs
+++ b/src/planner/state.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::blame::Record;
 use super::message::{JobProgress, WorkerReport};
 use super::straggler::Slowness;
 use crate::prelude::*;
@@ -93,6 +94,12 @@
     pub done: bool,
     /// Steady time from which the waiting tasks of a step could start, by step.
     pub ready_ms: BTreeMap<usize, u64>,
+    /// Workers on which attempts failed or stalled, with the steady time of the last time.
+    #[serde(default)]
+    pub failed_on: BTreeMap<WorkerId, u64>,
+    /// It failed on workers that do well with other jobs, so its failures speak against no worker.
+    #[serde(default)]
+    pub is_at_fault: bool,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -234,9 +241,9 @@
     /// Steady time until which the worker gets no work.
     #[serde(rename = "resting_until_ms")]
     pub backoff_until_ms: u64,
-    /// Duration of the last backoff after failures.
-    #[serde(rename = "rest_ms")]
-    pub backoff_ms: u64,
+    /// Outcomes that decide how much the worker is trusted.
+    #[serde(default)]
+    pub record: Record,
     pub slowness: Slowness,
     /// Steady time until which the worker is suspect, because an attempt or a gang with a member on it made no progress
     /// or was too slow. A suspect worker gets no work or, if more than half of the workers are suspect, is chosen last.
--- a/src/planner/straggler.rs
+++ b/src/planner/straggler.rs
@@ -99,7 +99,9 @@
         if is_due {
             worker.slowness.observed_ms = now.steady_ms;
         }
-        for task in worker.placed.clone() {
+        let placed = worker.placed.clone();
+        self.review_attempts(now, incarnation, out);
+        for task in placed {
             if is_due {
                 self.observe_speed(now, incarnation, &task);
             }
@@ -228,7 +230,7 @@
     }
 
     /// Returns whether any attempt on a worker has made progress recently.
-    fn has_progress(&self, now: PlannerTime, worker: &WorkerId) -> bool {
+    pub(super) fn has_progress(&self, now: PlannerTime, worker: &WorkerId) -> bool {
         let placed = self.workers.get(worker).into_iter().flat_map(|worker| &worker.placed);
         placed.filter_map(|task| self.jobs.get(&task.job)?.task(task)?.placement.as_ref()).any(
             |placement| {
@@ -246,11 +248,22 @@
         because: &str,
         out: &mut Vec<Output>,
     ) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+        let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
         let members = job.members(task);
         let is_gang = job.step(task.step.into()).gang;
+        let has_stalled =
+            job.task(task).and_then(|state| state.placement.as_ref()).is_some_and(|placement| {
+                now.steady_ms >= placement.progress_ms + URGENT_STALL_TIMEOUT_MS
+            });
+        let culprits = match has_stalled {
+            true => self.blame_stall(now, task, out),
+            false => Vec::new(),
+        };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
         let mut workers = BTreeSet::new();
         for member in &members {
             if let Some(state) = job.task_mut(member) {
@@ -261,6 +274,10 @@
             }
         }
         workers.retain(|id| !is_gang || !self.has_progress(now, id));
+        // The other members of the gang only waited for the workers at fault.
+        if is_gang && !culprits.is_empty() {
+            workers.retain(|id| culprits.contains(id));
+        }
         for id in workers {
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.suspect_until_ms = now.steady_ms + STALL_BACKOFF_MS;
--- a/src/planner/tests/mod.rs
+++ b/src/planner/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the planner against simulated workers that behave like those of the platform.
 
+mod blame;
 mod campaign;
 mod gangs;
 mod incarnation;
--- a/src/planner/tests/world.rs
+++ b/src/planner/tests/world.rs
@@ -185,7 +185,7 @@
                 Output::Progress { job, progress: None, .. } => {
                     self.progress.remove(&job);
                 }
-                Output::Decision { .. } => {}
+                Output::Decision { .. } | Output::StandingChanged { .. } => {}
             }
         }
     }
