--- a/src/planner/pool.rs
+++ b/src/planner/pool.rs
@@ -249,7 +249,7 @@
                 free_after_stops: free.saturating_add(&stopping),
                 capacity_after_work: report.room.saturating_sub(&without_end),
                 reserved_ms: None,
-                is_unreliable: is_doubtful
+                is_unreliable: worker.record.is_against_worker()
                     || !worker.failed_jobs.is_empty()
                     || now.steady_ms < worker.suspect_until_ms
                     || worker.slowness.is_slow(now.steady_ms),
