--- a/src/planner/message.rs
+++ b/src/planner/message.rs
@@ -305,6 +305,15 @@
         /// Reason for the decision.
         because: String,
     },
+    /// Log that a worker counts as doubtful or is trusted again.
+    StandingChanged {
+        /// Worker whose standing changed.
+        worker: WorkerId,
+        /// The worker is probably at fault for what fails or stalls on it.
+        is_doubtful: bool,
+        /// Outcomes that decided it.
+        because: String,
+    },
 }
 
 impl Output {
@@ -342,6 +351,9 @@
     /// An urgent job waits for attempts that are about to end or to write a checkpoint.
     #[display("stop_awaited")]
     StopAwaited,
+    /// A job fails on workers that do well with other jobs.
+    #[display("blamed")]
+    Blamed,
 }
 
 /// Change of the durable records of a job.
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -5,6 +5,7 @@
 //! acknowledged. See docs/platform-deployment.md.
 
 mod batch;
+mod blame;
 mod departure;
 mod description;
 mod end;
@@ -265,6 +266,7 @@
         }
         self.expire_leases(now, &mut out);
         self.update_speeds(now);
+        self.update_standings(now, &mut out);
         // The most frequent event, a list of attempts without changes, frees no capacity. Waiting times are checked at
         // each tick.
         let may_place = match input {
