Limit single tasks on doubtful workers to probes, and test recovery

Cause: after a wait of 3 s single tasks could use a doubtful worker freely. The replays of the tests also restarted the run times of attempts with each call, so that none was done.

Change: single tasks use doubtful workers one at a time only; gangs that have waited use those whose last incident is 2 s ago. The replays derive the run time from the progress; a test covers a gang that would fail while the bad phase of a worker goes on.

--- a/src/planner/place.rs
+++ b/src/planner/place.rs
@@ -371,23 +371,28 @@
 }
 
 /// Returns how a step may use doubtful workers. Gangs, urgent tasks and tasks that would fail their job with one more
-/// failure use them only after a wait.
+/// failure use them only after a wait. Single tasks never use them freely: a worker that fails at once is free again at
+/// once, and would use up the attempts of all waiting tasks.
 fn doubtful_use(job: &Job, ready: &ReadyStep, pool: &[Candidate], waited_ms: u64) -> DoubtfulUse {
     if !has_doubtful(pool, &job.record.service) {
         return DoubtfulUse::Excluded;
     }
     let step = job.step(ready.step);
-    let is_urgent = ready.priority == URGENT_PRIORITY;
-    let wait_ms = if is_urgent { URGENT_DOUBTFUL_WAIT_MS } else { DOUBTFUL_WAIT_MS };
-    if waited_ms >= wait_ms {
-        return DoubtfulUse::Allowed;
+    if ready.priority == URGENT_PRIORITY {
+        return match waited_ms >= URGENT_DOUBTFUL_WAIT_MS {
+            true => DoubtfulUse::Allowed,
+            false => DoubtfulUse::Excluded,
+        };
     }
     let tasks = &job.occurrences[&ready.occurrence].tasks[job.range(ready.step)];
     let is_last_attempt = |task: &Task| task.record.failures + 1 >= job.record.attempts;
     let has_last_attempt = tasks.iter().any(|task| task.is_waiting() && is_last_attempt(task));
-    match step.gang || is_urgent || (has_last_attempt && !step.long_running) {
-        true => DoubtfulUse::Excluded,
-        false => DoubtfulUse::Probe,
+    let has_waited = waited_ms >= DOUBTFUL_WAIT_MS;
+    match (step.gang, has_waited) {
+        (true, true) => DoubtfulUse::Recovering,
+        (true, false) => DoubtfulUse::Excluded,
+        (false, false) if has_last_attempt && !step.long_running => DoubtfulUse::Excluded,
+        (false, _) => DoubtfulUse::Probe,
     }
 }
 
--- a/src/planner/pool.rs
+++ b/src/planner/pool.rs
@@ -46,6 +46,8 @@
     Excluded,
     /// For one task at a time.
     Probe,
+    /// Like other workers, but last, and only those whose last incident is a while ago.
+    Recovering,
     /// Like other workers, but last.
     Allowed,
 }
@@ -135,6 +137,8 @@
             _ if !candidate.is_doubtful || horizon == Horizon::Empty => u32::MAX,
             DoubtfulUse::Excluded => 0,
             DoubtfulUse::Probe => candidate.probes,
+            DoubtfulUse::Recovering if candidate.probes == 0 => 0,
+            DoubtfulUse::Recovering => u32::MAX,
             DoubtfulUse::Allowed => u32::MAX,
         }
     }
--- a/src/planner/tests/blame.rs
+++ b/src/planner/tests/blame.rs
@@ -1,13 +1,11 @@
 //! Replays of workers that fail or stall whatever they start while they report themselves healthy.
 
-use std::collections::BTreeMap;
-
 use super::world::{World, task};
 use super::*;
 use crate::planner::blame::{Suspect, WorkerStanding, attribute};
 
-/// Run time of each attempt of a replay in milliseconds.
-const RUN_MS: u64 = 2_000;
+/// Progress at which the attempts of a replay are done: that after 2 s.
+const DONE_PERCENT: u8 = 4;
 
 fn worker_id(number: usize) -> WorkerId {
     WorkerId::from(format!("w{number:02}").as_str())
@@ -36,6 +34,7 @@
     world.submit(name, job(1, vec![on(number, step(1, 1))]));
     world.end(&task(name, 0, 0), AttemptEnd::Failed);
     world.cancel(name);
+    world.finish_stops();
 }
 
 /// Returns a world of four workers of which the first is doubtful.
@@ -48,23 +47,20 @@
 }
 
 /// Advances the time in steps of half a second. Attempts on bad workers fail within the first step; all others are done
-/// after [`RUN_MS`].
+/// at [`DONE_PERCENT`].
 fn run<F>(world: &mut World, duration_ms: u64, is_bad: F)
 where
     F: Fn(&WorkerId, &TaskId) -> bool,
 {
-    let mut began_ms: BTreeMap<(TaskId, u32), u64> = BTreeMap::new();
     for _ in 0..duration_ms / 500 {
         world.advance(500);
         let mut ends = Vec::new();
         for (worker, fake) in &world.workers {
             for (task, attempt) in &fake.attempts {
-                let key = (task.clone(), attempt.attempt);
-                let began = *began_ms.entry(key).or_insert(world.now.steady_ms);
                 let kind = match (attempt.is_stopping, is_bad(worker, task)) {
                     (true, _) => AttemptEnd::Stopped,
                     (false, true) => AttemptEnd::Failed,
-                    (false, false) if world.now.steady_ms < began + RUN_MS => continue,
+                    (false, false) if attempt.percent < DONE_PERCENT => continue,
                     (false, false) => AttemptEnd::Done,
                 };
                 ends.push((worker.clone(), task.clone(), kind));
@@ -249,6 +245,19 @@
     assert_eq!(world.placements("last").len(), 1);
 }
 
+/// Guards against a gang that fails on a worker whose bad phase goes on, as after the backoff of 3 s that there was before.
+#[test]
+fn gang_waits_until_worker_has_recovered() {
+    let mut world = world_with_doubtful_worker();
+
+    world.advance(3_500);
+    world.submit("gang", job(1, vec![gang(4, 8)]));
+    assert!(world.placements("gang").is_empty());
+
+    world.advance(2_000);
+    assert_eq!(world.placements("gang").len(), 4);
+}
+
 /// Guards against a common cause of failures that takes a service out of use, and against doubt without end.
 #[test]
 fn at_most_a_quarter_of_the_workers_are_doubtful_for_a_limited_time() {
