Bound what clients may occupy of a process

Crowds of clients with oversized heads, empty lines and stalled bodies brought processes down. With TEASELHALL_MEMORY_LIMIT_MB or TEASELHALL_DESCRIPTOR_LIMIT set, both programs now bound heads, bodies, connections and requests in progress on all their addresses, handshakes, connections and incomplete frames at the inner port, and the lists that a worker returns. Over a bound the slowest goes first (docs/design/uncontrolled-clients.md). Without the variables the code paths are as before.

--- a/src/coordinator/listener.rs
+++ b/src/coordinator/listener.rs
@@ -9,10 +9,12 @@
 use super::event::{Event, EventSender};
 use super::message::{AcceptorMessage, DialerMessage, HostMessage, PeerMessage};
 use super::peers::PeerSender;
+use crate::process::intake::{InnerConnection, InnerConnections, Intake};
 use crate::process::{self, BindSnafu};
 use crate::wire::{Link, LinkSettings};
 
-/// Binds the address and accepts connections in a background task until the process ends.
+/// Binds the address and accepts connections in a background task until the process ends, within the bounds of the
+/// process if there are any.
 ///
 /// # Errors
 ///
@@ -21,17 +23,39 @@
     address: SocketAddr,
     links: LinkSettings,
     events: EventSender,
+    intake: Option<Intake>,
 ) -> process::Result<()> {
     let listener = TcpListener::bind(address).await.context(BindSnafu { address })?;
-    tokio::spawn(accept(listener, links, events));
+    let links =
+        LinkSettings { frames: intake.as_ref().map(|intake| intake.frames.clone()), ..links };
+    tokio::spawn(accept(listener, links, events, intake.map(InnerConnections::new)));
     Ok(())
 }
 
-async fn accept(listener: TcpListener, links: LinkSettings, events: EventSender) {
+async fn accept(
+    listener: TcpListener,
+    links: LinkSettings,
+    events: EventSender,
+    connections: Option<InnerConnections>,
+) {
+    let mut next_key = 0;
     loop {
         match listener.accept().await {
             Ok((stream, address)) => {
-                tokio::spawn(serve(stream, address, links.clone(), events.clone()));
+                next_key += 1;
+                let (links, events) = (links.clone(), events.clone());
+                match &connections {
+                    Some(connections) => {
+                        if let Some(connection) = connections.open(next_key) {
+                            tokio::spawn(serve_bounded(stream, address, links, events, connection));
+                        }
+                        // A connection that was closed in favour of this one releases its descriptor first.
+                        tokio::task::yield_now().await;
+                    }
+                    None => {
+                        tokio::spawn(serve(stream, address, links, events, None));
+                    }
+                }
             }
             Err(error) => {
                 log::warn!("connection could not be accepted; retried in 50 ms: {error}");
@@ -41,7 +65,28 @@
     }
 }
 
-async fn serve(stream: TcpStream, address: SocketAddr, links: LinkSettings, events: EventSender) {
+async fn serve_bounded(
+    stream: TcpStream,
+    address: SocketAddr,
+    links: LinkSettings,
+    events: EventSender,
+    connection: InnerConnection,
+) {
+    // Only a connection without a first message is closed, so there is nothing to report to the actor.
+    tokio::select! {
+        biased;
+        () = connection.closing() => {}
+        () = serve(stream, address, links, events, Some(&connection)) => {}
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    address: SocketAddr,
+    links: LinkSettings,
+    events: EventSender,
+    bounded: Option<&InnerConnection>,
+) {
     static CONNECTIONS: AtomicU64 = AtomicU64::new(0);
     let connection = CONNECTIONS.fetch_add(1, Ordering::Relaxed);
     let mut link: Link<AcceptorMessage, DialerMessage> = match Link::accept(stream, &links).await {
@@ -57,7 +102,11 @@
     let mut is_host = false;
     let mut peer = None;
     loop {
-        let event = match link.receiver.receive().await {
+        let received = link.receiver.receive().await;
+        if let (Some(bounded), Ok(Some(_))) = (bounded, &received) {
+            bounded.identify();
+        }
+        let event = match received {
             Ok(Some(DialerMessage::Peer(message))) => {
                 if let PeerMessage::Gossip(gossip) = &message {
                     peer = Some(gossip.process.clone());
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -49,6 +49,7 @@
 use xtra::prelude::*;
 
 use crate::prelude::*;
+use crate::process::intake::Intake;
 use crate::process::{self, BoottimeClock, Metrics, Readiness, run_with_inbox, send_at_intervals};
 use crate::store::RowStore;
 use crate::wire::Traffic;
@@ -104,6 +105,24 @@
     directives: DirectiveSource,
     metrics: Metrics,
 ) -> process::Result<CoordinatorHandle<S>>
+where
+    S: RowStore,
+{
+    start_bounded(settings, store, directives, metrics, None).await
+}
+
+/// Starts a coordinator, with the bounds of the process if there are any.
+///
+/// # Errors
+///
+/// [`process::Error::Bind`] if its address cannot be bound.
+pub async fn start_bounded<S>(
+    settings: CoordinatorSettings,
+    store: S,
+    directives: DirectiveSource,
+    metrics: Metrics,
+    intake: Option<Intake>,
+) -> process::Result<CoordinatorHandle<S>>
 where
     S: RowStore,
 {
@@ -121,7 +140,7 @@
     };
     let settings = Arc::new(settings);
     let links = settings.links();
-    listener::spawn(settings.inner_address, links.clone(), events.clone()).await?;
+    listener::spawn(settings.inner_address, links.clone(), events.clone(), intake).await?;
     let store = service.store.clone();
     tokio::spawn(store_watch::watch_directives(store.clone(), directives, clock, events.clone()));
     tokio::spawn(store_watch::watch_leadership(store, events.clone()));
--- /dev/null
+++ b/src/process/intake/connections.rs
@@ -0,0 +1,228 @@
+//! The client connections of a listener: their phases, and which of them are closed at a bound.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio::sync::Notify;
+
+use super::shed::{ConnectionState, Phase, select_connection};
+use super::{IntakeReport, Reason};
+use crate::process::MonotonicClock;
+
+/// Time for a head, from its first byte on. Clients send a head within 3,000 ms; the rest is for the network and for a
+/// process that reads late.
+pub(super) const HEAD_TIMEOUT_MS: u64 = 4_000;
+
+/// Bounds of the connections of a listener.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TableLimits {
+    pub connections: usize,
+    pub requests: usize,
+    pub head_bytes: usize,
+}
+
+/// The connections of a listener. Clones share their state.
+#[derive(Clone, Debug)]
+pub(super) struct ConnectionTable {
+    entries: Arc<Mutex<BTreeMap<u64, Entry>>>,
+    limits: TableLimits,
+    report: IntakeReport,
+    clock: MonotonicClock,
+}
+
+#[derive(Debug)]
+struct Entry {
+    state: ConnectionState,
+    /// Set once the connection is to be closed, with whether its client gets a 408 response.
+    closing: Option<bool>,
+    close: Arc<Notify>,
+}
+
+impl Entry {
+    fn close(&mut self, is_late_head: bool) {
+        self.closing = Some(is_late_head);
+        self.close.notify_one();
+    }
+}
+
+impl ConnectionTable {
+    pub fn new(limits: TableLimits, report: IntakeReport) -> Self {
+        Self { entries: Arc::default(), limits, report, clock: MonotonicClock::start() }
+    }
+
+    fn with_entries<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut BTreeMap<u64, Entry>) -> T,
+    {
+        work(&mut self.entries.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Registers an accepted connection and closes others if there are too many. Returns `None` if the new connection
+    /// itself is refused.
+    pub fn open(&self, key: u64) -> Option<ConnectionRecord> {
+        let now_ms = self.clock.now_ms();
+        let close = Arc::<Notify>::default();
+        let state = ConnectionState { phase: Phase::New, since_ms: now_ms, received_bytes: 0 };
+        let is_accepted = self.with_entries(|entries| {
+            entries.insert(key, Entry { state, closing: None, close: close.clone() });
+            let open = entries.values().filter(|entry| entry.closing.is_none()).count();
+            if open <= self.limits.connections {
+                return true;
+            }
+            self.report.record(Reason::Connections);
+            let victim = select_connection(now_ms, open_states(entries));
+            if let Some(entry) = victim.and_then(|victim| entries.get_mut(&victim)) {
+                entry.close(false);
+            }
+            let is_kept = victim.is_some_and(|victim| victim != key);
+            if !is_kept {
+                entries.remove(&key);
+            }
+            is_kept
+        });
+        is_accepted.then(|| ConnectionRecord { table: self.clone(), key, close })
+    }
+
+    /// Closes connections whose head has not arrived in time, and the oldest incomplete heads if they take too much
+    /// memory together.
+    pub fn enforce_head_limits(&self) {
+        let now_ms = self.clock.now_ms();
+        self.with_entries(|entries| {
+            let mut heads: Vec<(u64, u64, usize)> = open_states(entries)
+                .filter(|(_, state)| state.phase == Phase::Head)
+                .map(|(key, state)| (state.since_ms, key, state.received_bytes))
+                .collect();
+            heads.sort_unstable();
+            let mut total_bytes: usize = heads.iter().map(|(_, _, bytes)| bytes).sum();
+            for (since_ms, key, bytes) in heads {
+                let is_late = now_ms >= since_ms + HEAD_TIMEOUT_MS;
+                if !is_late && total_bytes <= self.limits.head_bytes {
+                    continue;
+                }
+                total_bytes -= bytes;
+                if let Some(entry) = entries.get_mut(&key) {
+                    entry.close(true);
+                }
+                let reason = if is_late { Reason::HeadTimeout } else { Reason::HeadBytes };
+                self.report.record(reason);
+            }
+        });
+    }
+
+    /// Returns the number of open connections and that of the requests in progress.
+    pub fn counts(&self) -> (usize, usize) {
+        self.with_entries(|entries| (entries.len(), requests(entries)))
+    }
+}
+
+fn open_states(entries: &BTreeMap<u64, Entry>) -> impl Iterator<Item = (u64, ConnectionState)> {
+    let open = entries.iter().filter(|(_, entry)| entry.closing.is_none());
+    open.map(|(key, entry)| (*key, entry.state))
+}
+
+fn requests(entries: &BTreeMap<u64, Entry>) -> usize {
+    let is_request = |entry: &&Entry| matches!(entry.state.phase, Phase::Body | Phase::Handling);
+    entries.values().filter(is_request).count()
+}
+
+/// Entry of one connection in the table, until this value is dropped.
+#[derive(Debug)]
+pub(super) struct ConnectionRecord {
+    table: ConnectionTable,
+    key: u64,
+    close: Arc<Notify>,
+}
+
+impl ConnectionRecord {
+    /// Returns a handle that updates the entry.
+    pub fn guard(&self) -> RequestGuard {
+        RequestGuard { table: self.table.clone(), key: self.key }
+    }
+
+    /// Waits until the connection is to be closed. Returns whether its client gets a 408 response.
+    pub async fn closing(&self) -> bool {
+        self.close.notified().await;
+        self.table.with_entries(|entries| {
+            entries.get(&self.key).and_then(|entry| entry.closing).unwrap_or_default()
+        })
+    }
+}
+
+impl Drop for ConnectionRecord {
+    fn drop(&mut self) {
+        self.table.with_entries(|entries| entries.remove(&self.key));
+    }
+}
+
+/// Handle by which a request reports its phase. A request that is being handled is never interrupted.
+#[derive(Clone, Debug)]
+pub struct RequestGuard {
+    table: ConnectionTable,
+    key: u64,
+}
+
+impl RequestGuard {
+    fn update<F>(&self, change: F)
+    where
+        F: FnOnce(&mut ConnectionState),
+    {
+        self.table.with_entries(|entries| {
+            if let Some(entry) = entries.get_mut(&self.key) {
+                change(&mut entry.state);
+            }
+        });
+    }
+
+    fn begin(&self, phase: Phase) {
+        let since_ms = self.table.clock.now_ms();
+        self.update(|state| *state = ConnectionState { phase, since_ms, received_bytes: 0 });
+    }
+
+    /// Records received bytes; they begin a head unless a request is in progress.
+    pub(super) fn record_received(&self, bytes: usize) {
+        let now_ms = self.table.clock.now_ms();
+        self.update(|state| {
+            if matches!(state.phase, Phase::New | Phase::Idle) {
+                *state =
+                    ConnectionState { phase: Phase::Head, since_ms: now_ms, received_bytes: 0 };
+            }
+            state.received_bytes += bytes;
+        });
+    }
+
+    /// Begins a request whose head is complete, if not too many are in progress. A slower body is given up for it.
+    pub(super) fn begin_request(&self, has_body: bool) -> bool {
+        let now_ms = self.table.clock.now_ms();
+        let is_admitted = self.table.with_entries(|entries| {
+            if requests(entries) < self.table.limits.requests {
+                return true;
+            }
+            let bodies = open_states(entries).filter(|(_, state)| state.phase == Phase::Body);
+            let victim = select_connection(now_ms, bodies);
+            if let Some(entry) = victim.and_then(|victim| entries.get_mut(&victim)) {
+                entry.close(false);
+            }
+            victim.is_some()
+        });
+        if !is_admitted {
+            return false;
+        }
+        self.begin(if has_body { Phase::Body } else { Phase::Handling });
+        true
+    }
+
+    /// Records that the body is complete. From now on the request may be acted on.
+    pub fn begin_handling(&self) {
+        self.begin(Phase::Handling);
+    }
+
+    /// Records that the request is answered.
+    pub(super) fn end_request(&self) {
+        self.begin(Phase::Idle);
+    }
+
+    /// Returns the report of the listener.
+    pub(super) fn report(&self) -> &IntakeReport {
+        &self.table.report
+    }
+}
--- /dev/null
+++ b/src/process/intake/tests.rs
@@ -0,0 +1,140 @@
+//! Tests of the bounds and of what is given up at them.
+
+use std::time::Duration;
+
+use futures::FutureExt;
+use test_case::test_case;
+
+use super::shed::{
+    ConnectionState, NEWCOMER_MS, Phase, Progress, SETTLED_MS, select_body, select_connection,
+};
+use super::*;
+
+const NOW_MS: u64 = 100_000;
+
+fn body(age_ms: u64, received_bytes: usize) -> Progress {
+    Progress { started_ms: NOW_MS - age_ms, received_bytes, held_bytes: received_bytes }
+}
+
+fn connection(phase: Phase, age_ms: u64, received_bytes: usize) -> ConnectionState {
+    ConnectionState { phase, since_ms: NOW_MS - age_ms, received_bytes }
+}
+
+fn derive(memory_mb: Option<u64>, descriptors: Option<u64>) -> Option<IntakeLimits> {
+    IntakeLimits::derive(&MachineLimits { memory_mb, descriptors })
+}
+
+/// Guards against bounds that together exceed the half of the memory that is for clients, or the descriptors.
+#[test_case(120, 3_075; "smallest machine of a coordinator")]
+#[test_case(128, 4_096; "machine of a host")]
+#[test_case(512, 10_250; "largest machine of a coordinator")]
+#[test_case(64, 400; "machine of the tests of crowds")]
+fn bounds_fit_into_half_of_the_machine(memory_mb: u64, descriptors: u64) {
+    let limits = derive(Some(memory_mb), Some(descriptors)).expect("limits are stated");
+
+    let connection_bytes = 84 * 1_024;
+    let total_bytes = limits.connections * connection_bytes
+        + limits.head_bytes
+        + limits.body_bytes
+        + limits.handling_bytes
+        + limits.frame_bytes;
+    assert!(total_bytes as u64 <= memory_mb * 1_024 * 1_024 / 2, "{total_bytes}");
+    assert!(limits.connections + limits.inner_connections + 200 <= descriptors as usize);
+    assert!(limits.requests < limits.connections);
+    assert!(limits.body_bytes >= 262_144);
+}
+
+/// Guards against bounds where a deployment states none, and against a panic where it states only one.
+#[test]
+fn limits_that_are_not_stated_bound_nothing() {
+    assert_eq!(derive(None, None), None);
+    let memory_only = derive(Some(120), None).expect("a limit is stated");
+    assert!(memory_only.connections > 300);
+    let descriptors_only = derive(None, Some(3_075)).expect("a limit is stated");
+    assert!(descriptors_only.body_bytes > 1 << 40);
+    assert!(
+        Intake::new(&MachineLimits { memory_mb: None, descriptors: Some(1) }, &Metrics::default())
+            .is_some()
+    );
+}
+
+/// Replays bodies that stop just short of their end while ordinary callers send theirs. Guards against a crowd that keeps
+/// its memory while ordinary callers are rejected.
+#[test]
+fn stalled_bodies_are_given_up_before_arriving_ones() {
+    let crowd = (0..100).map(|index| (index, body(SETTLED_MS + 10 * index, 262_140)));
+    let ordinary = [(200, body(3, 1_000)), (201, body(900, 2_000_000))];
+
+    let victim = select_body(NOW_MS, crowd.chain(ordinary));
+
+    assert_eq!(victim, Some(99), "the one with the least progress for its age");
+}
+
+/// Guards against ordinary small bodies that are rejected in the first moments of a crowd.
+#[test]
+fn among_new_bodies_the_largest_is_given_up() {
+    let bodies = [(1, body(40, 262_140)), (2, body(0, 900)), (3, body(20, 262_140))];
+
+    assert_eq!(select_body(NOW_MS, bodies), Some(3));
+    assert_eq!(select_body(NOW_MS, std::iter::empty::<(u8, Progress)>()), None);
+}
+
+/// Replays a crowd that fills all connections. Guards against the loss of connections that clients keep open for their
+/// next request, and of requests that are being handled.
+#[test]
+fn connections_of_the_crowd_are_closed_before_those_of_clients_that_behave() {
+    let silent = (1, connection(Phase::New, NEWCOMER_MS + 1, 0));
+    let older_head = (2, connection(Phase::Head, NEWCOMER_MS + 500, 9_000));
+    let slow_body = (3, connection(Phase::Body, 5_000, 10));
+    let newcomer = (4, connection(Phase::New, 1, 0));
+    let idle = (5, connection(Phase::Idle, 14_900, 0));
+    let handled = (6, connection(Phase::Handling, 20_000, 0));
+    let mut open = vec![handled, idle, newcomer, slow_body, older_head, silent];
+
+    let mut order = Vec::new();
+    while let Some(victim) = select_connection(NOW_MS, open.iter().copied()) {
+        open.retain(|(key, _)| *key != victim);
+        order.push(victim);
+    }
+
+    assert_eq!(order, [2, 1, 3, 4, 5]);
+}
+
+/// Guards against a body within the limits that is rejected in calm, and against one that takes more than the bound while
+/// others are in progress.
+#[tokio::test]
+async fn single_body_is_granted_and_others_wait_for_memory() {
+    let budget = ByteBudget::new(1_000);
+    let first = budget.claim();
+    assert_eq!(first.reserve(5_000).await, Ok(()), "it is the only one");
+    tokio::time::sleep(Duration::from_millis(SETTLED_MS + 10)).await;
+    let second = budget.claim();
+
+    let mut waiting = Box::pin(second.reserve(10));
+    assert!((&mut waiting).now_or_never().is_none(), "the first one still holds its memory");
+    assert!(first.given_up().now_or_never().is_some());
+    drop(first);
+
+    assert_eq!(waiting.await, Ok(()));
+    assert_eq!(budget.held_bytes(), 10);
+}
+
+fn parts(parts: usize, bytes: usize) -> Vec<Result<bytes::Bytes, warp::Error>> {
+    (0..parts).map(|_| Ok(bytes::Bytes::from(vec![b' '; bytes]))).collect()
+}
+
+/// Guards against bodies that are cut off, or read beyond the limit for one body.
+#[tokio::test]
+async fn bodies_are_read_whole_up_to_their_limit() {
+    let machine = MachineLimits { memory_mb: Some(64), descriptors: Some(400) };
+    let intake = Intake::new(&machine, &Metrics::default()).expect("limits are stated");
+    let read = |length, count| {
+        intake.read_body(length, futures::stream::iter(parts(count, 1_000)), 262_144, None)
+    };
+
+    let whole = read(None, 262).await.expect("it is within the limit");
+    assert_eq!(whole.bytes.len(), 262_000);
+    assert_eq!(read(None, 263).await.err(), Some(BodyError::TooLarge));
+    assert_eq!(read(Some(262_145), 0).await.err(), Some(BodyError::TooLarge));
+    assert_eq!(intake.bodies.held_bytes(), 0);
+}
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -22,6 +22,7 @@
     NONCE_BYTES, Nonce, PROTOCOL_VERSION, TAG_BYTES, UnknownVersionSnafu,
 };
 use super::traffic::{MessageKind, Traffic};
+use crate::process::intake::{ByteBudget, ByteClaim, Shed};
 
 /// Free space of the receive buffer before each read, in bytes.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -58,6 +59,9 @@
     /// The connection is closed.
     #[snafu(display("connection is closed"))]
     Closed,
+    /// The incomplete frames of all connections together are too large, and this one made the least progress.
+    #[snafu(display("too many bytes of incomplete frames are buffered"))]
+    Overloaded,
     /// The queue of outgoing messages is full, since the peer reads too slowly.
     #[snafu(display("queue of outgoing messages is full; message not sent"))]
     QueueFull,
@@ -79,6 +83,8 @@
     pub idle_ms: u64,
     /// Counts the sent messages by kind.
     pub traffic: Traffic,
+    /// Bound of the incomplete frames of all connections together, if there is one.
+    pub frames: Option<ByteBudget>,
 }
 
 impl LinkSettings {
@@ -90,6 +96,7 @@
             queue_messages: 1_024,
             idle_ms: 3_000,
             traffic: Traffic::default(),
+            frames: None,
         }
     }
 
@@ -152,6 +159,7 @@
             decoder,
             write_failed: write_failure,
             settings: settings.clone(),
+            frame: None,
             message: PhantomData,
         };
         Ok(Self { sender: LinkSender { queue }, receiver })
@@ -277,6 +285,8 @@
     decoder: FrameDecoder,
     write_failed: watch::Receiver<bool>,
     settings: LinkSettings,
+    /// Memory that is held for an incomplete frame larger than [`READ_BUFFER_BYTES`], with its size.
+    frame: Option<(ByteClaim, usize)>,
     message: PhantomData<fn() -> In>,
 }
 
@@ -296,6 +306,7 @@
             if let Some(message) = self.decoder.decode()? {
                 return Ok(Some(message));
             }
+            self.hold_frame().await?;
             let buffer = self.decoder.buffer_mut();
             buffer.reserve(READ_BUFFER_BYTES);
             let read = timeout(self.settings.idle(), self.read_half.read_buf(buffer));
@@ -303,6 +314,7 @@
                 biased;
                 received = read => received.map_err(|_| idle_error(&self.settings))?,
                 Ok(_) = self.write_failed.wait_for(|failed| *failed) => return ClosedSnafu.fail(),
+                () = given_up(&self.frame) => return OverloadedSnafu.fail(),
             };
             if received.context(SocketSnafu)? == 0 {
                 self.decoder.finish()?;
@@ -312,6 +324,37 @@
     }
 }
 
+impl<In> LinkReceiver<In> {
+    /// Reserves the memory for an incomplete frame before it is allocated. The buffer may grow to twice its content.
+    async fn hold_frame(&mut self) -> Result<()> {
+        let Some(frames) = &self.settings.frames else {
+            return Ok(());
+        };
+        let buffered_bytes = self.decoder.buffer_mut().len();
+        if buffered_bytes < READ_BUFFER_BYTES {
+            self.frame = None;
+            return Ok(());
+        }
+        let (claim, held_bytes) = self.frame.get_or_insert_with(|| (frames.claim(), 0));
+        claim.record_received(buffered_bytes);
+        let wanted_bytes = 2 * (buffered_bytes + READ_BUFFER_BYTES);
+        if wanted_bytes > *held_bytes {
+            let reserved = claim.reserve(wanted_bytes - *held_bytes).await;
+            reserved.map_err(|Shed| OverloadedSnafu.build())?;
+            *held_bytes = wanted_bytes;
+        }
+        Ok(())
+    }
+}
+
+/// Waits until the memory of an incomplete frame is to be released; without end if none is held.
+async fn given_up(frame: &Option<(ByteClaim, usize)>) {
+    match frame {
+        Some((claim, _)) => claim.given_up().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Writes queued messages, batched into one write call up to [`WRITE_BATCH_BYTES`].
 struct Writer<Out> {
     write_half: OwnedWriteHalf,
