Bound the kernel's buffers and the log lines of the inner port

The kernel lets the receive buffers of connections grow to several MB while they wait for the memory of their frames, and a crowd of failed handshakes wrote a log line each. With bounds, the buffers are set to 128 KiB, and failed handshakes are counted and reported with the other reasons, at most one line a second.

--- a/src/coordinator/listener.rs
+++ b/src/coordinator/listener.rs
@@ -9,9 +9,9 @@
 use super::event::{Event, EventSender};
 use super::message::{AcceptorMessage, DialerMessage, HostMessage, PeerMessage};
 use super::peers::PeerSender;
-use crate::process::intake::{InnerConnection, InnerConnections, Intake};
+use crate::process::intake::{InnerConnection, InnerConnections, Intake, Reason, bind_inner};
 use crate::process::{self, BindSnafu};
-use crate::wire::{Link, LinkSettings};
+use crate::wire::{Link, LinkError, LinkSettings};
 
 /// Binds the address and accepts connections in a background task until the process ends, within the bounds of the
 /// process if there are any.
@@ -25,7 +25,11 @@
     events: EventSender,
     intake: Option<Intake>,
 ) -> process::Result<()> {
-    let listener = TcpListener::bind(address).await.context(BindSnafu { address })?;
+    let listener = match &intake {
+        Some(_) => bind_inner(address),
+        None => TcpListener::bind(address).await,
+    };
+    let listener = listener.context(BindSnafu { address })?;
     let links =
         LinkSettings { frames: intake.as_ref().map(|intake| intake.frames.clone()), ..links };
     tokio::spawn(accept(listener, links, events, intake.map(InnerConnections::new)));
@@ -92,6 +96,12 @@
     let mut link: Link<AcceptorMessage, DialerMessage> = match Link::accept(stream, &links).await {
         Ok(link) => link,
         Err(error) => {
+            // With bounds, the report writes at most one line a second for all of them.
+            if let Some(bounded) = bounded {
+                bounded.record(Reason::Handshake);
+                log::debug!(address = address.to_string(); "handshake failed: {error}");
+                return;
+            }
             log::warn!(
                 address = address.to_string();
                 "handshake of an accepted connection failed; connection closed: {error}"
@@ -120,6 +130,9 @@
             Ok(Some(DialerMessage::Host(message))) => Event::Host { connection, message },
             Ok(None) => break,
             Err(error) => {
+                if let (Some(bounded), LinkError::Overloaded) = (bounded, &error) {
+                    bounded.record(Reason::FrameBytes);
+                }
                 log::info!(address = address.to_string(); "accepted connection was lost: {error}");
                 break;
             }
--- a/src/process/intake/inner.rs
+++ b/src/process/intake/inner.rs
@@ -71,6 +71,11 @@
 }
 
 impl InnerConnection {
+    /// Counts a connection that is closed because of `reason`.
+    pub fn record(&self, reason: Reason) {
+        self.connections.intake.report.record(reason);
+    }
+
     /// Records that the process on the other side has sent a message.
     pub fn identify(&self) {
         self.connections.with_entries(|entries| {
--- a/src/process/intake/limits.rs
+++ b/src/process/intake/limits.rs
@@ -4,6 +4,8 @@
 const RESERVED_DESCRIPTORS: u64 = 200;
 /// Size to which the kernel's receive buffer of a client connection is set; the kernel doubles it for its own overhead.
 pub(super) const RECEIVE_BUFFER_BYTES: u32 = 32 * 1_024;
+/// Size to which the kernel's receive buffer of a connection from another process is set: 10 MB/s at a round trip of 10 ms.
+pub(super) const INNER_RECEIVE_BUFFER_BYTES: u32 = 128 * 1_024;
 /// Memory of one client connection: its receive buffer in the kernel, its read buffer and its task.
 const CONNECTION_BYTES: u64 = 2 * RECEIVE_BUFFER_BYTES as u64 + 20 * 1_024;
 /// Part of the memory that clients may use. The rest is for the process's own work: a leader with many jobs needs 60 MB.
--- a/src/process/intake/mod.rs
+++ b/src/process/intake/mod.rs
@@ -21,7 +21,7 @@
 pub use limits::{IntakeLimits, MachineLimits};
 pub use reading::{Body, BodyError};
 pub use report::{IntakeReport, Reason};
-pub use server::ListenerKind;
+pub use server::{ListenerKind, bind_inner};
 
 use std::sync::Arc;
 
--- a/src/process/intake/report.rs
+++ b/src/process/intake/report.rs
@@ -32,6 +32,8 @@
     Requests,
     /// Too many connections of other processes are open.
     InnerConnections,
+    /// The handshake of another process failed or did not complete in time.
+    Handshake,
     /// Too many bytes of incomplete frames are buffered.
     FrameBytes,
     /// A worker's list of attempts is larger than allowed.
@@ -53,6 +55,7 @@
             Self::Connections => "closed_connections",
             Self::Requests => "rejected_requests",
             Self::InnerConnections => "closed_inner_connections",
+            Self::Handshake => "closed_handshake",
             Self::FrameBytes => "closed_frame_bytes",
             Self::WorkerAnswer => "rejected_worker_answer",
             Self::WorkerCheckpoints => "shortened_worker_answer",
--- a/src/process/intake/server.rs
+++ b/src/process/intake/server.rs
@@ -13,12 +13,13 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
 use warp::http::{HeaderValue, Request, StatusCode, header};
 use warp::reply::Response;
 use warp::{Filter, Reply};
 
 use super::connections::{ConnectionRecord, ConnectionTable, TableLimits};
-use super::limits::RECEIVE_BUFFER_BYTES;
+use super::limits::{INNER_RECEIVE_BUFFER_BYTES, RECEIVE_BUFFER_BYTES};
 use super::stream::RecordedStream;
 use super::{Intake, Reason, RequestGuard};
 use crate::process::{BindSnafu, Result};
@@ -84,7 +85,7 @@
         F::Extract: Reply,
         S: Future<Output = ()> + Send + 'static,
     {
-        let listener = bind(address).context(BindSnafu { address })?;
+        let listener = bind(address, RECEIVE_BUFFER_BYTES).context(BindSnafu { address })?;
         let connections = kind.connections(self);
         let limits = TableLimits {
             connections,
@@ -95,6 +96,7 @@
         let (stop, stopping) = watch::channel(false);
         let mut tasks = JoinSet::new();
         let mut checks = tokio::time::interval(CHECK_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut next_key = 0;
         tokio::pin!(shutdown);
         loop {
@@ -143,12 +145,22 @@
     }
 }
 
-/// Binds an address with a small receive buffer for each connection, since the kernel's buffers are part of the machine's
+/// Binds the inner port with a fixed receive buffer for each connection. The kernel would otherwise let the buffers grow
+/// to several MB while connections wait for the memory of their frames.
+///
+/// # Errors
+///
+/// Error of the operating system.
+pub fn bind_inner(address: SocketAddr) -> std::io::Result<TcpListener> {
+    bind(address, INNER_RECEIVE_BUFFER_BYTES)
+}
+
+/// Binds an address with a fixed receive buffer for each connection, since the kernel's buffers are part of the machine's
 /// memory.
-fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+fn bind(address: SocketAddr, receive_buffer_bytes: u32) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.set_recv_buffer_size(receive_buffer_bytes)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
