Prefer coordinators on strong machines as leaders, and let slow leaders hand over

Coordinators' machines have 0.09 to 0.5 of a core, and the election chose the coordinator whose process id sorts first, however weak its machine. A leader that gets too little CPU time kept the leadership as long as its gossip arrived in time.

The settings of a coordinator may state the limits of its machine (TEASELHALL_CPU_CORES, TEASELHALL_MEMORY_LIMIT_MB, TEASELHALL_LINK_MBPS). A candidate on a medium or weak machine waits 0.5 or 1 s longer before a takeover. A leader whose timer is at least 150 ms late in 8 of 10 ticks hands over if another live coordinator has recent answers from the store, at most once in 30 s. Without the variables all waits are as before.

Existing fixtures of tests (ElectionSettings, CoordinatorSettings) state the new fields, switched off.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -26,18 +26,8 @@
 
 /// The time after which another coordinator is asked to confirm the directives.
 const CONFIRMATION_TIMEOUT_MS: u64 = 600;
-/// The number of ticks between two rounds of gossip.
-const TICKS_PER_GOSSIP: u64 = 2;
-/// The number of ticks between two summaries of the load, and between two comparisons of the coordinators with those that
-/// hosts know; about 1 s.
-const TICKS_PER_LOAD: u64 = 7;
 /// The maximum number of addresses of coordinators that hosts receive.
 const MAX_HOST_ADDRESSES: usize = 64;
-/// The number of ticks between two reports of the sent messages, about 10 s.
-const TICKS_PER_TRAFFIC_REPORT: u64 = 64;
-/// The minimum age of the store's last answer at which a coordinator counts as cut off from the store. This coordinator
-/// is not ready while it and all connected coordinators are cut off.
-const READY_STORE_AGE_MS: u64 = 4_000;
 
 /// The actor of a coordinator.
 #[derive(xtra::Actor)]
@@ -48,7 +38,7 @@
     pub(super) peers: PeerSenders,
     pub(super) events: EventSender,
     pub(super) election: LeaderElection,
-    directives: Directives,
+    pub(super) directives: Directives,
     directives_lag: DirectivesLag,
     /// The time of the request for directives that confirms them after a pause, if its answer is outstanding.
     confirmation_requested_ms: Option<u64>,
@@ -60,7 +50,7 @@
     pub(super) restoring: Option<Restoring>,
     /// The worker of each host connection, by the number of the connection.
     pub(super) host_workers: HashMap<u64, WorkerId>,
-    ticks: u64,
+    pub(super) ticks: u64,
     pub(super) ending: Option<oneshot::Sender<()>>,
 }
 
@@ -121,41 +111,8 @@
         tokio::spawn(keep_connected(address, self.links.clone(), self.events.clone()));
     }
 
-    fn on_tick(&mut self) {
-        self.ticks += 1;
-        let now = self.now();
-        if let Some(pause_ms) = self.service.shared.pause.tick(now.steady_ms) {
-            log::warn!(pause_ms; "this process was paused; requests are refused until its directives are confirmed");
-            self.service.metrics.count("process", "paused");
-        }
-        if self.service.shared.pause.needs_confirmation() {
-            self.request_confirmation(now.steady_ms);
-        }
-        if let Some(answered_ms) = self.store().answered_ms() {
-            self.election.store_answered(answered_ms);
-        }
-        self.election.set_store_failing(self.store().is_failing());
-        match self.election.decide(now.steady_ms) {
-            ElectionStep::Stay => {}
-            ElectionStep::TakeOver => self.begin_takeover(),
-            ElectionStep::StepDown(reason) => self.step_down(reason),
-        }
-        if self.ticks.is_multiple_of(TICKS_PER_GOSSIP) {
-            self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
-            self.update_readiness(now.steady_ms);
-        }
-        if self.ticks.is_multiple_of(TICKS_PER_LOAD) {
-            self.publish_load();
-            self.announce_coordinators();
-        }
-        if self.ticks.is_multiple_of(TICKS_PER_TRAFFIC_REPORT) {
-            self.report_traffic();
-        }
-        self.plan(&Input::Tick);
-    }
-
     /// Requests the directives of another coordinator, which answers sooner than the next watch of the store.
-    fn request_confirmation(&mut self, now_ms: u64) {
+    pub(super) fn request_confirmation(&mut self, now_ms: u64) {
         let is_outstanding = self
             .confirmation_requested_ms
             .is_some_and(|requested_ms| now_ms < requested_ms + CONFIRMATION_TIMEOUT_MS);
@@ -164,20 +121,6 @@
         }
     }
 
-    fn update_readiness(&self, now_ms: u64) {
-        let can_store = self.election.store_age_ms(now_ms) < READY_STORE_AGE_MS
-            || self.peers.best_store_age_ms() < READY_STORE_AGE_MS;
-        let is_ready = self.directives.rules.is_some() && can_store && self.ending.is_none();
-        if is_ready != self.service.readiness.get() {
-            log::info!(
-                is_ready, directives = self.directives.as_of,
-                store_age_ms = self.election.store_age_ms(now_ms);
-                "readiness changed"
-            );
-            self.service.readiness.set(is_ready);
-        }
-    }
-
     pub(super) fn gossip(&self) -> Gossip {
         let now_ms = self.service.clock.now_ms();
         let (leader_contact_age_ms, leader_store_age_ms) = self.election.leader_ages_ms(now_ms);
@@ -337,7 +280,7 @@
 
     /// Sends the addresses of the coordinators to all hosts again if they have changed. All those that a host knows may
     /// be replaced while one leader stays.
-    fn announce_coordinators(&mut self) {
+    pub(super) fn announce_coordinators(&mut self) {
         let coordinators = self.coordinators();
         if let Some(leader_state) = &mut self.leader_state
             && leader_state.set_coordinators(&coordinators)
@@ -448,7 +391,7 @@
 
     fn on_event(&mut self, event: Event) {
         match event {
-            Event::Tick => self.on_tick(),
+            Event::Tick { sent_ms } => self.on_tick(sent_ms),
             Event::PeerAddress(address) => self.connect_to_peer(address),
             Event::PeerConnected { address, sender } => {
                 log::info!(address = address.to_string(); "coordinator connected");
--- a/src/coordinator/event.rs
+++ b/src/coordinator/event.rs
@@ -19,8 +19,8 @@
 /// An event for the actor of a coordinator.
 #[derive(Debug)]
 pub enum Event {
-    /// The interval of periodic work has passed.
-    Tick,
+    /// The interval of periodic work has passed at this steady time in milliseconds.
+    Tick { sent_ms: u64 },
     /// The store lists this address for a coordinator.
     PeerAddress(SocketAddr),
     /// A connection to another coordinator is open.
--- a/src/coordinator/leadership.rs
+++ b/src/coordinator/leadership.rs
@@ -4,7 +4,7 @@
 use super::message::PeerMessage;
 use super::restoring::Restoring;
 use super::takeover::{Candidate, Claim, Takeover, TakeoverError};
-use crate::election::{ElectionRole, Leadership};
+use crate::election::{ElectionRole, HandOver, Leadership};
 use crate::store::RowStore;
 
 impl<S> Coordinator<S>
@@ -14,7 +14,8 @@
     pub(super) fn begin_takeover(&mut self) {
         let last_leadership = self.election.leadership().cloned();
         log::info!(
-            known_epoch = last_leadership.as_ref().map_or(0, |known| known.epoch.0);
+            known_epoch = last_leadership.as_ref().map_or(0, |known| known.epoch.0),
+            machine_wait_ms = self.election.machine_wait_ms(self.service.clock.now_ms());
             "trying to take over the leadership"
         );
         let candidate = Candidate {
@@ -82,11 +83,25 @@
             "this coordinator leads now"
         );
         self.lead(self.now(), takeover);
+        self.election.on_restored(self.service.clock.now_ms());
         for (connection, (worker, sender)) in restoring.into_hosts() {
             self.on_host_connected(connection, worker, sender);
         }
     }
 
+    /// Gives up the leadership because this coordinator is too slow, so that the others elect a leader.
+    pub(super) fn hand_over(&mut self, decision: &HandOver) {
+        let HandOver { late_ticks, max_lag_ms, successors } = *decision;
+        let epoch = self.election.leadership().map_or(0, |known| known.epoch.0);
+        log::warn!(
+            epoch, late_ticks, max_lag_ms, successors;
+            "this leader is too slow and hands over"
+        );
+        self.service.metrics.count("leadership", "handed_over");
+        self.election.mark_slow(self.service.clock.now_ms());
+        self.step_down("this coordinator is too slow for the work of a leader");
+    }
+
     pub(super) fn step_down(&mut self, reason: &str) {
         let now_ms = self.service.clock.now_ms();
         if let Some(leader_state) = self.leader_state.take() {
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -27,6 +27,7 @@
 mod takeover;
 #[cfg(test)]
 mod tests;
+mod tick;
 mod transaction_retry;
 mod view;
 
@@ -48,6 +49,7 @@
 use tokio::sync::{mpsc, oneshot};
 use xtra::prelude::*;
 
+use crate::election::TICK_MS;
 use crate::prelude::*;
 use crate::process::{self, BoottimeClock, Metrics, Readiness, run_with_inbox, send_at_intervals};
 use crate::store::RowStore;
@@ -76,7 +78,7 @@
 /// The capacity of the actor's event queue.
 const EVENT_QUEUE: usize = 4_096;
 /// The interval of the actor's periodic work, such as decisions on the election.
-const TICK: Duration = Duration::from_millis(150);
+const TICK: Duration = Duration::from_millis(TICK_MS);
 
 /// Handle of a running coordinator.
 pub struct CoordinatorHandle<S: RowStore> {
@@ -119,6 +121,10 @@
         events: events.clone(),
         row_limit_bytes: settings.row_limit_bytes,
     };
+    if let Some(machine) = &settings.machine {
+        let wait_ms = i64::try_from(machine.class().takeover_wait_ms()).unwrap_or(i64::MAX);
+        service.metrics.set("leadership", "machine_wait_ms", wait_ms);
+    }
     let settings = Arc::new(settings);
     let links = settings.links();
     listener::spawn(settings.inner_address, links.clone(), events.clone()).await?;
@@ -131,7 +137,9 @@
         settings.inner_address,
         events.clone(),
     ));
-    tokio::spawn(send_at_intervals(TICK, events.clone(), || Event::Tick));
+    tokio::spawn(send_at_intervals(TICK, events.clone(), || Event::Tick {
+        sent_ms: BoottimeClock.now_ms(),
+    }));
     let (name, inner_address) = (settings.process.clone(), settings.inner_address);
     let traffic = links.traffic.clone();
     let coordinator = Coordinator::new(settings, service.clone(), peers, links, events.clone());
--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::election::ElectionSettings;
+use crate::election::{ElectionSettings, MachineLimits};
 use crate::planner::PlannerSettings;
 use crate::prelude::*;
 use crate::wire::{FrameKey, LinkSettings};
@@ -43,6 +43,9 @@
     pub worker_lease_ms: u64,
     /// The maximum size of a row of the store in bytes.
     pub row_limit_bytes: usize,
+    /// The limits of the machine, if they are known. Without them the coordinator competes for the leadership as one on a
+    /// strong machine and keeps it however slow it is.
+    pub machine: Option<MachineLimits>,
 }
 
 /// Returns the duration of a worker's lease if workers shorten longer leases to `limit_ms`. A leader that counts on a
@@ -71,7 +74,7 @@
     }
 
     /// Returns the settings of the election. With them a takeover takes about 1 s, well within the windows of 2 to 4 s
-    /// of the clients' rules.
+    /// of the clients' rules, and about 2 s if only coordinators on weak machines are left.
     pub fn election(&self) -> ElectionSettings {
         ElectionSettings {
             silence_ms: 900,
@@ -79,6 +82,8 @@
             store_silence_ms: 1_700,
             store_failing_ms: 600,
             retry_ms: 500,
+            machine_wait_ms: self.machine.map_or(0, |machine| machine.class().takeover_wait_ms()),
+            hands_over: self.machine.is_some(),
         }
     }
 }
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -15,6 +15,7 @@
 mod submissions;
 mod transaction_retry;
 mod undurable_result;
+mod uneven_machines;
 mod unreachable_worker;
 mod worker;
 
@@ -26,6 +27,7 @@
 use super::message::JobUpdate;
 use super::takeover::{Candidate, Head, TakeoverError, claim_leadership, head_key};
 use super::*;
+use crate::election::MachineLimits;
 use crate::host::{self, HostHandle, HostSettings, WorkerHeartbeat, WorkerTarget};
 use crate::planner::{JobProgress, WorkerReport};
 use crate::prelude::*;
@@ -126,6 +128,18 @@
     seeds: &[SocketAddr],
     store: &MemoryRowStore,
     fault: StoreFault,
+) -> Member {
+    member_on_machine(name, address, seeds, store, fault, None)
+}
+
+/// Starts a coordinator on a machine with the stated limits.
+fn member_on_machine(
+    name: &str,
+    address: SocketAddr,
+    seeds: &[SocketAddr],
+    store: &MemoryRowStore,
+    fault: StoreFault,
+    machine: Option<MachineLimits>,
 ) -> Member {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(1)
@@ -137,6 +151,7 @@
     let settings = CoordinatorSettings {
         worker_lease_ms: MAX_WORKER_LEASE_MS,
         row_limit_bytes: DEFAULT_ROW_LIMIT_BYTES,
+        machine,
         process: ProcessId::from(name),
         inner_address: address,
         seeds: seeds.to_vec(),
--- a/src/election/mod.rs
+++ b/src/election/mod.rs
@@ -7,6 +7,8 @@
 //! This module elects among the coordinators; the agents of a capacity group elect their leader with
 //! [`crate::membership::LeaderLease`].
 
+mod hand_over;
+mod machine;
 #[cfg(test)]
 mod tests;
 
@@ -15,6 +17,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use hand_over::{HAND_OVER_INTERVAL_MS, SLOW_LEADER_WAIT_MS, Successor, decide_hand_over};
+pub use hand_over::{HandOver, TICK_MS, TimerLag};
+pub use machine::{MachineClass, MachineLimits};
 
 /// Minimum time between the last store answers to two coordinators, in milliseconds, from which the store counts as
 /// answering only the coordinator with the later answer.
@@ -76,6 +81,11 @@
     pub store_failing_ms: u64,
     /// Delay after a failed takeover attempt, in milliseconds.
     pub retry_ms: u64,
+    /// Additional wait of a candidate on a machine that is weaker than a leader needs, in milliseconds
+    /// ([`MachineClass::takeover_wait_ms`]).
+    pub machine_wait_ms: u64,
+    /// Whether a leader that is too slow for its work hands over.
+    pub hands_over: bool,
 }
 
 /// Last state received from another coordinator.
@@ -84,6 +94,7 @@
     #[serde(rename = "heard_ms")]
     last_contact_ms: u64,
     store_age_ms: u64,
+    store_is_failing: bool,
     is_ending: bool,
 }
 
@@ -107,6 +118,8 @@
     TakeOver,
     /// Stop leading, for the stated reason.
     StepDown(&'static str),
+    /// Stop leading, because this coordinator is too slow and another one can lead.
+    HandOver(HandOver),
 }
 
 /// State of the election at one coordinator.
@@ -133,6 +146,13 @@
     retry_at_ms: u64,
     peers: BTreeMap<ProcessId, Peer>,
     is_ending: bool,
+    timer_lag: TimerLag,
+    /// Time at which this leader began to plan, if it does.
+    plans_since_ms: Option<u64>,
+    /// Time at which this coordinator last stepped down or observed that a leader did.
+    stepped_down_ms: Option<u64>,
+    /// Time up to which this coordinator waits longer before a takeover, because it was too slow as the leader.
+    slow_until_ms: u64,
 }
 
 impl LeaderElection {
@@ -151,6 +171,10 @@
             retry_at_ms: 0,
             peers: BTreeMap::new(),
             is_ending: false,
+            timer_lag: TimerLag::default(),
+            plans_since_ms: None,
+            stepped_down_ms: None,
+            slow_until_ms: 0,
         }
     }
 
@@ -190,6 +214,21 @@
         self.store_is_failing = is_failing;
     }
 
+    /// Records a tick of this coordinator's timer, which was sent at `sent_ms` and is handled now.
+    pub fn on_tick(&mut self, now_ms: u64, sent_ms: u64) {
+        self.timer_lag.record(now_ms, sent_ms);
+    }
+
+    /// Returns how late the latest ticks of this coordinator's timer were.
+    pub fn timer_lag(&self) -> &TimerLag {
+        &self.timer_lag
+    }
+
+    /// Records that this leader has restored its state and begins to plan.
+    pub fn on_restored(&mut self, now_ms: u64) {
+        self.plans_since_ms = Some(now_ms);
+    }
+
     /// Withdraws this coordinator from the election because its process is ending.
     pub fn stop_candidacy(&mut self) {
         self.is_ending = true;
@@ -200,6 +239,7 @@
         let peer = Peer {
             last_contact_ms: now_ms,
             store_age_ms: gossip.store_age_ms,
+            store_is_failing: gossip.store_is_failing,
             is_ending: gossip.is_ending,
         };
         self.peers.insert(gossip.process.clone(), peer);
@@ -211,7 +251,8 @@
             return is_newer;
         }
         if leadership.leader == gossip.process && !gossip.leads {
-            // The leader stepped down because its process is ending or the store refuses its calls.
+            // The leader stepped down because its process is ending or too slow, or the store refuses its calls.
+            self.stepped_down_ms = Some(now_ms);
             self.leader_contact_ms = now_ms.saturating_sub(self.settings.silence_ms);
             return is_newer;
         }
@@ -253,6 +294,7 @@
         self.leadership = Some(leadership);
         self.leader_contact_ms = now_ms;
         self.leader_store_ms = now_ms;
+        self.plans_since_ms = None;
     }
 
     /// Records a failed attempt to replace the leader. `current` is the leadership found in the store, if it was read.
@@ -270,6 +312,12 @@
         self.leader_contact_ms = now_ms;
         self.leader_store_ms = now_ms;
         self.retry_at_ms = now_ms + self.settings.silence_ms;
+        self.stepped_down_ms = Some(now_ms);
+    }
+
+    /// Makes this coordinator wait longer than others before its next takeover, because it was too slow as the leader.
+    pub fn mark_slow(&mut self, now_ms: u64) {
+        self.slow_until_ms = now_ms + HAND_OVER_INTERVAL_MS;
     }
 
     /// Returns the next action of this coordinator.
@@ -291,7 +339,7 @@
                         "the store answers another coordinator but not this one",
                     );
                 }
-                ElectionStep::Stay
+                self.decide_hand_over(now_ms).map_or(ElectionStep::Stay, ElectionStep::HandOver)
             }
             ElectionRole::Follower => self.decide_as_follower(now_ms),
         }
@@ -306,7 +354,8 @@
         let was_this_process =
             self.leadership.as_ref().is_some_and(|current| current.leader == self.process);
         let has_no_leader = self.leadership.is_none() || was_this_process;
-        let stagger_ms = self.rank(now_ms) * self.settings.stagger_ms;
+        let stagger_ms =
+            self.rank(now_ms) * self.settings.stagger_ms + self.machine_wait_ms(now_ms);
         let silence_ms = if has_no_leader { 0 } else { self.settings.silence_ms };
         let is_silent = now_ms.saturating_sub(self.leader_contact_ms) >= silence_ms + stagger_ms;
         let is_cut_off = now_ms.saturating_sub(self.leader_store_ms)
@@ -323,6 +372,29 @@
         ElectionStep::TakeOver
     }
 
+    /// Returns the additional wait of this candidate because of its machine, or because it was too slow as the leader.
+    pub fn machine_wait_ms(&self, now_ms: u64) -> u64 {
+        match now_ms < self.slow_until_ms {
+            true => self.settings.machine_wait_ms.max(SLOW_LEADER_WAIT_MS),
+            false => self.settings.machine_wait_ms,
+        }
+    }
+
+    fn decide_hand_over(&self, now_ms: u64) -> Option<HandOver> {
+        let plans_since_ms = self.plans_since_ms.filter(|_| self.settings.hands_over)?;
+        let is_live = |peer: &&Peer| {
+            now_ms.saturating_sub(peer.last_contact_ms) < self.settings.silence_ms
+                && !peer.is_ending
+                && !peer.store_is_failing
+        };
+        let successors = self.peers.values().filter(is_live).map(|peer| Successor {
+            store_age_ms: now_ms
+                .saturating_sub(peer.last_contact_ms)
+                .saturating_add(peer.store_age_ms),
+        });
+        decide_hand_over(now_ms, plans_since_ms, self.stepped_down_ms, &self.timer_lag, successors)
+    }
+
     /// Returns whether an imbalance has persisted for [`MIN_IMBALANCE_MS`]. A short one is normal: after an outage for
     /// all coordinators, they reach the store again one after another.
     fn imbalance_persisted(&mut self, now_ms: u64, is_imbalanced: bool) -> bool {
--- a/src/election/tests.rs
+++ b/src/election/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the election.
 
+mod uneven_machines;
+
 use super::*;
 
 const SETTINGS: ElectionSettings = ElectionSettings {
@@ -8,6 +10,8 @@
     store_silence_ms: 1_700,
     store_failing_ms: 600,
     retry_ms: 500,
+    machine_wait_ms: 0,
+    hands_over: false,
 };
 
 fn process(name: &str) -> ProcessId {
