Count waits after a step-down from the first gossip that reports it

Each gossip of a leader that stepped down, every 300 ms, restarted the waits of its followers. That was harmless while one candidate had no wait at all; with only weak coordinators left, none would have taken over before the former leader did. Where the limits of machines are stated, the waits now count from the first such gossip. Without them they are as before.

--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -83,7 +83,7 @@
             store_failing_ms: 600,
             retry_ms: 500,
             machine_wait_ms: self.machine.map_or(0, |machine| machine.class().takeover_wait_ms()),
-            hands_over: self.machine.is_some(),
+            has_uneven_machines: self.machine.is_some(),
         }
     }
 }
--- a/src/coordinator/tests/uneven_machines.rs
+++ b/src/coordinator/tests/uneven_machines.rs
@@ -33,12 +33,12 @@
 }
 
 /// Guards against jobs that wait for a leader that gets to its work late all the time, and against tasks that run twice
-/// because of its hand-over.
+/// because of its hand-over, where only coordinators on weak machines are left.
 #[tokio::test]
 async fn slow_leader_hands_over_and_the_job_is_done_once() {
     let store = MemoryRowStore::default();
     publish_rules(&store, &rules(1)).await;
-    let members = members_with_cpu(&[500, 500], &store);
+    let members = members_with_cpu(&[90, 90], &store);
     let worker = start_worker(&addresses(&members), &store, 14_000).await;
     wait_until_ready(&members).await;
     let job = JobId::from("job");
--- a/src/election/mod.rs
+++ b/src/election/mod.rs
@@ -84,8 +84,9 @@
     /// Additional wait of a candidate on a machine that is weaker than a leader needs, in milliseconds
     /// ([`MachineClass::takeover_wait_ms`]).
     pub machine_wait_ms: u64,
-    /// Whether a leader that is too slow for its work hands over.
-    pub hands_over: bool,
+    /// Whether the machines of coordinators differ. A leader that is too slow for its work then hands over, and waits after
+    /// a leader stepped down count from its first gossip that says so: they may be longer than the interval of gossip.
+    pub has_uneven_machines: bool,
 }
 
 /// Last state received from another coordinator.
@@ -151,6 +152,8 @@
     plans_since_ms: Option<u64>,
     /// Time at which this coordinator last stepped down or observed that a leader did.
     stepped_down_ms: Option<u64>,
+    /// Epoch of the latest leadership of another coordinator that is known to have stepped down.
+    stepped_down_epoch: Option<Epoch>,
     /// Time up to which this coordinator waits longer before a takeover, because it was too slow as the leader.
     slow_until_ms: u64,
 }
@@ -174,6 +177,7 @@
             timer_lag: TimerLag::default(),
             plans_since_ms: None,
             stepped_down_ms: None,
+            stepped_down_epoch: None,
             slow_until_ms: 0,
         }
     }
@@ -252,12 +256,22 @@
         }
         if leadership.leader == gossip.process && !gossip.leads {
             // The leader stepped down because its process is ending or too slow, or the store refuses its calls.
-            self.stepped_down_ms = Some(now_ms);
-            self.leader_contact_ms = now_ms.saturating_sub(self.settings.silence_ms);
+            let is_first = self.stepped_down_epoch != Some(leadership.epoch);
+            if is_first || !self.settings.has_uneven_machines {
+                self.leader_contact_ms = now_ms.saturating_sub(self.settings.silence_ms);
+            }
+            if is_first {
+                (self.stepped_down_epoch, self.stepped_down_ms) =
+                    (Some(leadership.epoch), Some(now_ms));
+            }
             return is_newer;
         }
-        let contact_ms = now_ms.saturating_sub(gossip.leader_contact_age_ms);
-        self.leader_contact_ms = self.leader_contact_ms.max(contact_ms);
+        let has_stepped_down =
+            self.settings.has_uneven_machines && self.stepped_down_epoch == Some(leadership.epoch);
+        if !has_stepped_down {
+            let contact_ms = now_ms.saturating_sub(gossip.leader_contact_age_ms);
+            self.leader_contact_ms = self.leader_contact_ms.max(contact_ms);
+        }
         let store_ms = now_ms.saturating_sub(gossip.leader_store_age_ms);
         self.leader_store_ms = self.leader_store_ms.max(store_ms);
         is_newer
@@ -381,7 +395,7 @@
     }
 
     fn decide_hand_over(&self, now_ms: u64) -> Option<HandOver> {
-        let plans_since_ms = self.plans_since_ms.filter(|_| self.settings.hands_over)?;
+        let plans_since_ms = self.plans_since_ms.filter(|_| self.settings.has_uneven_machines)?;
         let is_live = |peer: &&Peer| {
             now_ms.saturating_sub(peer.last_contact_ms) < self.settings.silence_ms
                 && !peer.is_ending
--- a/src/election/tests.rs
+++ b/src/election/tests.rs
@@ -11,7 +11,7 @@
     store_failing_ms: 600,
     retry_ms: 500,
     machine_wait_ms: 0,
-    hands_over: false,
+    has_uneven_machines: false,
 };
 
 fn process(name: &str) -> ProcessId {
--- a/src/election/tests/uneven_machines.rs
+++ b/src/election/tests/uneven_machines.rs
@@ -8,6 +8,7 @@
 fn follower_on(class: MachineClass, name: &str, others: &[&str]) -> LeaderElection {
     let mut election = follower(name);
     election.settings.machine_wait_ms = class.takeover_wait_ms();
+    election.settings.has_uneven_machines = true;
     for other in others.iter().filter(|other| **other != name) {
         election.on_gossip(1_700, &gossip(other, None));
     }
@@ -23,7 +24,7 @@
 /// `until_ms`.
 fn leader_with_late_ticks(interval_ms: u64, until_ms: u64, gossip_of_b: &Gossip) -> LeaderElection {
     let mut election = leader("a");
-    election.settings.hands_over = true;
+    election.settings.has_uneven_machines = true;
     election.on_restored(1_000);
     for now_ms in (1_000..=until_ms).step_by(interval_ms as usize) {
         election.on_tick(now_ms, now_ms);
@@ -90,6 +91,29 @@
     assert_eq!(first.decide(1_000), ElectionStep::TakeOver);
 }
 
+/// Guards against a system without a leader after one stepped down and goes on to say so: its gossip comes more often than
+/// the waits of the others end.
+#[test_case(MachineClass::Weak, &["b", "c"], 1_500; "only weak coordinators are left")]
+#[test_case(MachineClass::Strong, &["b", "c", "d"], 600; "strong coordinator sorts last")]
+fn gossip_of_a_former_leader_does_not_prolong_waits(
+    class: MachineClass,
+    names: &[&str],
+    expected_ms: u64,
+) {
+    let own = names.last().expect("there are names");
+    let mut election = follower_on(class, own, names);
+    let stepped_down = Gossip { leads: false, ..gossip("a", Some(leadership(1, "a"))) };
+    let report = Gossip { leader_contact_age_ms: 50, ..gossip("b", Some(leadership(1, "a"))) };
+
+    let took_over_ms = (1_800..6_000).step_by(300).find(|now_ms| {
+        election.on_gossip(*now_ms, &stepped_down);
+        election.on_gossip(*now_ms, &report);
+        election.decide(*now_ms) == ElectionStep::TakeOver
+    });
+
+    assert_eq!(took_over_ms, Some(1_800 + expected_ms));
+}
+
 /// Guards against a leader that keeps the leadership although it gets to its work late all the time, and against one that
 /// gives it up for a normal delay, a single pause, or with the part switched off.
 #[test]
@@ -97,7 +121,7 @@
     let answered = gossip("b", Some(leadership(1, "a")));
     let mut slow = leader_with_late_ticks(300, 9_000, &answered);
     assert!(hands_over(&mut slow, 9_000));
-    slow.settings.hands_over = false;
+    slow.settings.has_uneven_machines = false;
     assert_eq!(slow.decide(9_000), ElectionStep::Stay);
 
     let mut healthy = leader_with_late_ticks(250, 9_000, &answered);
