--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::election::ElectionSettings;
+use crate::election::{ElectionSettings, MachineLimits};
 use crate::planner::{CostSettings, PlannerSettings};
 use crate::prelude::*;
 use crate::wire::{FrameKey, LinkSettings};
@@ -48,6 +48,9 @@
     pub speed_spread_percent: Option<u32>,
     /// The times from which the costs of stops follow; without them, costs are not taken into account.
     pub cost: Option<CostSettings>,
+    /// The limits of the machine, if they are known. Without them the coordinator competes for the leadership as one on a
+    /// strong machine and keeps it however slow it is.
+    pub machine: Option<MachineLimits>,
 }
 
 /// Returns the duration of a worker's lease if workers shorten longer leases to `limit_ms`. A leader that counts on a
@@ -78,7 +81,7 @@
     }
 
     /// Returns the settings of the election. With them a takeover takes about 1 s, well within the windows of 2 to 4 s
-    /// of the clients' rules.
+    /// of the clients' rules, and about 2 s if only coordinators on weak machines are left.
     pub fn election(&self) -> ElectionSettings {
         ElectionSettings {
             silence_ms: 900,
@@ -86,6 +89,8 @@
             store_silence_ms: 1_700,
             store_failing_ms: 600,
             retry_ms: 500,
+            machine_wait_ms: self.machine.map_or(0, |machine| machine.class().takeover_wait_ms()),
+            has_uneven_machines: self.machine.is_some(),
         }
     }
 }
