--- a/src/planner/overload/cost.rs
+++ b/src/planner/overload/cost.rs
@@ -21,10 +21,10 @@
     pub restore_ms: u64,
 }
 
-/// Values of results in time and late, by priority, from the most urgent on: a result is worth twice as much as one of the
-/// next priority, and a late one a quarter of one in time. The last entry holds for all others too.
+/// Values of results in time and late, by priority, from the most urgent on. Each priority is worth one more than the next,
+/// and a late result a quarter of one in time. The last entry holds for all others too.
 const RESULT_VALUES: [(u64, u64); 3] =
-    [(4_000_000, 1_000_000), (2_000_000, 500_000), (1_000_000, 250_000)];
+    [(3_000_000, 750_000), (2_000_000, 500_000), (1_000_000, 250_000)];
 /// Part of a limit, in percent, by which the end of a job may be off: tasks of one step differ by 30 %, and starts are
 /// delayed. The value falls evenly over this range on both sides of the limit.
 const UNCERTAINTY_PERCENT: u64 = 25;
