--- a/platform/tests/crowd_parts/crowd.rs
+++ b/tests/crowd_parts/crowd.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
-use super::process::{FRAME_KEY, INNER_PORT, METRICS_PORT};
+use super::watched::FRAME_KEY;
 
 /// Pause between the bytes of a connection that must not count as idle; the idle time-out is 1.5 s.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(500);
@@ -18,12 +18,14 @@
 pub struct Target {
     pub method: &'static str,
     pub path: &'static str,
+    /// Largest body that the program accepts for this request.
+    pub body_limit_bytes: usize,
 }
 
 impl Target {
     /// Returns the head of a request with one header more.
     pub fn head(self, header: &str) -> Vec<u8> {
-        let Self { method, path } = self;
+        let Self { method, path, .. } = self;
         format!("{method} {path} HTTP/1.1\r\nhost: h.example\r\n{header}\r\n").into_bytes()
     }
 }
@@ -50,9 +52,9 @@
         Self { pause: Duration::from_millis(pause_ms), ..self }
     }
 
-    /// Sends the crowd to the port where other processes of the system connect.
-    pub fn at_inner_port(self) -> Self {
-        Self { port: Some(INNER_PORT), ..self }
+    /// Sends the crowd to another port of the program.
+    pub fn at_port(self, port: u16) -> Self {
+        Self { port: Some(port), ..self }
     }
 
     /// Lets the crowd act as processes of the system, which are not idle for long.
@@ -60,11 +62,6 @@
         Self { is_process: true, ..self }
     }
 
-    /// Sends the crowd to the port of the metrics.
-    pub fn at_metrics(self) -> Self {
-        Self { port: Some(METRICS_PORT), ..self }
-    }
-
     /// Starts the connections. They stay open until the returned set is dropped, unless the process closes them.
     pub async fn start(self, mut address: SocketAddr, connections: usize) -> JoinSet<()> {
         if let Some(port) = self.port {
--- a/platform/tests/crowd_parts/process.rs
+++ b/tests/crowd_parts/watched.rs
@@ -6,22 +6,19 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
-use serde_json::json;
+use serde_json::Value;
 use tokio::sync::{Mutex, MutexGuard};
 
-use crate::stand_in::{self, store::Store};
+use super::crowd::Target;
 
 /// Memory of the process's machine in the tests, in MB.
 const MEMORY_LIMIT_MB: u64 = 64;
 /// Descriptors of the process in the tests.
 const DESCRIPTOR_LIMIT: usize = 400;
+/// Memory that a process assumes if its environment states none, in MB.
+const DEFAULT_MEMORY_MB: u64 = 256;
 /// Key of connections between processes.
 pub const FRAME_KEY: [u8; 32] = [7; 32];
-pub const INNER_PORT: u16 = 7_000;
-pub const METRICS_PORT: u16 = 9_464;
-const CLIENT_PORT: u16 = 7_101;
-const READY_PORT: u16 = 7_102;
-const CONTROL_PORT: u16 = 7_103;
 /// Time for which the crowd is observed before the ordinary request.
 const OBSERVATION: Duration = Duration::from_secs(4);
 /// Time within which an ordinary request has to be answered, far longer than it takes unless the process hangs.
@@ -30,10 +27,44 @@
 /// Runs one test at a time, since the crowds would slow each other down.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Program {
-    Front,
-    Side,
+/// Program that meets a crowd.
+pub struct Program {
+    /// Path of the executable.
+    pub file: &'static str,
+    /// How the program finds its settings.
+    pub settings: SettingsSource,
+    /// Returns the settings for the address of its machine.
+    pub render: Box<dyn FnOnce(IpAddr) -> Value + Send>,
+    /// Port of the requests that the crowd sends.
+    pub port: u16,
+    /// Port of the metrics.
+    pub metrics_port: u16,
+    /// Path of the metrics.
+    pub metrics_path: &'static str,
+    /// Requests that the crowd sends.
+    pub target: Target,
+    /// Path of the ordinary request.
+    pub ordinary_path: &'static str,
+    /// Whether the environment states the limits of the machine.
+    pub states_limits: bool,
+    /// Tasks that have to run as long as the program.
+    pub companions: Vec<tokio::task::JoinHandle<()>>,
+}
+
+/// How a program finds its settings.
+#[derive(Clone, Copy)]
+pub enum SettingsSource {
+    /// Path in an environment variable.
+    Variable(&'static str),
+    /// Path behind the option `--settings`.
+    Option,
+}
+
+impl Program {
+    /// Lets the program run without stated limits.
+    pub fn without_limits(self) -> Self {
+        Self { states_limits: false, ..self }
+    }
 }
 
 /// Largest values that were observed.
@@ -43,6 +74,8 @@
     pub idle_kb: u64,
     pub peak_kb: u64,
     pub descriptors: usize,
+    memory_mb: u64,
+    descriptor_limit: usize,
 }
 
 impl Seen {
@@ -50,20 +83,22 @@
     /// own work, and no more descriptors than the process has.
     pub fn assert_within_limits(&self) {
         assert!(self.is_alive, "the process ended");
-        let bound_kb = self.idle_kb + MEMORY_LIMIT_MB * 1_024 / 2;
+        let bound_kb = self.idle_kb + self.memory_mb * 1_024 / 2;
         assert!(self.peak_kb <= bound_kb, "peak of {} kB, bound {bound_kb} kB", self.peak_kb);
-        assert!(self.descriptors <= DESCRIPTOR_LIMIT, "{} descriptors", self.descriptors);
+        assert!(self.descriptors <= self.descriptor_limit, "{} descriptors", self.descriptors);
     }
 }
 
+/// Running program and what is observed of it.
 pub struct Watched {
     child: Child,
-    program: Program,
-    ip: IpAddr,
+    address: SocketAddr,
+    metrics_url: String,
+    ordinary: (&'static str, &'static str),
     settings: PathBuf,
     seen: Seen,
     client: reqwest::Client,
-    _store: tokio::task::JoinHandle<()>,
+    companions: Vec<tokio::task::JoinHandle<()>>,
     _turn: MutexGuard<'static, ()>,
 }
 
@@ -72,50 +107,45 @@
     pub async fn start(program: Program) -> Self {
         static NEXT: AtomicU8 = AtomicU8::new(1);
         let turn = ONE_AT_A_TIME.lock().await;
-        let store = Store::new();
-        store.write_operator_row("config", Some(&manifest()));
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let (store_address, server) = stand_in::serve(any, store.routes()).await;
         let [high, low] = ((std::process::id() % 60_000 + 3_000) as u16).to_be_bytes();
-        let ip = Ipv4Addr::new(127, high, low, NEXT.fetch_add(1, Ordering::Relaxed));
-        let mut settings = json!({
-            "common": {"machine": "m-1", "ip": ip, "inner_port": INNER_PORT, "seeds": [],
-                       "store_address": store_address, "frame_key": FRAME_KEY.map(|byte| format!("{byte:02x}")).concat(), "grace_s": 6},
-        });
-        let (file, fields) = match program {
-            Program::Front => (
-                env!("CARGO_BIN_EXE_teaselhall-front"),
-                [("client_address", CLIENT_PORT), ("ready_address", READY_PORT)],
-            ),
-            Program::Side => (
-                env!("CARGO_BIN_EXE_teaselhall-side"),
-                [("heartbeat_address", CONTROL_PORT), ("worker_address", READY_PORT)],
-            ),
+        let ip = IpAddr::V4(Ipv4Addr::new(127, high, low, NEXT.fetch_add(1, Ordering::Relaxed)));
+        let path = std::env::temp_dir().join(format!("teaselhall-crowd-{ip}.json"));
+        std::fs::write(&path, (program.render)(ip).to_string()).expect("settings can be written");
+        let mut command = Command::new(program.file);
+        match program.settings {
+            SettingsSource::Variable(name) => command.env(name, &path),
+            SettingsSource::Option => command.arg("--settings").arg(&path),
         };
-        for (field, port) in fields {
-            settings[field] = json!(format!("{ip}:{port}"));
+        if program.states_limits {
+            command
+                .env("TEASELHALL_MEMORY_LIMIT_MB", MEMORY_LIMIT_MB.to_string())
+                .env("TEASELHALL_DESCRIPTOR_LIMIT", DESCRIPTOR_LIMIT.to_string());
         }
-        let path = std::env::temp_dir().join(format!("teaselhall-crowd-{ip}.json"));
-        std::fs::write(&path, settings.to_string()).expect("settings can be written");
-        let child = Command::new(file)
-            .env("TEASELHALL_NODE_FILE", &path)
-            .env("TEASELHALL_MEMORY_LIMIT_MB", MEMORY_LIMIT_MB.to_string())
-            .env("TEASELHALL_DESCRIPTOR_LIMIT", DESCRIPTOR_LIMIT.to_string())
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the program starts");
-        let seen = Seen { is_alive: true, idle_kb: 0, peak_kb: 0, descriptors: 0 };
+        let child = command.stdout(Stdio::null()).spawn().expect("the program starts");
+        let (memory_mb, descriptor_limit) = match program.states_limits {
+            true => (MEMORY_LIMIT_MB, DESCRIPTOR_LIMIT),
+            false => (DEFAULT_MEMORY_MB, usize::MAX),
+        };
+        let seen = Seen {
+            is_alive: true,
+            idle_kb: 0,
+            peak_kb: 0,
+            descriptors: 0,
+            memory_mb,
+            descriptor_limit,
+        };
         let mut watched = Self {
             child,
-            program,
-            ip: IpAddr::V4(ip),
+            address: SocketAddr::new(ip, program.port),
+            metrics_url: format!("http://{ip}:{}{}", program.metrics_port, program.metrics_path),
+            ordinary: (program.target.method, program.ordinary_path),
             settings: path,
             seen,
             client: reqwest::Client::builder()
                 .pool_max_idle_per_host(0)
                 .build()
                 .expect("the options of the client are valid"),
-            _store: server,
+            companions: program.companions,
             _turn: turn,
         };
         assert!(watched.answers_ordinary_request().await, "the program has started");
@@ -125,11 +155,7 @@
 
     /// Address that the crowd attacks by default.
     pub fn address(&self) -> SocketAddr {
-        let port = match self.program {
-            Program::Front => CLIENT_PORT,
-            Program::Side => CONTROL_PORT,
-        };
-        SocketAddr::new(self.ip, port)
+        self.address
     }
 
     /// Reads the descriptors several times while the crowd is at work.
@@ -169,24 +195,29 @@
         false
     }
 
-    /// Sends a small body that is not a job or a report: its answer shows that the body was read.
+    /// Sends a small body that the program refuses as malformed: its answer shows that the body was read.
     async fn ordinary_request(&self) -> reqwest::Result<bool> {
-        let address = self.address();
-        let request = match self.program {
-            Program::Front => self.client.post(format!("http://{address}/q/job2")),
-            Program::Side => self.client.put(format!("http://{address}/instances/i-2")),
-        };
+        let (method, path) = self.ordinary;
+        let method = method.parse().expect("the method is valid");
+        let request = self.client.request(method, format!("http://{}{path}", self.address));
         let request = request.header("host", "h.example").timeout(Duration::from_secs(3));
         let answer = request.body("{").send().await?;
-        let metrics = format!("http://{}:{METRICS_PORT}/metrics", self.ip);
-        let metrics = self.client.get(metrics).timeout(Duration::from_secs(3)).send().await?;
+        let metrics = self.client.get(&self.metrics_url).timeout(Duration::from_secs(3));
+        let metrics = metrics.send().await?;
         Ok(answer.status() == 400 && metrics.status() == 200)
     }
 
     /// Ends the process and returns what was observed.
     pub fn stop(mut self) -> Seen {
         self.sample();
-        let nothing = Seen { is_alive: false, idle_kb: 0, peak_kb: 0, descriptors: 0 };
+        let nothing = Seen {
+            is_alive: false,
+            idle_kb: 0,
+            peak_kb: 0,
+            descriptors: 0,
+            memory_mb: 0,
+            descriptor_limit: 0,
+        };
         std::mem::replace(&mut self.seen, nothing)
     }
 }
@@ -196,13 +227,6 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.settings);
+        self.companions.iter().for_each(tokio::task::JoinHandle::abort);
     }
 }
-
-fn manifest() -> serde_json::Value {
-    json!({
-        "version": 1,
-        "routes": [{"name": "q", "host": "h.example", "pathPrefix": "/q/", "service": "s", "priority": 0,
-                    "public": true}],
-    })
-}
