Serve ordinary callers while a crowd leaves its answers unread

Callers: with connections that each send thousands of GETs in a row and read no answer, no ordinary request was answered for 20 s, by a front and a side alike (tests front_survives and side_survives, case UnreadAnswers, on: failed; 500 connections, 64 MB, 400 descriptors stated).

Three causes, each found by watching the gauges of the process under the crowd: - A connection whose requests are answered counts as idle, and idle connections were closed after newcomers, so the newest connection was always the one that was refused. - Each pipelined request begins as soon as the previous one is answered, so such connections keep all places for requests. - The accept loop yielded after each connection, and tokio resumes it only once per pass over the sockets: with busy connections an ordinary caller waited for seconds in the kernel's queue.

Newcomers may now take a quarter of the idle connections' places; a request that arrived before the previous answer waits for one of eight turns, behind other ready work; sixteen connections are accepted in a row. An answer in progress is a phase of its own, and a client that reads nothing for 1 s is closed in favour of others, after 10 s in any case; clients wait 3 s for a whole answer.

--- a/src/process/intake/connections.rs
+++ b/src/process/intake/connections.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 use super::shed::{ConnectionState, Phase, select_connection};
 use super::{IntakeReport, Reason};
@@ -12,6 +12,11 @@
 /// Time for a head, from its first byte on. Clients send a head within 3,000 ms; the rest is for the network and for a
 /// process that reads late.
 pub(super) const HEAD_TIMEOUT_MS: u64 = 4_000;
+/// Time after which a connection is closed whose client reads nothing of an answer. Clients wait for 3,000 ms for all of it.
+const ANSWER_TIMEOUT_MS: u64 = 10_000;
+/// Requests in progress that may have arrived before the answer to the previous one on their connection. Few, since each
+/// is followed by the next one at once.
+const PIPELINED_REQUESTS: usize = 8;
 
 /// Bounds of the connections of a listener.
 #[derive(Clone, Copy, Debug)]
@@ -28,6 +33,8 @@
     limits: TableLimits,
     report: IntakeReport,
     clock: MonotonicClock,
+    /// Permits of requests that arrived before the answer to the previous one on their connection.
+    pipelined: Arc<Semaphore>,
 }
 
 #[derive(Debug)]
@@ -47,7 +54,9 @@
 
 impl ConnectionTable {
     pub fn new(limits: TableLimits, report: IntakeReport) -> Self {
-        Self { entries: Arc::default(), limits, report, clock: MonotonicClock::start() }
+        let pipelined = Arc::new(Semaphore::new(PIPELINED_REQUESTS.min(limits.requests)));
+        let clock = MonotonicClock::start();
+        Self { entries: Arc::default(), limits, report, clock, pipelined }
     }
 
     fn with_entries<T, F>(&self, work: F) -> T
@@ -62,7 +71,12 @@
     pub fn open(&self, key: u64) -> Option<ConnectionRecord> {
         let now_ms = self.clock.now_ms();
         let close = Arc::<Notify>::default();
-        let state = ConnectionState { phase: Phase::New, since_ms: now_ms, received_bytes: 0 };
+        let state = ConnectionState {
+            phase: Phase::New,
+            since_ms: now_ms,
+            received_bytes: 0,
+            blocked_since_ms: None,
+        };
         let is_accepted = self.with_entries(|entries| {
             entries.insert(key, Entry { state, closing: None, close: close.clone() });
             let open = entries.values().filter(|entry| entry.closing.is_none()).count();
@@ -83,11 +97,18 @@
         is_accepted.then(|| ConnectionRecord { table: self.clone(), key, close })
     }
 
-    /// Closes connections whose head has not arrived in time, and the oldest incomplete heads if they take too much
-    /// memory together.
-    pub fn enforce_head_limits(&self) {
+    /// Closes connections whose client has not read an answer or sent a head in time, and the oldest incomplete heads if
+    /// they take too much memory together.
+    pub fn enforce_limits(&self) {
         let now_ms = self.clock.now_ms();
         self.with_entries(|entries| {
+            for entry in entries.values_mut().filter(|entry| entry.closing.is_none()) {
+                let is_unread = entry.state.blocked_ms(now_ms) >= Some(ANSWER_TIMEOUT_MS);
+                if is_unread && entry.state.phase != Phase::Handling {
+                    entry.close(false);
+                    self.report.record(Reason::AnswerTimeout);
+                }
+            }
             let mut heads: Vec<(u64, u64, usize)> = open_states(entries)
                 .filter(|(_, state)| state.phase == Phase::Head)
                 .map(|(key, state)| (state.since_ms, key, state.received_bytes))
@@ -121,7 +142,9 @@
 }
 
 fn requests(entries: &BTreeMap<u64, Entry>) -> usize {
-    let is_request = |entry: &&Entry| matches!(entry.state.phase, Phase::Body | Phase::Handling);
+    let is_request = |entry: &&Entry| {
+        matches!(entry.state.phase, Phase::Body | Phase::Handling | Phase::Answering)
+    };
     entries.values().filter(is_request).count()
 }
 
@@ -175,7 +198,9 @@
 
     fn begin(&self, phase: Phase) {
         let since_ms = self.table.clock.now_ms();
-        self.update(|state| *state = ConnectionState { phase, since_ms, received_bytes: 0 });
+        self.update(|state| {
+            *state = ConnectionState { phase, since_ms, received_bytes: 0, ..*state }
+        });
     }
 
     /// Records received bytes; they begin a head unless a request is in progress.
@@ -183,22 +208,53 @@
         let now_ms = self.table.clock.now_ms();
         self.update(|state| {
             if matches!(state.phase, Phase::New | Phase::Idle) {
-                *state =
-                    ConnectionState { phase: Phase::Head, since_ms: now_ms, received_bytes: 0 };
+                let phase = Phase::Head;
+                *state = ConnectionState { phase, since_ms: now_ms, received_bytes: 0, ..*state };
             }
             state.received_bytes += bytes;
         });
     }
 
-    /// Begins a request whose head is complete, if not too many are in progress. A slower body is given up for it.
+    /// Records whether bytes wait for the client, since the kernel accepts no more of them.
+    pub(super) fn record_blocked(&self, is_blocked: bool) {
+        let now_ms = self.table.clock.now_ms();
+        self.update(|state| {
+            state.blocked_since_ms = is_blocked.then(|| state.blocked_since_ms.unwrap_or(now_ms));
+        });
+    }
+
+    /// Waits for the turn of a request that arrived before the answer to the previous one on its connection. Other
+    /// requests do not wait. The turn lasts until the returned permit is dropped.
+    ///
+    /// Load pattern: connections that each send thousands of requests in a row would otherwise occupy all places for
+    /// requests without end, since the next one begins as soon as the previous one is answered.
+    pub(super) async fn wait_for_turn(&self) -> Option<OwnedSemaphorePermit> {
+        // Received bytes end the idle phase, so that the head of this request was received before it began.
+        let is_pipelined = self.table.with_entries(|entries| {
+            entries.get(&self.key).is_some_and(|entry| entry.state.phase == Phase::Idle)
+        });
+        if !is_pipelined {
+            return None;
+        }
+        self.begin(Phase::Queued);
+        // The semaphore is never closed.
+        let turn = self.table.pipelined.clone().acquire_owned().await.ok();
+        // Other connections that became ready meanwhile are served first.
+        tokio::task::yield_now().await;
+        turn
+    }
+
+    /// Begins a request whose head is complete, if not too many are in progress. A slower body, or an answer that is not
+    /// read, is given up for it.
     pub(super) fn begin_request(&self, has_body: bool) -> bool {
         let now_ms = self.table.clock.now_ms();
         let is_admitted = self.table.with_entries(|entries| {
             if requests(entries) < self.table.limits.requests {
                 return true;
             }
-            let bodies = open_states(entries).filter(|(_, state)| state.phase == Phase::Body);
-            let victim = select_connection(now_ms, bodies);
+            let others = open_states(entries)
+                .filter(|(_, state)| matches!(state.phase, Phase::Body | Phase::Answering));
+            let victim = select_connection(now_ms, others);
             if let Some(entry) = victim.and_then(|victim| entries.get_mut(&victim)) {
                 entry.close(false);
             }
@@ -216,6 +272,11 @@
         self.begin(Phase::Handling);
     }
 
+    /// Records that the request was handled, and its answer is being sent.
+    pub(super) fn begin_answer(&self) {
+        self.begin(Phase::Answering);
+    }
+
     /// Records that the request is answered.
     pub(super) fn end_request(&self) {
         self.begin(Phase::Idle);
--- a/src/process/intake/mod.rs
+++ b/src/process/intake/mod.rs
@@ -3,6 +3,7 @@
 //! All bounds are derived from the stated memory and descriptors of the machine ([`IntakeLimits`]). Over a bound, the
 //! slowest of the crowd goes first ([`shed`]). See docs/design/uncontrolled-clients.md.
 
+mod answer;
 mod bodies;
 mod connections;
 mod inner;
--- a/src/process/intake/report.rs
+++ b/src/process/intake/report.rs
@@ -20,6 +20,8 @@
     HeadInvalid,
     /// Too many bytes of incomplete heads are buffered.
     HeadBytes,
+    /// A client did not read an answer in time.
+    AnswerTimeout,
     /// A body is larger than allowed.
     BodyTooLarge,
     /// A body did not arrive in time.
@@ -49,6 +51,7 @@
             Self::HeadTimeout => "closed_head_timeout",
             Self::HeadInvalid => "closed_head_invalid",
             Self::HeadBytes => "closed_head_bytes",
+            Self::AnswerTimeout => "closed_answer_timeout",
             Self::BodyTooLarge => "rejected_body_too_large",
             Self::BodyTimeout => "rejected_body_timeout",
             Self::BodyBytes => "rejected_body_bytes",
--- a/src/process/intake/server.rs
+++ b/src/process/intake/server.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::{Service, service_fn};
 use hyper_util::rt::TokioIo;
@@ -18,6 +19,7 @@
 use warp::reply::Response;
 use warp::{Filter, Reply};
 
+use super::answer::GuardedBody;
 use super::connections::{ConnectionRecord, ConnectionTable, TableLimits};
 use super::limits::{INNER_RECEIVE_BUFFER_BYTES, RECEIVE_BUFFER_BYTES};
 use super::stream::RecordedStream;
@@ -36,6 +38,9 @@
 const METRICS_CONNECTIONS: usize = 8;
 /// Interval of the checks of heads and of the gauges.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Connections that are accepted in a row. While the process is busy, it continues to accept only after all other tasks
+/// that are ready.
+const ACCEPTS_PER_TURN: u64 = 16;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Response to a head that did not arrive in time.
@@ -111,8 +116,10 @@
                             let routes = routes.clone();
                             tasks.spawn(serve_connection(stream, record, routes, stopping.clone()));
                         }
-                        // A connection that was closed in favour of this one releases its descriptor first.
-                        tokio::task::yield_now().await;
+                        if next_key % ACCEPTS_PER_TURN == 0 {
+                            // Connections that were closed in favour of these release their descriptors first.
+                            tokio::task::yield_now().await;
+                        }
                     }
                     Err(error) => {
                         log::warn!("connection could not be accepted; retried in 50 ms: {error}");
@@ -134,7 +141,7 @@
     }
 
     fn check(&self, kind: ListenerKind, table: &ConnectionTable) {
-        table.enforce_head_limits();
+        table.enforce_limits();
         if kind == ListenerKind::Clients {
             let (connections, requests) = table.counts();
             self.report.set("client_connections", connections);
@@ -212,19 +219,24 @@
     service: &S,
     mut request: Request<Incoming>,
     guard: RequestGuard,
-) -> std::result::Result<Response, Infallible>
+) -> std::result::Result<
+    hyper::Response<impl Body<Data = Bytes, Error: std::error::Error + Send + Sync> + use<S>>,
+    Infallible,
+>
 where
     S: Service<Request<Incoming>, Response = Response, Error = Infallible>,
 {
-    let has_body = !hyper::body::Body::is_end_stream(request.body());
-    if !guard.begin_request(has_body) {
+    let turn = guard.wait_for_turn().await;
+    let has_body = !request.body().is_end_stream();
+    let response = if guard.begin_request(has_body) {
+        request.extensions_mut().insert(guard.clone());
+        service.call(request).await?
+    } else {
         guard.report().record(Reason::Requests);
-        return Ok(overloaded_response());
-    }
-    request.extensions_mut().insert(guard.clone());
-    let response = service.call(request).await;
-    guard.end_request();
-    response
+        overloaded_response()
+    };
+    guard.begin_answer();
+    Ok(response.map(|body| GuardedBody::new(body, guard, turn)))
 }
 
 /// Builds a 503 response: the request was not acted on.
--- a/src/process/intake/shed.rs
+++ b/src/process/intake/shed.rs
@@ -7,6 +7,9 @@
 /// Time that a connection has for its first bytes or the rest of a head before it is closed in favour of newer ones.
 pub const NEWCOMER_MS: u64 = 1_000;
 
+/// Denominator of the part that newcomers may take of the connections without a request.
+pub const NEWCOMER_SHARE: usize = 4;
+
 /// Progress of a body or frame that is being received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Progress {
@@ -55,8 +58,12 @@
     Head,
     /// The body of a request is being received.
     Body,
+    /// A request waits for its turn, since it arrived before the answer to the previous one.
+    Queued,
     /// A request is being handled.
     Handling,
+    /// The answer to a request is being sent.
+    Answering,
     /// The last request was answered, and the next one has not begun.
     Idle,
 }
@@ -70,32 +77,56 @@
     pub since_ms: u64,
     /// Bytes received in this phase.
     pub received_bytes: usize,
+    /// When the client stopped reading, if bytes for it wait since then, in milliseconds.
+    pub blocked_since_ms: Option<u64>,
+}
+
+impl ConnectionState {
+    /// Returns the time for which bytes have waited for the client, or `None` if none wait.
+    pub fn blocked_ms(&self, now_ms: u64) -> Option<u64> {
+        self.blocked_since_ms.map(|since_ms| now_ms.saturating_sub(since_ms))
+    }
 }
 
 /// Returns the key of the connection that is closed first if there are too many, or `None` if all of them have a request
 /// that is being handled.
 ///
-/// The order: connections that sent nothing or part of a head for [`NEWCOMER_MS`], the oldest first; bodies that take as
-/// long, the slowest first; the newest connection without a request; the one that has been idle for the longest time.
-/// An idle connection of a client that behaves is thus closed last.
+/// The order: connections that sent nothing or part of a head for [`NEWCOMER_MS`], the oldest first; those whose client
+/// has read nothing for as long, though an answer waits; bodies that take as long, the slowest first. Of the others, the
+/// newest connection without a request goes first while there are too many of them for [`NEWCOMER_SHARE`], otherwise the
+/// one that has been idle for the longest time.
 ///
-/// Load pattern: more connections than the process has descriptors, which send nothing, part of a head or part of a body
-/// and stay open, while ordinary callers connect anew or keep their connections for the next request.
+/// Load patterns: more connections than the process has descriptors, which send nothing, part of a head or part of a body
+/// and stay open, while ordinary callers connect anew or keep their connections for the next request; connections that
+/// stay open after their requests were answered, which would keep out all newer ones.
 pub fn select_connection<K, I>(now_ms: u64, connections: I) -> Option<K>
 where
     K: Copy,
     I: IntoIterator<Item = (K, ConnectionState)>,
 {
+    let connections: Vec<(K, ConnectionState)> = connections.into_iter().collect();
+    let is_newcomer = |state: &ConnectionState| {
+        let age_ms = now_ms.saturating_sub(state.since_ms);
+        matches!(state.phase, Phase::New | Phase::Head | Phase::Body) && age_ms < NEWCOMER_MS
+    };
+    let newcomers = connections.iter().filter(|(_, state)| is_newcomer(state)).count();
+    let idle = connections.iter().filter(|(_, state)| state.phase == Phase::Idle).count();
+    let is_crowded = newcomers * NEWCOMER_SHARE > newcomers + idle;
+    let (newcomer_rank, idle_rank) = if is_crowded { (3, 4) } else { (4, 3) };
     let urgency = |state: &ConnectionState| {
         let age_ms = now_ms.saturating_sub(state.since_ms);
         let is_settled = age_ms >= NEWCOMER_MS;
         let bytes_per_s = state.received_bytes as u64 * 1_000 / age_ms.max(1);
+        let is_blocked =
+            state.blocked_ms(now_ms).is_some_and(|blocked_ms| blocked_ms >= NEWCOMER_MS);
         match state.phase {
-            Phase::New | Phase::Head if is_settled => Some((0, state.since_ms)),
-            Phase::Body if is_settled => Some((1, bytes_per_s)),
-            Phase::New | Phase::Head | Phase::Body => Some((2, age_ms)),
-            Phase::Idle => Some((3, state.since_ms)),
             Phase::Handling => None,
+            Phase::Answering if !is_blocked => None,
+            Phase::New | Phase::Head if is_settled => Some((0, state.since_ms)),
+            _ if is_blocked => Some((1, state.blocked_since_ms.unwrap_or_default())),
+            Phase::Body if is_settled => Some((2, bytes_per_s)),
+            Phase::Idle => Some((idle_rank, state.since_ms)),
+            _ => Some((newcomer_rank, age_ms)),
         }
     };
     let ranked = connections.into_iter().filter_map(|(key, state)| Some((key, urgency(&state)?)));
--- a/src/process/intake/stream.rs
+++ b/src/process/intake/stream.rs
@@ -1,4 +1,4 @@
-//! Socket of a client connection that records the bytes that it receives.
+//! Socket of a client connection that records what it receives, and whether the client reads.
 
 use std::io;
 use std::pin::Pin;
@@ -9,7 +9,7 @@
 
 use super::RequestGuard;
 
-/// Socket that reports received bytes to the entry of its connection.
+/// Socket that reports received bytes, and bytes that wait for the client, to the entry of its connection.
 #[derive(Debug)]
 pub(super) struct RecordedStream {
     stream: TcpStream,
@@ -50,7 +50,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.guard.record_blocked(poll.is_pending());
+        poll
     }
 
     fn poll_write_vectored(
@@ -58,7 +60,9 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.guard.record_blocked(poll.is_pending());
+        poll
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/process/intake/tests.rs
+++ b/src/process/intake/tests.rs
@@ -17,7 +17,8 @@
 }
 
 fn connection(phase: Phase, age_ms: u64, received_bytes: usize) -> ConnectionState {
-    ConnectionState { phase, since_ms: NOW_MS - age_ms, received_bytes }
+    let since_ms = NOW_MS - age_ms;
+    ConnectionState { phase, since_ms, received_bytes, blocked_since_ms: None }
 }
 
 fn derive(memory_mb: Option<u64>, descriptors: Option<u64>) -> Option<IntakeLimits> {
@@ -89,7 +90,10 @@
     let newcomer = (4, connection(Phase::New, 1, 0));
     let idle = (5, connection(Phase::Idle, 14_900, 0));
     let handled = (6, connection(Phase::Handling, 20_000, 0));
-    let mut open = vec![handled, idle, newcomer, slow_body, older_head, silent];
+    let answered = (7, connection(Phase::Answering, 20_000, 0));
+    let blocked_since_ms = Some(NOW_MS - NEWCOMER_MS);
+    let unread = (8, ConnectionState { blocked_since_ms, ..connection(Phase::Answering, 20, 0) });
+    let mut open = vec![handled, answered, unread, idle, newcomer, slow_body, older_head, silent];
 
     let mut order = Vec::new();
     while let Some(victim) = select_connection(NOW_MS, open.iter().copied()) {
@@ -97,7 +101,21 @@
         order.push(victim);
     }
 
-    assert_eq!(order, [2, 1, 3, 4, 5]);
+    assert_eq!(order, [2, 1, 8, 3, 4, 5]);
+}
+
+/// Replays a crowd whose requests were answered and that stays connected. Guards against newer clients that are locked out,
+/// and against newcomers that take more than their share from idle connections.
+#[test]
+fn idle_connections_are_closed_in_favour_of_a_share_of_newcomers() {
+    let idle = (0..90_u64).map(|key| (key, connection(Phase::Idle, 200 + key, 0)));
+    let newcomers = |count: u64| (100..100 + count).map(|key| (key, connection(Phase::New, 1, 0)));
+
+    let few = select_connection(NOW_MS, idle.clone().chain(newcomers(10)));
+    let many = select_connection(NOW_MS, idle.chain(newcomers(40)));
+
+    assert_eq!(few, Some(89), "the one that has been idle for the longest time");
+    assert_eq!(many, Some(100), "a newcomer");
 }
 
 /// Guards against a body within the limits that is rejected in calm, and against one that takes more than the bound while
--- a/tests/crowd_parts/kinds.rs
+++ b/tests/crowd_parts/kinds.rs
@@ -40,6 +40,8 @@
     Silent,
     /// Requests in a row whose answers are not read.
     UnreadAnswers,
+    /// Connections that stay open after their only request was answered.
+    Answered,
 }
 
 impl Kind {
@@ -74,6 +76,9 @@
                 Crowd::repeating(chunked_head(target), chunks, BODY_PIECES)
             }
             Self::Silent => Crowd::repeating(Vec::new(), Vec::new(), 0),
+            Self::Answered => {
+                Crowd::repeating(Target { method: "GET", ..target }.head(""), Vec::new(), 0)
+            }
             Self::UnreadAnswers => {
                 let request = Target { method: "GET", ..target }.head("");
                 Crowd::repeating(Vec::new(), request.repeat(PIPELINED_REQUESTS / 10), 10)
