Bound the clients of a process whose limits are not stated

The bounds were optional. Now each process has them: memory that is not stated is that of the machine (MemTotal), at most 256 MB; descriptors are those of the operating system.

--- a/src/coordinator/listener.rs
+++ b/src/coordinator/listener.rs
@@ -14,25 +14,20 @@
 use crate::wire::{Link, LinkError, LinkSettings};
 
 /// Binds the address and accepts connections in a background task until the process ends, within the bounds of the
-/// process if there are any.
+/// process.
 ///
 /// # Errors
 ///
 /// [`process::Error::Bind`] if the address cannot be bound.
-pub async fn spawn(
+pub fn spawn(
     address: SocketAddr,
     links: LinkSettings,
     events: EventSender,
-    intake: Option<Intake>,
+    intake: Intake,
 ) -> process::Result<()> {
-    let listener = match &intake {
-        Some(_) => bind_inner(address),
-        None => TcpListener::bind(address).await,
-    };
-    let listener = listener.context(BindSnafu { address })?;
-    let links =
-        LinkSettings { frames: intake.as_ref().map(|intake| intake.frames.clone()), ..links };
-    tokio::spawn(accept(listener, links, events, intake.map(InnerConnections::new)));
+    let listener = bind_inner(address).context(BindSnafu { address })?;
+    let links = LinkSettings { frames: Some(intake.frames.clone()), ..links };
+    tokio::spawn(accept(listener, links, events, InnerConnections::new(intake)));
     Ok(())
 }
 
@@ -40,7 +35,7 @@
     listener: TcpListener,
     links: LinkSettings,
     events: EventSender,
-    connections: Option<InnerConnections>,
+    connections: InnerConnections,
 ) {
     let mut next_key = 0;
     loop {
@@ -48,18 +43,11 @@
             Ok((stream, address)) => {
                 next_key += 1;
                 let (links, events) = (links.clone(), events.clone());
-                match &connections {
-                    Some(connections) => {
-                        if let Some(connection) = connections.open(next_key) {
-                            tokio::spawn(serve_bounded(stream, address, links, events, connection));
-                        }
-                        // A connection that was closed in favour of this one releases its descriptor first.
-                        tokio::task::yield_now().await;
-                    }
-                    None => {
-                        tokio::spawn(serve(stream, address, links, events, None));
-                    }
+                if let Some(connection) = connections.open(next_key) {
+                    tokio::spawn(serve_bounded(stream, address, links, events, connection));
                 }
+                // A connection that was closed in favour of this one releases its descriptor first.
+                tokio::task::yield_now().await;
             }
             Err(error) => {
                 log::warn!("connection could not be accepted; retried in 50 ms: {error}");
@@ -80,7 +68,7 @@
     tokio::select! {
         biased;
         () = connection.closing() => {}
-        () = serve(stream, address, links, events, Some(&connection)) => {}
+        () = serve(stream, address, links, events, &connection) => {}
     }
 }
 
@@ -89,23 +77,16 @@
     address: SocketAddr,
     links: LinkSettings,
     events: EventSender,
-    bounded: Option<&InnerConnection>,
+    bounded: &InnerConnection,
 ) {
     static CONNECTIONS: AtomicU64 = AtomicU64::new(0);
     let connection = CONNECTIONS.fetch_add(1, Ordering::Relaxed);
     let mut link: Link<AcceptorMessage, DialerMessage> = match Link::accept(stream, &links).await {
         Ok(link) => link,
         Err(error) => {
-            // With bounds, the report writes at most one line a second for all of them.
-            if let Some(bounded) = bounded {
-                bounded.record(Reason::Handshake);
-                log::debug!(address = address.to_string(); "handshake failed: {error}");
-                return;
-            }
-            log::warn!(
-                address = address.to_string();
-                "handshake of an accepted connection failed; connection closed: {error}"
-            );
+            // The report writes at most one line a second for all of them.
+            bounded.record(Reason::Handshake);
+            log::debug!(address = address.to_string(); "handshake failed: {error}");
             return;
         }
     };
@@ -113,7 +94,7 @@
     let mut peer = None;
     loop {
         let received = link.receiver.receive().await;
-        if let (Some(bounded), Ok(Some(_))) = (bounded, &received) {
+        if let Ok(Some(_)) = &received {
             bounded.identify();
         }
         let event = match received {
@@ -130,7 +111,7 @@
             Ok(Some(DialerMessage::Host(message))) => Event::Host { connection, message },
             Ok(None) => break,
             Err(error) => {
-                if let (Some(bounded), LinkError::Overloaded) = (bounded, &error) {
+                if matches!(error, LinkError::Overloaded) {
                     bounded.record(Reason::FrameBytes);
                 }
                 log::info!(address = address.to_string(); "accepted connection was lost: {error}");
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -96,7 +96,7 @@
     events: mpsc::Sender<Event>,
 }
 
-/// Starts a coordinator.
+/// Starts a coordinator, within the bounds of the process.
 ///
 /// # Errors
 ///
@@ -106,24 +106,7 @@
     store: S,
     directives: DirectiveSource,
     metrics: Metrics,
-) -> process::Result<CoordinatorHandle<S>>
-where
-    S: RowStore,
-{
-    start_bounded(settings, store, directives, metrics, None).await
-}
-
-/// Starts a coordinator, with the bounds of the process if there are any.
-///
-/// # Errors
-///
-/// [`process::Error::Bind`] if its address cannot be bound.
-pub async fn start_bounded<S>(
-    settings: CoordinatorSettings,
-    store: S,
-    directives: DirectiveSource,
-    metrics: Metrics,
-    intake: Option<Intake>,
+    intake: Intake,
 ) -> process::Result<CoordinatorHandle<S>>
 where
     S: RowStore,
@@ -147,7 +130,7 @@
     }
     let settings = Arc::new(settings);
     let links = settings.links();
-    listener::spawn(settings.inner_address, links.clone(), events.clone(), intake).await?;
+    listener::spawn(settings.inner_address, links.clone(), events.clone(), intake)?;
     let store = service.store.clone();
     tokio::spawn(store_watch::watch_directives(store.clone(), directives, clock, events.clone()));
     tokio::spawn(store_watch::watch_leadership(store, events.clone()));
--- a/src/process/intake/connections.rs
+++ b/src/process/intake/connections.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use bytes::Buf;
+use futures::Stream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 use super::shed::{ConnectionState, Phase, select_connection};
-use super::{IntakeReport, Reason};
+use super::{Body, BodyError, BodyLimits, Intake, IntakeReport, Reason};
 use crate::process::MonotonicClock;
 
 /// Time for a head, from its first byte on. Clients send a head within 3,000 ms; the rest is for the network and for a
@@ -157,9 +159,9 @@
 }
 
 impl ConnectionRecord {
-    /// Returns a handle that updates the entry.
-    pub fn guard(&self) -> RequestGuard {
-        RequestGuard { table: self.table.clone(), key: self.key }
+    /// Returns a handle that updates the entry, and reads bodies within the bounds of the process.
+    pub fn guard(&self, intake: &Intake) -> RequestGuard {
+        RequestGuard { table: self.table.clone(), key: self.key, intake: intake.clone() }
     }
 
     /// Waits until the connection is to be closed. Returns whether its client gets a 408 response.
@@ -182,9 +184,28 @@
 pub struct RequestGuard {
     table: ConnectionTable,
     key: u64,
+    intake: Intake,
 }
 
 impl RequestGuard {
+    /// Reads the body of the request within the bounds of the process.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError`]; the request was not acted on.
+    pub async fn read_body<S, B>(
+        &self,
+        length: Option<u64>,
+        stream: S,
+        limits: BodyLimits,
+    ) -> Result<Body, BodyError>
+    where
+        S: Stream<Item = Result<B, warp::Error>> + Send,
+        B: Buf,
+    {
+        self.intake.read_body(length, stream, limits, Some(self)).await
+    }
+
     fn update<F>(&self, change: F)
     where
         F: FnOnce(&mut ConnectionState),
--- a/src/process/intake/limits.rs
+++ b/src/process/intake/limits.rs
@@ -1,5 +1,20 @@
 //! Derives the bounds of a process from the limits of its machine.
 
+use rustix::process::{Resource, getrlimit};
+use tokio::sync::Semaphore;
+
+use crate::settings;
+
+/// Environment variable with the memory of the process's machine in whole MB.
+const MEMORY_VARIABLE: &str = "TEASELHALL_MEMORY_LIMIT_MB";
+/// Environment variable with the number of descriptors that the process may have.
+const DESCRIPTOR_VARIABLE: &str = "TEASELHALL_DESCRIPTOR_LIMIT";
+/// Memory that is assumed if none is stated and the machine has more: other processes may share the machine.
+const DEFAULT_MEMORY_MB: u64 = 256;
+/// Descriptors that are assumed if neither the environment nor the operating system states a limit.
+const DEFAULT_DESCRIPTORS: u64 = 1_024;
+/// File in which the kernel states the memory of the machine.
+const MEMORY_FILE: &str = "/proc/meminfo";
 /// Descriptors that are reserved for files and for connections that the process opens itself.
 const RESERVED_DESCRIPTORS: u64 = 200;
 /// Size to which the kernel's receive buffer of a client connection is set; the kernel doubles it for its own overhead.
@@ -14,16 +29,75 @@
 const MIN_CONNECTIONS: u64 = 16;
 /// Bytes of bodies or frames that are allowed on any machine: a frame may have 2 MiB.
 const MIN_BYTES: u64 = 2 * 1_024 * 1_024;
-/// Permits of a semaphore that stand for an unbounded amount.
-const UNBOUNDED_KIB: usize = u32::MAX as usize;
 
-/// Limits of the machine of a process, as the environment states them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Limits of the machine of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MachineLimits {
-    /// Memory in MB; `None` if it is not stated.
-    pub memory_mb: Option<u64>,
-    /// Descriptors of the process; `None` if they are not stated.
-    pub descriptors: Option<u64>,
+    /// Memory in MB.
+    pub memory_mb: u64,
+    /// Descriptors of the process.
+    pub descriptors: u64,
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        Self { memory_mb: DEFAULT_MEMORY_MB, descriptors: DEFAULT_DESCRIPTORS }
+    }
+}
+
+impl MachineLimits {
+    /// Returns the limits that the environment states. For one that is not stated, what the operating system reports
+    /// counts, with at most 256 MB of memory. An empty variable states none.
+    ///
+    /// # Errors
+    ///
+    /// [`settings::Error::Field`] with the name of a variable whose value is not a positive whole number.
+    pub fn from_environment() -> settings::Result<Self> {
+        Self::from_variables(|name| {
+            std::env::var_os(name).map(|value| value.to_string_lossy().into_owned())
+        })
+    }
+
+    /// Returns the limits that variables state, like [`Self::from_environment`].
+    ///
+    /// # Errors
+    ///
+    /// [`settings::Error::Field`] with the name of a variable whose value is not a positive whole number.
+    pub fn from_variables<F>(variable: F) -> settings::Result<Self>
+    where
+        F: Fn(&'static str) -> Option<String>,
+    {
+        let stated = |name| positive_number(name, variable(name));
+        Ok(Self {
+            memory_mb: stated(MEMORY_VARIABLE)?.unwrap_or_else(assumed_memory_mb),
+            descriptors: stated(DESCRIPTOR_VARIABLE)?.unwrap_or_else(assumed_descriptors),
+        })
+    }
+}
+
+fn positive_number(name: &'static str, text: Option<String>) -> settings::Result<Option<u64>> {
+    let Some(text) = text.filter(|text| !text.is_empty()) else {
+        return Ok(None);
+    };
+    let number = text.parse().ok().filter(|number| *number > 0);
+    let reason = || "must be a positive whole number".to_owned();
+    number.map(Some).ok_or_else(|| settings::Error::Field { field: name, reason: reason() })
+}
+
+fn assumed_memory_mb() -> u64 {
+    let text = std::fs::read_to_string(MEMORY_FILE).unwrap_or_default();
+    parse_memory_mb(&text).map_or(DEFAULT_MEMORY_MB, |memory_mb| memory_mb.min(DEFAULT_MEMORY_MB))
+}
+
+/// Returns the memory of the machine that the kernel's file states, in MB.
+pub(super) fn parse_memory_mb(text: &str) -> Option<u64> {
+    let total = text.lines().find_map(|line| line.strip_prefix("MemTotal:"))?;
+    let total_kb: u64 = total.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some((total_kb / 1_024).max(1))
+}
+
+fn assumed_descriptors() -> u64 {
+    getrlimit(Resource::Nofile).current.unwrap_or(DEFAULT_DESCRIPTORS)
 }
 
 /// Bounds of what clients may occupy.
@@ -47,25 +121,18 @@
 }
 
 impl IntakeLimits {
-    /// Derives the bounds, or returns `None` if the machine states no limits. A limit that is not stated bounds nothing.
+    /// Derives the bounds.
     ///
     /// Half of the memory is for clients; of this, half is for connections with the kernel's buffers, and an eighth each
     /// for heads, bodies, handling and frames. Half of the free descriptors are for clients and a quarter for other
     /// processes.
-    pub fn derive(machine: &MachineLimits) -> Option<Self> {
-        if *machine == MachineLimits::default() {
-            return None;
-        }
-        let client_bytes = machine
-            .memory_mb
-            .map_or(u64::MAX, |memory_mb| memory_mb.saturating_mul(1 << 20) / CLIENT_SHARE);
-        let descriptors = machine
-            .descriptors
-            .map_or(u64::MAX, |descriptors| descriptors.saturating_sub(RESERVED_DESCRIPTORS));
+    pub fn derive(machine: &MachineLimits) -> Self {
+        let client_bytes = machine.memory_mb.saturating_mul(1 << 20) / CLIENT_SHARE;
+        let descriptors = machine.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         let connections =
             (descriptors / 2).min(client_bytes / 2 / CONNECTION_BYTES).max(MIN_CONNECTIONS);
         let share = to_usize((client_bytes / 8).max(MIN_BYTES));
-        Some(Self {
+        Self {
             connections: to_usize(connections),
             inner_connections: to_usize((descriptors / 4).max(MIN_CONNECTIONS)),
             requests: to_usize(connections / 4 * 3),
@@ -73,12 +140,12 @@
             body_bytes: share,
             handling_bytes: share,
             frame_bytes: share,
-        })
+        }
     }
 
     /// Returns the memory for requests that are being handled in KiB, as the number of permits of a semaphore.
     pub(super) fn handling_kib(&self) -> usize {
-        (self.handling_bytes / 1_024).min(UNBOUNDED_KIB)
+        (self.handling_bytes / 1_024).min(Semaphore::MAX_PERMITS)
     }
 }
 
--- a/src/process/intake/mod.rs
+++ b/src/process/intake/mod.rs
@@ -20,9 +20,9 @@
 pub use connections::RequestGuard;
 pub use inner::{InnerConnection, InnerConnections};
 pub use limits::{IntakeLimits, MachineLimits};
-pub use reading::{Body, BodyError};
+pub use reading::{Body, BodyError, BodyLimits, body};
 pub use report::{IntakeReport, Reason};
-pub use server::{ListenerKind, bind_inner};
+pub use server::{ListenerKind, bind, bind_inner};
 
 use std::sync::Arc;
 
@@ -46,15 +46,15 @@
 }
 
 impl Intake {
-    /// Creates the bounds of a machine, or returns `None` if it states no limits.
-    pub fn new(machine: &MachineLimits, metrics: &Metrics) -> Option<Self> {
-        let limits = IntakeLimits::derive(machine)?;
-        Some(Self {
+    /// Creates the bounds of a process on a machine.
+    pub fn new(machine: &MachineLimits, metrics: &Metrics) -> Self {
+        let limits = IntakeLimits::derive(machine);
+        Self {
             bodies: ByteBudget::new(limits.body_bytes),
             frames: ByteBudget::new(limits.frame_bytes),
             report: IntakeReport::new(metrics.clone()),
             handling_kib: Arc::new(Semaphore::new(limits.handling_kib())),
             limits,
-        })
+        }
     }
 }
--- a/src/process/intake/reading.rs
+++ b/src/process/intake/reading.rs
@@ -4,28 +4,58 @@
 use std::time::Duration;
 
 use bytes::Buf;
+use derive_more::Deref;
 use futures::{Stream, StreamExt};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use warp::{Filter, Rejection};
 
 use super::{ByteClaim, Intake, Reason, RequestGuard};
 
-/// Time in which a body must arrive, as without bounds.
+/// Time in which a body must arrive unless its request states another.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which a complete body waits for the memory to handle it; clients wait for 3 s.
 const HANDLING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Step in which the memory of a body grows. Doubling would hold up to twice the bytes that arrived.
 const GROWTH_BYTES: usize = 32 * 1_024;
-/// Memory that handling a request takes, relative to its body: the text, the decoded job, its row and the call that
-/// stores it.
-const HANDLING_FACTOR: usize = 4;
+/// Memory that handling a request takes whose body is decoded, relative to the body: the text, the decoded job, its row
+/// and the call that stores it.
+const DECODED_FACTOR: usize = 4;
+/// Memory that handling a request takes whose body is passed on, relative to the body: the body, and its frame.
+const FORWARDED_FACTOR: usize = 2;
+
+/// Limits of the body of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    size_bytes: u64,
+    timeout: Duration,
+    handling_factor: usize,
+}
+
+impl BodyLimits {
+    /// Returns the limits of a body of at most `size_bytes` that is decoded. It must arrive within 10 s.
+    pub fn decoded(size_bytes: u64) -> Self {
+        Self { size_bytes, timeout: BODY_TIMEOUT, handling_factor: DECODED_FACTOR }
+    }
+
+    /// Returns the limits of a body of at most `size_bytes` that is passed on as it is. It must arrive within `timeout`.
+    pub fn forwarded(size_bytes: u64, timeout: Duration) -> Self {
+        Self { size_bytes, timeout, handling_factor: FORWARDED_FACTOR }
+    }
+}
 
 /// Reason for which a body was not received; the request was not acted on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BodyError {
     /// The body exceeds the limit for one body.
-    TooLarge,
+    TooLarge {
+        /// The limit in bytes.
+        limit_bytes: u64,
+    },
     /// The body did not arrive in time.
-    TimedOut,
+    TimedOut {
+        /// The time in which it had to arrive.
+        timeout: Duration,
+    },
     /// The body was given up because too many are in progress.
     Shed,
     /// The body could not be read.
@@ -33,15 +63,35 @@
 }
 
 /// Complete body. Its share of the memory for requests in progress is held until this value is dropped.
-#[derive(Debug)]
+#[derive(Debug, Deref)]
 pub struct Body {
-    /// Content of the body.
-    pub bytes: Vec<u8>,
-    _handling: Option<OwnedSemaphorePermit>,
+    #[deref]
+    bytes: Vec<u8>,
+    handling: Option<OwnedSemaphorePermit>,
+}
+
+impl Body {
+    /// Separates the content from the share of the memory, which the caller holds until the content is released.
+    pub fn into_parts(self) -> (Vec<u8>, Option<OwnedSemaphorePermit>) {
+        (self.bytes, self.handling)
+    }
+}
+
+/// Returns a filter that reads the body of a request within the bounds of the process that accepted its connection.
+/// Requests are rejected with status 500 unless [`Intake::serve`] accepted the connection.
+pub fn body(
+    limits: BodyLimits,
+) -> impl Filter<Extract = (Result<Body, BodyError>,), Error = Rejection> + Clone {
+    warp::header::optional("content-length")
+        .and(warp::body::stream())
+        .and(warp::ext::get::<RequestGuard>())
+        .then(move |length, stream, guard: RequestGuard| async move {
+            guard.read_body(length, stream, limits).await
+        })
 }
 
 impl Intake {
-    /// Reads a body of at most `limit_bytes` that must arrive within 10 s, and waits for the memory to handle it.
+    /// Reads a body, and waits for the memory to handle it.
     ///
     /// # Errors
     ///
@@ -50,18 +100,18 @@
         &self,
         length: Option<u64>,
         stream: S,
-        limit_bytes: u64,
-        guard: Option<RequestGuard>,
+        limits: BodyLimits,
+        guard: Option<&RequestGuard>,
     ) -> Result<Body, BodyError>
     where
         S: Stream<Item = Result<B, warp::Error>> + Send,
         B: Buf,
     {
-        let read = self.read_and_admit(length, stream, limit_bytes, guard);
+        let read = self.read_and_admit(length, stream, limits, guard);
         let result = read.await;
         match &result {
-            Err(BodyError::TooLarge) => self.report.record(Reason::BodyTooLarge),
-            Err(BodyError::TimedOut) => self.report.record(Reason::BodyTimeout),
+            Err(BodyError::TooLarge { .. }) => self.report.record(Reason::BodyTooLarge),
+            Err(BodyError::TimedOut { .. }) => self.report.record(Reason::BodyTimeout),
             Err(BodyError::Shed) => self.report.record(Reason::BodyBytes),
             Err(BodyError::Broken(_)) | Ok(_) => {}
         }
@@ -72,40 +122,42 @@
         &self,
         length: Option<u64>,
         stream: S,
-        limit_bytes: u64,
-        guard: Option<RequestGuard>,
+        limits: BodyLimits,
+        guard: Option<&RequestGuard>,
     ) -> Result<Body, BodyError>
     where
         S: Stream<Item = Result<B, warp::Error>> + Send,
         B: Buf,
     {
-        if length.is_some_and(|length| length > limit_bytes) {
-            return Err(BodyError::TooLarge);
+        let BodyLimits { size_bytes, timeout, .. } = limits;
+        if length.is_some_and(|length| length > size_bytes) {
+            return Err(BodyError::TooLarge { limit_bytes: size_bytes });
         }
         let claim = self.bodies.claim();
         let bytes = {
-            let collected = collect(&claim, stream, limit_bytes);
+            let collected = collect(&claim, stream, size_bytes);
             tokio::select! {
                 biased;
                 collected = collected => collected?,
                 () = claim.given_up() => return Err(BodyError::Shed),
-                () = tokio::time::sleep(BODY_TIMEOUT) => return Err(BodyError::TimedOut),
+                () = tokio::time::sleep(timeout) => return Err(BodyError::TimedOut { timeout }),
             }
         };
-        let handling = self.admit(&claim, bytes.len()).await?;
+        let handling =
+            self.admit(&claim, bytes.len().saturating_mul(limits.handling_factor)).await?;
         if let Some(guard) = guard {
             guard.begin_handling();
         }
-        Ok(Body { bytes, _handling: handling })
+        Ok(Body { bytes, handling })
     }
 
     /// Waits for the memory to handle a complete body. The body counts as in progress meanwhile, and may be given up.
     async fn admit(
         &self,
         claim: &ByteClaim,
-        bytes: usize,
+        handling_bytes: usize,
     ) -> Result<Option<OwnedSemaphorePermit>, BodyError> {
-        let wanted_kib = bytes.saturating_mul(HANDLING_FACTOR) / 1_024;
+        let wanted_kib = handling_bytes / 1_024;
         if wanted_kib == 0 {
             return Ok(None);
         }
@@ -132,7 +184,7 @@
         let mut part = part.map_err(|error| BodyError::Broken(error.to_string()))?;
         let received_bytes = collected.len() + part.remaining();
         if received_bytes as u64 > limit_bytes {
-            return Err(BodyError::TooLarge);
+            return Err(BodyError::TooLarge { limit_bytes });
         }
         if received_bytes > collected.capacity() {
             let wanted_bytes = received_bytes.next_multiple_of(GROWTH_BYTES);
--- a/src/process/intake/server.rs
+++ b/src/process/intake/server.rs
@@ -13,9 +13,9 @@
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::MissedTickBehavior;
-use warp::http::{HeaderValue, Request, StatusCode, header};
+use warp::http::{HeaderValue, Request, header};
 use warp::reply::Response;
 use warp::{Filter, Reply};
 
@@ -24,6 +24,7 @@
 use super::limits::{INNER_RECEIVE_BUFFER_BYTES, RECEIVE_BUFFER_BYTES};
 use super::stream::RecordedStream;
 use super::{Intake, Reason, RequestGuard};
+use crate::api::{ApiError, ErrorCode};
 use crate::process::{BindSnafu, Result};
 
 /// Largest head of a request.
@@ -90,7 +91,40 @@
         F::Extract: Reply,
         S: Future<Output = ()> + Send + 'static,
     {
-        let listener = bind(address, RECEIVE_BUFFER_BYTES).context(BindSnafu { address })?;
+        let listener = bind(address).context(BindSnafu { address })?;
+        self.serve_on(kind, listener, routes, shutdown).await;
+        Ok(())
+    }
+
+    /// Starts a task that serves routes like [`Self::serve`].
+    pub fn spawn_server<F, S>(
+        &self,
+        kind: ListenerKind,
+        address: SocketAddr,
+        routes: F,
+        shutdown: S,
+    ) -> JoinHandle<Result<()>>
+    where
+        F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
+        F::Extract: Reply,
+        S: Future<Output = ()> + Send + 'static,
+    {
+        let intake = self.clone();
+        tokio::spawn(async move { intake.serve(kind, address, routes, shutdown).await })
+    }
+
+    /// Serves routes like [`Self::serve`] on a listener.
+    pub async fn serve_on<F, S>(
+        &self,
+        kind: ListenerKind,
+        listener: TcpListener,
+        routes: F,
+        shutdown: S,
+    ) where
+        F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
+        F::Extract: Reply,
+        S: Future<Output = ()> + Send + 'static,
+    {
         let connections = kind.connections(self);
         let limits = TableLimits {
             connections,
@@ -113,8 +147,9 @@
                     Ok((stream, _)) => {
                         next_key += 1;
                         if let Some(record) = table.open(next_key) {
-                            let routes = routes.clone();
-                            tasks.spawn(serve_connection(stream, record, routes, stopping.clone()));
+                            let (guard, routes) = (record.guard(self), routes.clone());
+                            let stopping = stopping.clone();
+                            tasks.spawn(serve_connection(stream, record, guard, routes, stopping));
                         }
                         if next_key % ACCEPTS_PER_TURN == 0 {
                             // Connections that were closed in favour of these release their descriptors first.
@@ -133,7 +168,7 @@
         loop {
             tokio::select! {
                 ended = tasks.join_next() => if ended.is_none() {
-                    return Ok(());
+                    return;
                 },
                 _ = checks.tick() => self.check(kind, &table),
             }
@@ -159,12 +194,24 @@
 ///
 /// Error of the operating system.
 pub fn bind_inner(address: SocketAddr) -> std::io::Result<TcpListener> {
-    bind(address, INNER_RECEIVE_BUFFER_BYTES)
+    bind_with_buffer(address, INNER_RECEIVE_BUFFER_BYTES)
+}
+
+/// Binds an address for clients with a fixed receive buffer for each connection.
+///
+/// # Errors
+///
+/// Error of the operating system.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    bind_with_buffer(address, RECEIVE_BUFFER_BYTES)
 }
 
 /// Binds an address with a fixed receive buffer for each connection, since the kernel's buffers are part of the machine's
 /// memory.
-fn bind(address: SocketAddr, receive_buffer_bytes: u32) -> std::io::Result<TcpListener> {
+fn bind_with_buffer(
+    address: SocketAddr,
+    receive_buffer_bytes: u32,
+) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.set_recv_buffer_size(receive_buffer_bytes)?;
@@ -175,13 +222,13 @@
 async fn serve_connection<F>(
     stream: TcpStream,
     record: ConnectionRecord,
+    guard: RequestGuard,
     routes: F,
     mut stopping: watch::Receiver<bool>,
 ) where
     F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
     F::Extract: Reply,
 {
-    let guard = record.guard();
     let io = TokioIo::new(RecordedStream::new(stream, guard.clone()));
     let service = TowerToHyperService::new(warp::service(routes));
     let respond = service_fn(|request| respond(&service, request, guard.clone()));
@@ -241,10 +288,8 @@
 
 /// Builds a 503 response: the request was not acted on.
 fn overloaded_response() -> Response {
-    let mut response = Response::new("{\"error\":\"too many requests are in progress\"}".into());
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    let headers = response.headers_mut();
-    headers.insert(header::RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let error = ApiError::new(ErrorCode::Unavailable, "too many requests are in progress");
+    let mut response = error.into_response();
+    response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
     response
 }
--- a/src/process/observe.rs
+++ b/src/process/observe.rs
@@ -13,7 +13,6 @@
 use warp::http::StatusCode;
 use warp::{Filter, Reply};
 
-use super::intake::{Intake, ListenerKind};
 use super::{BindSnafu, Result};
 
 /// Readiness of a process: whether it accepts new work. Clones share the value.
@@ -142,26 +141,3 @@
     warp::serve(routes).incoming(listener).graceful(shutdown).run().await;
     Ok(())
 }
-
-/// Serves routes like [`serve`], within the bounds of the process if there are any.
-///
-/// # Errors
-///
-/// [`super::Error::Bind`] if the address cannot be bound.
-pub async fn serve_bounded<F, S>(
-    intake: Option<Intake>,
-    kind: ListenerKind,
-    address: SocketAddr,
-    routes: F,
-    shutdown: S,
-) -> Result<()>
-where
-    F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
-    F::Extract: Reply,
-    S: Future<Output = ()> + Send + 'static,
-{
-    match intake {
-        Some(intake) => intake.serve(kind, address, routes, shutdown).await,
-        None => serve(address, routes, shutdown).await,
-    }
-}
