Bound the clients and the agents of an entry

Only incomplete handshakes were bounded.

The entry serves callers through process::intake, like a front, and its listener for agents has the bounds of the inner port in place of its own limit of 256 new connections. Bodies of requests are passed on and count twice, not four times; they have until their deadline, as before. Refusals have the shape of docs/api.md; 503 carries Retry-After.

--- a/src/entry/configuration/routes.rs
+++ b/src/entry/configuration/routes.rs
@@ -21,6 +21,7 @@
 use crate::entry::body::limited_body;
 use crate::permit::{DataCentreStateChanged, DataCentreStatus};
 use crate::prelude::*;
+use crate::process::intake::Body;
 use crate::store::{ObjectStore, Table};
 use crate::wire::DataCentreState;
 
@@ -134,7 +135,7 @@
     warp::any().map(move || shared.clone())
 }
 
-fn parse<V>(body: Result<Vec<u8>>) -> Result<V>
+fn parse<V>(body: Result<Body>) -> Result<V>
 where
     V: DeserializeOwned,
 {
@@ -153,7 +154,7 @@
     }
 }
 
-async fn propose<T, O>(shared: Arc<Shared<T, O>>, body: Result<Vec<u8>>) -> Response
+async fn propose<T, O>(shared: Arc<Shared<T, O>>, body: Result<Body>) -> Response
 where
     T: Table,
     O: ObjectStore,
@@ -164,7 +165,7 @@
     })
 }
 
-async fn approve<T, O>(shared: Arc<Shared<T, O>>, body: Result<Vec<u8>>) -> Response
+async fn approve<T, O>(shared: Arc<Shared<T, O>>, body: Result<Body>) -> Response
 where
     T: Table,
     O: ObjectStore,
@@ -175,7 +176,7 @@
     })
 }
 
-async fn roll_out<T, O>(shared: Arc<Shared<T, O>>, body: Result<Vec<u8>>) -> Response
+async fn roll_out<T, O>(shared: Arc<Shared<T, O>>, body: Result<Body>) -> Response
 where
     T: Table,
     O: ObjectStore,
@@ -244,7 +245,7 @@
     shared: Arc<Shared<T, O>>,
     id: DataCentreId,
     state: DataCentreState,
-    body: Result<Vec<u8>>,
+    body: Result<Body>,
 ) -> Result<DataCentreStateChanged>
 where
     T: Table,
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -16,6 +16,7 @@
 use crate::intake;
 use crate::job::JobRow;
 use crate::prelude::*;
+use crate::process::intake::Body;
 use crate::store::{Table, Writer};
 
 /// The maximum size of a job's body, in bytes.
@@ -111,7 +112,7 @@
     }
 }
 
-async fn submit<T>(jobs: Jobs<T>, key: Option<String>, body: Result<Vec<u8>, ApiError>) -> Response
+async fn submit<T>(jobs: Jobs<T>, key: Option<String>, body: Result<Body, ApiError>) -> Response
 where
     T: Table + Clone,
 {
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -1,11 +1,10 @@
 //! Accepts the connections of agents, and passes their messages to the actors that handle them.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use xtra::Address;
 
 use super::groups::{self, Groups};
@@ -13,6 +12,7 @@
     EndpointConnected, EndpointDisconnected, Event, FromEndpoint, OpenInbox, Requests,
 };
 use crate::prelude::*;
+use crate::process::intake::{InnerConnection, InnerConnections, Reason};
 use crate::request::ConnectionId;
 use crate::store::Table;
 use crate::wire::{
@@ -20,8 +20,6 @@
     LinkSettings,
 };
 
-/// The maximum number of connections whose handshake or first message is awaited.
-const MAX_NEW_CONNECTIONS: usize = 256;
 /// The delay before the next accept after one failed, usually because the process has too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -86,19 +84,18 @@
     },
 }
 
-/// Accepts connections of agents until the actors stop.
+/// Accepts connections of agents within the bounds of the process until the actors stop.
 pub async fn serve<T>(
     listener: TcpListener,
     settings: LinkSettings,
     incarnation: Incarnation,
     actors: Actors<T>,
+    connections: InnerConnections,
 ) where
     T: Table + Clone,
 {
     let last_connection = AtomicU64::new(0);
-    let new_connections = Arc::new(Semaphore::new(MAX_NEW_CONNECTIONS));
     while actors.requests.is_connected() {
-        let Ok(permit) = new_connections.clone().acquire_owned().await else { return };
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
@@ -112,17 +109,47 @@
         };
         let connection = ConnectionId(last_connection.fetch_add(1, Ordering::Relaxed) + 1);
         let (settings, actors) = (settings.clone(), actors.clone());
-        tokio::spawn(async move {
-            let opened = open_link(stream, &settings, incarnation).await;
-            drop(permit);
-            let result = match opened {
-                Ok((link, first)) => handle(connection, link, first, &actors).await,
-                Err(error) => Err(error),
-            };
-            if let Err(error) = result {
-                log::info!(connection = connection.0; "connection of an agent ended: {error}");
-            }
-        });
+        if let Some(bounded) = connections.open(connection.0) {
+            tokio::spawn(async move {
+                serve_agent(connection, stream, &settings, incarnation, &actors, &bounded).await;
+            });
+        }
+        // A connection that was closed in favour of this one releases its descriptor first.
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn serve_agent<T>(
+    connection: ConnectionId,
+    stream: TcpStream,
+    settings: &LinkSettings,
+    incarnation: Incarnation,
+    actors: &Actors<T>,
+    bounded: &InnerConnection,
+) where
+    T: Table + Clone,
+{
+    let opened = tokio::select! {
+        biased;
+        () = bounded.closing() => return,
+        opened = open_link(stream, settings, incarnation) => opened,
+    };
+    let result = match opened {
+        Ok((link, first)) => {
+            bounded.identify();
+            handle(connection, link, first, actors).await
+        }
+        Err(error) => {
+            bounded.record(Reason::Handshake);
+            log::debug!(connection = connection.0; "connection of an agent failed: {error}");
+            return;
+        }
+    };
+    if let Err(error) = result {
+        if matches!(error, LinkError::Overloaded) {
+            bounded.record(Reason::FrameBytes);
+        }
+        log::info!(connection = connection.0; "connection of an agent ended: {error}");
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 pub mod request_routes;
 pub mod requests;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand_chacha::ChaCha8Rng;
@@ -26,6 +27,7 @@
 use crate::membership::LeaseRow;
 use crate::permit::DataCentreStatus;
 use crate::prelude::*;
+use crate::process::intake::{InnerConnections, Intake, ListenerKind, MachineLimits, bind_inner};
 use crate::process::{
     self, BindSnafu, Metrics, MonotonicClock, PartnersSnafu, Readiness, new_incarnation,
     observe_routes,
@@ -37,7 +39,7 @@
 use configuration::{Configuration, Identity};
 use groups::Groups;
 use jobs::Jobs;
-use listener::{Actors, ConfigEvent};
+use listener::Actors;
 use request_routes::RequestRoute;
 use requests::Requests;
 
@@ -66,7 +68,11 @@
     let (clock, metrics, readiness) =
         (MonotonicClock::start(), Metrics::default(), Readiness::default());
     let incarnation = new_incarnation();
-    let links = LinkSettings::new(FrameKey::new(decode_frame_key(&settings.frame_key)?));
+    let intake = Intake::new(&MachineLimits::from_environment()?, &metrics);
+    let links = LinkSettings {
+        frames: Some(intake.frames.clone()),
+        ..LinkSettings::new(FrameKey::new(decode_frame_key(&settings.frame_key)?))
+    };
     let store = HttpStore::new(&settings.platform_url);
     let table = LimitedTable::new(store.clone(), MAX_READS_PER_SECOND, MAX_WRITES_PER_SECOND);
     let writer = Writer::new(EntryTable::new(table));
@@ -94,7 +100,9 @@
         requests.clone(),
     ));
     tokio::spawn(poll_leader_leases(writer.clone(), groups.clone()));
-    serve_agents(&settings, links, incarnation, &groups, &requests, config_events).await?;
+    let actors =
+        Actors { requests: requests.clone(), groups: groups.clone(), config: config_events };
+    serve_agents(settings.agent_address, links, incarnation, actors, &intake)?;
 
     let dump = dump(&settings, &groups, &requests, configuration.actor());
     let jobs = Jobs { writer, groups: groups.clone(), bundle: configuration.bundle.clone() };
@@ -106,8 +114,12 @@
         .or(overview::routes(&groups, &requests))
         .recover(describe_rejection);
     let (stop, stopped) = watch::channel(false);
-    let server = process::serve(settings.http_address, routes, process::wait_for_shutdown(stopped));
-    let server = tokio::spawn(server);
+    let server = intake.spawn_server(
+        ListenerKind::Clients,
+        settings.http_address,
+        routes,
+        process::wait_for_shutdown(stopped),
+    );
     readiness.set(true);
     process::shutdown_requested().await?;
     // The load balancer sends no more calls to an entry that is not ready; the server still answers those in flight.
@@ -118,18 +130,16 @@
     served
 }
 
-async fn serve_agents(
-    settings: &EntrySettings,
+fn serve_agents(
+    address: SocketAddr,
     links: LinkSettings,
     incarnation: Incarnation,
-    groups: &Address<Groups>,
-    requests: &Address<Requests<EntryTable>>,
-    config: mpsc::Sender<ConfigEvent>,
+    actors: Actors<EntryTable>,
+    intake: &Intake,
 ) -> process::Result<()> {
-    let address = settings.agent_address;
-    let socket = tokio::net::TcpListener::bind(address).await.context(BindSnafu { address })?;
-    let actors = Actors { requests: requests.clone(), groups: groups.clone(), config };
-    tokio::spawn(listener::serve(socket, links, incarnation, actors));
+    let socket = bind_inner(address).context(BindSnafu { address })?;
+    let connections = InnerConnections::new(intake.clone());
+    tokio::spawn(listener::serve(socket, links, incarnation, actors, connections));
     Ok(())
 }
 
--- a/src/entry/request_routes.rs
+++ b/src/entry/request_routes.rs
@@ -14,12 +14,12 @@
 use warp::{Filter, Rejection, Reply};
 use xtra::Address;
 
-use super::body::collect;
 use super::requests::{
     AnswerPart, CallerGone, Event, OpenInbox, Requests, Submit, answer_part_channel,
 };
 use crate::api::{ApiError, ErrorCode};
 use crate::prelude::*;
+use crate::process::intake::{BodyError, BodyLimits, RequestGuard};
 use crate::request::{Refusal, RequestEnd, RequestSpec};
 use crate::store::Table;
 
@@ -107,6 +107,7 @@
         .and(warp::header::optional("idempotency-key"))
         .and(warp::header::optional("content-length"))
         .and(warp::body::stream())
+        .and(warp::ext::get::<RequestGuard>())
         .then(handle_call)
 }
 
@@ -120,23 +121,27 @@
     key: Option<String>,
     length: Option<u64>,
     body: S,
+    guard: RequestGuard,
 ) -> Response
 where
     T: Table + Clone,
     S: Stream<Item = Result<B, warp::Error>> + Send,
     B: Buf,
 {
-    let limit_bytes = route.body_limit_bytes;
     let spec = match parse(&query, key) {
         Ok(spec) => spec,
         Err(error) => return error.into_response(),
     };
     let deadline = Duration::from_millis(spec.deadline_ms);
     let started = tokio::time::Instant::now();
-    let body = match tokio::time::timeout(deadline, collect(length, body, limit_bytes)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => return error.into_response(),
-        Err(_) => return bad_input("the body did not arrive before the deadline").into_response(),
+    let limits = BodyLimits::forwarded(route.body_limit_bytes, deadline);
+    // The share of the memory is held until the answer begins.
+    let (body, _held) = match guard.read_body(length, body, limits).await {
+        Ok(body) => body.into_parts(),
+        Err(BodyError::TimedOut { .. }) => {
+            return bad_input("the body did not arrive before the deadline").into_response();
+        }
+        Err(error) => return ApiError::from(error).into_response(),
     };
     let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
     let deadline_ms = spec.deadline_ms.saturating_sub(elapsed_ms);
--- a/src/process/intake/tests.rs
+++ b/src/process/intake/tests.rs
@@ -9,6 +9,7 @@
     ConnectionState, NEWCOMER_MS, Phase, Progress, SETTLED_MS, select_body, select_connection,
 };
 use super::*;
+use crate::api::{ApiError, ErrorCode};
 
 const NOW_MS: u64 = 100_000;
 
@@ -194,3 +195,13 @@
     assert_eq!(result.err(), Some(BodyError::TimedOut { timeout }));
     assert_eq!(start.elapsed(), timeout);
 }
+
+/// Guards against errors of bodies whose code does not say that the call changed nothing.
+#[test_case(BodyError::TooLarge { limit_bytes: 8 }, ErrorCode::TooLarge; "too large")]
+#[test_case(BodyError::TimedOut { timeout: Duration::from_secs(10) }, ErrorCode::BadInput; "late")]
+#[test_case(BodyError::Shed, ErrorCode::Unavailable; "given up")]
+fn errors_of_bodies_have_codes(error: BodyError, code: ErrorCode) {
+    let error = ApiError::from(error);
+
+    assert_eq!((error.code, error.outcome), (code, crate::prelude::Outcome::NotRun));
+}
--- a/tests/requests/deployment.rs
+++ b/tests/requests/deployment.rs
@@ -16,6 +16,7 @@
 use teaselhall::entry::request_routes::RequestRoute;
 use teaselhall::entry::{groups, listener, request_routes, requests};
 use teaselhall::prelude::*;
+use teaselhall::process::intake::{InnerConnections, Intake, ListenerKind, MachineLimits};
 use teaselhall::process::{Metrics, MonotonicClock, new_incarnation};
 use teaselhall::request::{RouterLimits, RouterRules};
 use teaselhall::store::{Commit, Committed, Error, MemoryStore, Result, Row, Table, Writer};
@@ -137,7 +138,8 @@
         let actors = listener::Actors { requests: requests.clone(), groups, config };
         let agent_listener = TcpListener::bind(agents).await.unwrap();
         let agents = agent_listener.local_addr().unwrap();
-        tokio::spawn(listener::serve(agent_listener, link_settings(), incarnation, actors));
+        let inner = InnerConnections::new(intake());
+        tokio::spawn(listener::serve(agent_listener, link_settings(), incarnation, actors, inner));
         let route = RequestRoute::new(requests.clone(), incarnation, BODY_LIMIT_BYTES);
         let http = serve_http(http, request_routes::routes(&route)).await.0;
         Self { http, agents, requests, connections, runtime: None }
@@ -167,6 +169,10 @@
     }
 }
 
+fn intake() -> Intake {
+    Intake::new(&MachineLimits::default(), &Metrics::default())
+}
+
 async fn serve_http<F>(address: SocketAddr, routes: F) -> (SocketAddr, JoinHandle<()>)
 where
     F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
@@ -174,7 +180,11 @@
 {
     let listener = TcpListener::bind(address).await.unwrap();
     let address = listener.local_addr().unwrap();
-    (address, tokio::spawn(warp::serve(routes).incoming(listener).run()))
+    let server = tokio::spawn(async move {
+        let shutdown = std::future::pending();
+        intake().serve_on(ListenerKind::Clients, listener, routes, shutdown).await;
+    });
+    (address, server)
 }
 
 /// Bodies of the requests that an endpoint ran, and the notification on which requests that it holds back continue.
