Bound the clients of an agent

Chunked bodies were refused for want of a length, and passed.

The agent serves through process::intake.

--- a/src/agent/endpoint_routes.rs
+++ b/src/agent/endpoint_routes.rs
@@ -2,7 +2,6 @@
 
 use std::net::IpAddr;
 
-use bytes::Bytes;
 use reqwest::Url;
 use serde::{Deserialize, Serialize};
 use warp::http::StatusCode;
@@ -13,6 +12,7 @@
 use super::endpoint::{Announce, Drain, Endpoint};
 use crate::api::{ApiError, ErrorCode};
 use crate::prelude::*;
+use crate::process::intake::{self, Body, BodyError, BodyLimits};
 use crate::wire::EndpointSpec;
 
 /// The maximum size of the body of an announcement.
@@ -60,7 +60,7 @@
 ) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<> {
     let routes = routes.clone();
     let with_routes = warp::any().map(move || routes.clone());
-    let body = warp::body::content_length_limit(BODY_LIMIT_BYTES).and(warp::body::bytes());
+    let body = intake::body(BodyLimits::decoded(BODY_LIMIT_BYTES));
     let announce = warp::path!("v1" / "announce")
         .and(warp::post())
         .and(with_routes.clone())
@@ -88,9 +88,9 @@
     ApiError::new(ErrorCode::Unavailable, "this agent is stopping")
 }
 
-async fn announce(routes: EndpointRoutes, body: Bytes) -> Result<(), ApiError> {
+async fn announce(routes: EndpointRoutes, body: Result<Body, BodyError>) -> Result<(), ApiError> {
     let body: AnnounceBody =
-        serde_json::from_slice(&body).map_err(|error| bad_input(&error.to_string()))?;
+        serde_json::from_slice(&body?).map_err(|error| bad_input(&error.to_string()))?;
     let url = validate_announcement(&routes, &body)?;
     let endpoint = EndpointSpec {
         id: body.endpoint,
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::bundle::TrustedPartners;
 use crate::prelude::*;
+use crate::process::intake::{Intake, ListenerKind, MachineLimits};
 use crate::process::{
     self, BindSnafu, Metrics, MonotonicClock, PartnersSnafu, Readiness, new_incarnation,
     observe_routes,
@@ -62,6 +63,7 @@
 ) -> process::Result<()> {
     let (clock, metrics, readiness) =
         (MonotonicClock::start(), Metrics::default(), Readiness::default());
+    let intake = Intake::new(&MachineLimits::from_environment()?, &metrics);
     let actor = endpoint::spawn(clock, &metrics);
     let (bundles, active_bundle) = bundles::spawn(trusted);
     endpoint::connect_entries(&actor, &settings.entries, links, &bundles);
@@ -76,11 +78,12 @@
     let dump = move || dump_endpoint(dump_actor.clone(), process.clone(), active_bundle.clone());
     let routes = endpoint_routes::routes(&routes).or(observe_routes(&readiness, &metrics, dump));
     let (stop, stopped) = watch::channel(false);
-    let server = tokio::spawn(process::serve(
+    let server = intake.spawn_server(
+        ListenerKind::Clients,
         settings.http_address,
         routes,
         process::wait_for_shutdown(stopped),
-    ));
+    );
     readiness.set(true);
     process::shutdown_requested().await?;
     readiness.set(false);
@@ -141,6 +144,7 @@
     let Some(parameters) = worker_parameters(settings, links, trusted) else {
         return Ok(());
     };
+    let intake = Intake::new(&MachineLimits::from_environment()?, &metrics);
     let address = parameters.udp_address;
     let table = HttpStore::new(&settings.platform_url);
     let spawned = worker::spawn(parameters, table, clock, &metrics).await;
@@ -149,11 +153,12 @@
     let dump = move || dump_worker(dump_actor.clone(), process.clone());
     let routes = observe_routes(&readiness, &metrics, dump);
     let (stop, stopped) = watch::channel(false);
-    let server = tokio::spawn(process::serve(
+    let server = intake.spawn_server(
+        ListenerKind::Clients,
         settings.http_address,
         routes,
         process::wait_for_shutdown(stopped),
-    ));
+    );
     readiness.set(true);
     process::shutdown_requested().await?;
     readiness.set(false);
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -30,6 +30,20 @@
     survives(programs::entry(), kind).await;
 }
 
+#[test_case(Kind::OversizedHeads)]
+#[test_case(Kind::EmptyLines)]
+#[test_case(Kind::WholeBodies)]
+#[test_case(Kind::BodiesInPieces)]
+#[test_case(Kind::LargeChunks)]
+#[test_case(Kind::TinyChunks)]
+#[test_case(Kind::Silent)]
+#[test_case(Kind::UnreadAnswers)]
+#[test_case(Kind::Answered)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn agent_survives(kind: Kind) {
+    survives(programs::agent(), kind).await;
+}
+
 /// Guards against proposed bundles of legal size, up to 4 MiB, that an entry holds in memory together.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entry_survives_bundles_that_stop_short() {
--- a/tests/crowds/programs.rs
+++ b/tests/crowds/programs.rs
@@ -27,6 +27,19 @@
     })
 }
 
+/// Returns an agent beside an endpoint. The crowd announces endpoints.
+pub fn agent() -> Program {
+    let target = Target { method: "POST", path: "/v1/announce", body_limit_bytes: 64 << 10 };
+    program(env!("CARGO_BIN_EXE_teaselhall-agent"), target, |ip| {
+        let own = json!({
+            "process": "agent-1",
+            "entries": [address(ip, CLOSED_PORT)],
+            "beside": {"endpoint": {"endpoint": "endpoint-1"}},
+        });
+        merge(&common_settings(ip), &own)
+    })
+}
+
 fn program<R>(file: &'static str, target: Target, render: R) -> Program
 where
     R: FnOnce(IpAddr) -> Value + Send + 'static,
