Bound the clients of the stand-in, and remove the server without bounds

Callers: the stand-in bounded nothing. tests/crowds on (bound 43 MB, 400 descriptors): heads without end 185 MB, bodies 148 MB; tiny chunks were refused for want of a length, and passed. Nothing uses process::serve any more; it goes.

--- a/src/process/observe.rs
+++ b/src/process/observe.rs
@@ -1,7 +1,6 @@
-//! Routes for health, readiness, metrics and state dumps, and the HTTP server of a process.
+//! Routes for health, readiness, metrics and state dumps of a process.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -9,12 +8,9 @@
     HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use serde_json::Value;
-use snafu::ResultExt;
 use warp::http::StatusCode;
 use warp::{Filter, Reply};
 
-use super::{BindSnafu, Result};
-
 /// Readiness of a process: whether it accepts new work. Clones share the value.
 #[derive(Clone, Debug, Default)]
 pub struct Readiness(Arc<AtomicBool>);
@@ -125,19 +121,3 @@
     }
     warp::reply::with_status("not ready\n", StatusCode::SERVICE_UNAVAILABLE).into_response()
 }
-
-/// Serves routes on an address until `shutdown` completes and the requests in flight are answered.
-///
-/// # Errors
-///
-/// [`super::Error::Bind`] if the address cannot be bound.
-pub async fn serve<F, S>(address: SocketAddr, routes: F, shutdown: S) -> Result<()>
-where
-    F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
-    F::Extract: Reply,
-    S: Future<Output = ()> + Send + 'static,
-{
-    let listener = tokio::net::TcpListener::bind(address).await.context(BindSnafu { address })?;
-    warp::serve(routes).incoming(listener).graceful(shutdown).run().await;
-    Ok(())
-}
--- a/src/stand_in/endpoint.rs
+++ b/src/stand_in/endpoint.rs
@@ -2,46 +2,44 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use serde_json::json;
 use snafu::ResultExt;
 use tokio::sync::watch;
 use warp::Filter;
 
+use super::route::{body, describe_rejection};
 use super::{EndpointRun, Platform};
+use crate::process::intake::{self, Body, Intake, ListenerKind};
 use crate::process::{self, BindSnafu};
 use crate::settings::EndpointSettings;
 
 /// Interval of announcements. They are repeated so that a restarted agent receives the next one.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
-/// Largest accepted body of a request.
-const BODY_LIMIT_BYTES: u64 = 16 << 20;
 
 /// Starts an endpoint, which serves `POST /run` until `stopped`. A body may begin with the time after which it is
 /// answered, such as `work_ms=1500;`; other bodies are answered after the time in the endpoint's settings.
-pub(super) async fn spawn(
+pub(super) fn spawn(
     settings: &EndpointSettings,
     platform: &Platform,
+    intake: &Intake,
     stopped: watch::Receiver<bool>,
 ) -> process::Result<()> {
     let address = settings.http_address;
-    let listener = tokio::net::TcpListener::bind(address).await.context(BindSnafu { address })?;
+    let listener = intake::bind(address).context(BindSnafu { address })?;
     let (route_settings, platform) = (settings.clone(), platform.clone());
-    let body = warp::body::content_length_limit(BODY_LIMIT_BYTES).and(warp::body::bytes());
-    let route = warp::path!("run").and(warp::post()).and(body);
+    let route = warp::path!("run").and(warp::post()).and(body());
     let route = route
-        .then(move |body: Bytes| answer_request(route_settings.clone(), platform.clone(), body));
-    tokio::spawn(
-        warp::serve(route)
-            .incoming(listener)
-            .graceful(process::wait_for_shutdown(stopped.clone()))
-            .run(),
-    );
+        .then(move |body: Body| answer_request(route_settings.clone(), platform.clone(), body))
+        .recover(describe_rejection);
+    let (intake, shutdown) = (intake.clone(), process::wait_for_shutdown(stopped.clone()));
+    tokio::spawn(async move {
+        intake.serve_on(ListenerKind::Clients, listener, route, shutdown).await;
+    });
     tokio::spawn(announce(settings.clone(), stopped));
     Ok(())
 }
 
-async fn answer_request(settings: EndpointSettings, platform: Platform, body: Bytes) -> Vec<u8> {
+async fn answer_request(settings: EndpointSettings, platform: Platform, body: Body) -> Vec<u8> {
     let index = {
         let at_ms = platform.clock.now_ms();
         let body_hash = blake3::hash(&body).to_hex().to_string();
@@ -53,7 +51,7 @@
     let work_ms = parse_work_ms(&body).unwrap_or(settings.work_ms);
     tokio::time::sleep(Duration::from_millis(work_ms)).await;
     platform.lock().runs[index].finished = true;
-    body.to_vec()
+    body.into_parts().0
 }
 
 fn parse_work_ms(body: &[u8]) -> Option<u64> {
--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -20,7 +20,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::prelude::*;
-use crate::process::{self, MonotonicClock};
+use crate::process::intake::{Intake, ListenerKind, MachineLimits};
+use crate::process::{self, Metrics, MonotonicClock};
 use crate::settings::StandInSettings;
 use crate::store::MemoryStore;
 
@@ -78,14 +79,17 @@
 pub async fn run(settings: StandInSettings) -> process::Result<()> {
     let platform = Platform::new(&settings);
     let (stop, stopped) = tokio::sync::watch::channel(false);
+    let intake = Intake::new(&MachineLimits::from_environment()?, &Metrics::default());
     for endpoint in &settings.endpoints {
-        endpoint::spawn(endpoint, &platform, stopped.clone()).await?;
+        endpoint::spawn(endpoint, &platform, &intake, stopped.clone())?;
     }
-    let server = tokio::spawn(process::serve(
+    let routes = route::routes(&platform);
+    let server = intake.spawn_server(
+        ListenerKind::Clients,
         settings.http_address,
-        route::routes(&platform),
+        routes,
         process::wait_for_shutdown(stopped),
-    ));
+    );
     log::info!(address = settings.http_address.to_string(); "platform stand-in is listening");
     process::shutdown_requested().await?;
     let _ = stop.send(true);
--- a/src/stand_in/route.rs
+++ b/src/stand_in/route.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use bytes::Bytes;
 use rand::RngExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -15,7 +14,9 @@
     Faults, LeaseRenewal, Platform, StartTask, TaskList, TaskRecord, TaskStart, WorkerFault,
     WorkerModel,
 };
+use crate::api::ApiError;
 use crate::prelude::*;
+use crate::process::intake::{self, Body, BodyError, BodyLimits};
 use crate::store::{Commit, Error};
 
 /// Largest accepted body of a call.
@@ -34,6 +35,7 @@
         .unify()
         .or(test_routes(platform))
         .unify()
+        .recover(describe_rejection)
 }
 
 fn with_platform(
@@ -43,8 +45,26 @@
     warp::any().map(move || platform.clone())
 }
 
-fn body() -> impl Filter<Extract = (Bytes,), Error = Rejection> + Clone {
-    warp::body::content_length_limit(BODY_LIMIT_BYTES).and(warp::body::bytes())
+/// Reason for which a body was not received.
+#[derive(Debug)]
+struct BodyRefused(BodyError);
+
+impl warp::reject::Reject for BodyRefused {}
+
+/// Returns a filter that reads a body within the bounds of the process, or rejects the request.
+pub(super) fn body() -> impl Filter<Extract = (Body,), Error = Rejection> + Clone {
+    let body = intake::body(BodyLimits::decoded(BODY_LIMIT_BYTES));
+    body.and_then(|body: Result<Body, BodyError>| async {
+        body.map_err(|error| warp::reject::custom(BodyRefused(error)))
+    })
+}
+
+/// Converts the rejection of a body into the error format of the HTTP interface.
+pub(super) async fn describe_rejection(rejection: Rejection) -> Result<Response, Rejection> {
+    match rejection.find::<BodyRefused>() {
+        Some(BodyRefused(error)) => Ok(ApiError::from(error.clone()).into_response()),
+        None => Err(rejection),
+    }
 }
 
 fn table_routes(
@@ -154,7 +174,7 @@
     with_status(reason.to_owned(), StatusCode::BAD_REQUEST).into_response()
 }
 
-fn parse<T>(body: &Bytes) -> Result<T, Box<Response>>
+fn parse<T>(body: &[u8]) -> Result<T, Box<Response>>
 where
     T: DeserializeOwned,
 {
@@ -181,7 +201,7 @@
     }
 }
 
-async fn commit(platform: Platform, body: Bytes) -> Response {
+async fn commit(platform: Platform, body: Body) -> Response {
     if let Some(fault) = table_fault(&platform).await {
         return fault;
     }
@@ -213,7 +233,7 @@
     }
 }
 
-async fn put_object(platform: Platform, query: Query, body: Bytes) -> Response {
+async fn put_object(platform: Platform, query: Query, body: Body) -> Response {
     if let Some(fault) = table_fault(&platform).await {
         return fault;
     }
@@ -231,7 +251,7 @@
     platform.with_worker(&worker, |model, _| answer(&model.report(now_ms)))
 }
 
-fn start_task(worker: WorkerId, platform: Platform, body: Bytes) -> Response {
+fn start_task(worker: WorkerId, platform: Platform, body: Body) -> Response {
     let start: StartTask = match parse(&body) {
         Ok(start) => start,
         Err(response) => return *response,
@@ -254,7 +274,7 @@
     reply
 }
 
-fn change_tasks(worker: WorkerId, action: String, platform: Platform, body: Bytes) -> Response {
+fn change_tasks(worker: WorkerId, action: String, platform: Platform, body: Body) -> Response {
     let now_ms = platform.clock.now_ms();
     if action == "renew" {
         return match parse::<LeaseRenewal>(&body) {
@@ -282,7 +302,7 @@
     })
 }
 
-fn set_faults(platform: Platform, body: Bytes) -> Response {
+fn set_faults(platform: Platform, body: Body) -> Response {
     let faults: Faults = match parse(&body) {
         Ok(faults) => faults,
         Err(response) => return *response,
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -44,6 +44,14 @@
     survives(programs::agent(), kind).await;
 }
 
+#[test_case(Kind::OversizedHeads)]
+#[test_case(Kind::WholeBodies)]
+#[test_case(Kind::TinyChunks)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stand_in_survives(kind: Kind) {
+    survives(programs::stand_in(), kind).await;
+}
+
 /// Guards against proposed bundles of legal size, up to 4 MiB, that an entry holds in memory together.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entry_survives_bundles_that_stop_short() {
--- a/tests/crowds/programs.rs
+++ b/tests/crowds/programs.rs
@@ -40,6 +40,17 @@
     })
 }
 
+/// Returns the stand-in for the platform. The crowd writes rows.
+pub fn stand_in() -> Program {
+    let target = Target { method: "POST", path: "/table/commit", body_limit_bytes: 16 << 20 };
+    let program = program(
+        env!("CARGO_BIN_EXE_teaselhall-stand-in"),
+        target,
+        |ip| json!({"http_address": address(ip, HTTP_PORT)}),
+    );
+    Program { metrics_path: "/healthz", ..program }
+}
+
 fn program<R>(file: &'static str, target: Target, render: R) -> Program
 where
     R: FnOnce(IpAddr) -> Value + Send + 'static,
