--- a/src/entry/configuration/tests.rs
+++ b/src/entry/configuration/tests.rs
@@ -13,6 +13,7 @@
 use crate::api::{ApiError, BundleActionRequest, ErrorCode};
 use crate::bundle::tests::fixture::{bundle, bundle_at, signed, signer, trusted};
 use crate::bundle::{Digest, Purpose, Signature};
+use crate::process::intake::{Intake, ListenerKind, MachineLimits};
 use crate::store::{Commit, Committed, Error, MemoryStore, Result, Row, RowVersion};
 
 /// The time limit of each wait, with a margin for a busy machine.
@@ -82,7 +83,11 @@
         start(identity, writer, objects, MonotonicClock::start(), &Metrics::default(), events);
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let url = format!("http://{}", listener.local_addr().expect("the port is bound"));
-    tokio::spawn(warp::serve(routes(&handle)).incoming(listener).run());
+    let intake = Intake::new(&MachineLimits::default(), &Metrics::default());
+    let (routes, shutdown) = (routes(&handle), std::future::pending());
+    tokio::spawn(async move {
+        intake.serve_on(ListenerKind::Clients, listener, routes, shutdown).await;
+    });
     Entry { handle, url }
 }
 
