Bound the messages between processes that wait in bytes

Messages are encoded when they are queued, so that their bytes are known, and all queues of a process share a budget; over it the connection whose receiver reads the slowest is closed, as for bodies, and connects again. Received messages hold a share of a second budget until their actor has handled them (InboxSender::send_held); a connection waits for it before it receives the next one, so that its peer waits too. Requests in progress leave descriptors for the calls to the store that they make.

--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -17,7 +17,7 @@
 use super::forward;
 use crate::endpoint::{AgentInput, AgentOutput, EndpointAgent, Forward};
 use crate::prelude::*;
-use crate::process::{InboxActor, Metrics, MonotonicClock, run_with_inbox};
+use crate::process::{self, InboxActor, InboxSender, Metrics, MonotonicClock, run_with_inbox};
 use crate::request::ConnectionId;
 use crate::wire::{
     AgentMessage, DataCentreState, EndpointSpec, EntryMessage, Link, LinkError, LinkSender,
@@ -45,7 +45,7 @@
     forwards: HashMap<AttemptId, oneshot::Sender<()>>,
     /// Notified when no request is in flight during a drain.
     drain_waiters: Vec<oneshot::Sender<()>>,
-    inbox: mpsc::Sender<Event>,
+    inbox: InboxSender<Event>,
 }
 
 /// A connection to an entry. Dropping it closes the connection.
@@ -124,7 +124,7 @@
 
 /// Starts the actor and the task that sends it a tick at each [`TICK_INTERVAL`].
 pub fn spawn(clock: MonotonicClock, metrics: &Metrics) -> Address<Endpoint> {
-    let (inbox, events) = mpsc::channel(MAILBOX_CAPACITY);
+    let (inbox, events) = process::inbox(MAILBOX_CAPACITY);
     let actor = Endpoint {
         agent: EndpointAgent::new(),
         clock,
@@ -234,7 +234,7 @@
         &self,
         connection: ConnectionId,
         receiver: &mut crate::wire::LinkReceiver<EntryMessage>,
-        inbox: &mpsc::Sender<Event>,
+        inbox: &InboxSender<Event>,
     ) -> Result<(), LinkError> {
         while let Some(message) = receiver.receive().await? {
             if let EntryMessage::Config { signed, .. } = message {
@@ -242,7 +242,8 @@
                 continue;
             }
             let event = Event::Input(AgentInput::Received { connection, message });
-            inbox.send(event).await.map_err(|_| LinkError::Closed)?;
+            let held = receiver.hold_message().await;
+            inbox.send_held(event, held).await.map_err(|_| LinkError::Closed)?;
         }
         Ok(())
     }
@@ -367,9 +368,9 @@
 }
 
 impl Handler<OpenInbox> for Endpoint {
-    type Return = mpsc::Sender<Event>;
+    type Return = InboxSender<Event>;
 
-    async fn handle(&mut self, _: OpenInbox, _: &mut Context<Self>) -> mpsc::Sender<Event> {
+    async fn handle(&mut self, _: OpenInbox, _: &mut Context<Self>) -> InboxSender<Event> {
         self.inbox.clone()
     }
 }
--- a/src/agent/forward.rs
+++ b/src/agent/forward.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use reqwest::Url;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use super::endpoint::Event;
 use crate::endpoint::{AgentInput, Forward};
 use crate::prelude::*;
+use crate::process::InboxSender;
 use crate::wire::{AgentMessage, LinkSender};
 
 /// The target of a forwarded request, and the channels for its answer.
@@ -17,7 +18,7 @@
     /// The URL of the endpoint to which the request is posted.
     pub(super) url: Url,
     /// The inbox of the agent's actor.
-    pub(super) inbox: mpsc::Sender<Event>,
+    pub(super) inbox: InboxSender<Event>,
     /// The sender of the entry's connection, or `None` if it has ended. Reading the answer from the endpoint
     /// pauses until this connection has capacity, so that little of the answer is buffered.
     pub(super) sender: Option<LinkSender<AgentMessage>>,
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -45,13 +45,18 @@
 ///
 /// [`process::Error`] if the settings are wrong or an address cannot be bound.
 pub async fn run(settings: AgentSettings) -> process::Result<()> {
-    let links = LinkSettings::new(FrameKey::new(decode_frame_key(&settings.frame_key)?));
+    let metrics = Metrics::default();
+    let intake = Intake::new(&MachineLimits::from_environment()?, &metrics);
+    let links = LinkSettings {
+        bounds: Some(intake.links.clone()),
+        ..LinkSettings::new(FrameKey::new(decode_frame_key(&settings.frame_key)?))
+    };
     let trusted = TrustedPartners::try_from(settings.partners.clone()).context(PartnersSnafu)?;
     match settings.beside.clone() {
         AgentRole::Endpoint { endpoint } => {
-            run_endpoint(&settings, &endpoint, &links, trusted).await
+            run_endpoint(&settings, &endpoint, &links, trusted, &metrics, &intake).await
         }
-        AgentRole::Worker { .. } => run_worker(&settings, &links, trusted).await,
+        AgentRole::Worker { .. } => run_worker(&settings, &links, trusted, &metrics, &intake).await,
     }
 }
 
@@ -60,11 +65,11 @@
     endpoint: &EndpointId,
     links: &LinkSettings,
     trusted: TrustedPartners,
+    metrics: &Metrics,
+    intake: &Intake,
 ) -> process::Result<()> {
-    let (clock, metrics, readiness) =
-        (MonotonicClock::start(), Metrics::default(), Readiness::default());
-    let intake = Intake::new(&MachineLimits::from_environment()?, &metrics);
-    let actor = endpoint::spawn(clock, &metrics);
+    let (clock, readiness) = (MonotonicClock::start(), Readiness::default());
+    let actor = endpoint::spawn(clock, metrics);
     let (bundles, active_bundle) = bundles::spawn(trusted);
     endpoint::connect_entries(&actor, &settings.entries, links, &bundles);
     tokio::spawn(confirm_bundles(actor.clone(), active_bundle.clone()));
@@ -76,7 +81,7 @@
     };
     let (dump_actor, process) = (actor.clone(), settings.process.clone());
     let dump = move || dump_endpoint(dump_actor.clone(), process.clone(), active_bundle.clone());
-    let routes = endpoint_routes::routes(&routes).or(observe_routes(&readiness, &metrics, dump));
+    let routes = endpoint_routes::routes(&routes).or(observe_routes(&readiness, metrics, dump));
     let (stop, stopped) = watch::channel(false);
     let server = intake.spawn_server(
         ListenerKind::Clients,
@@ -138,20 +143,20 @@
     settings: &AgentSettings,
     links: &LinkSettings,
     trusted: TrustedPartners,
+    metrics: &Metrics,
+    intake: &Intake,
 ) -> process::Result<()> {
-    let (clock, metrics, readiness) =
-        (MonotonicClock::start(), Metrics::default(), Readiness::default());
+    let (clock, readiness) = (MonotonicClock::start(), Readiness::default());
     let Some(parameters) = worker_parameters(settings, links, trusted) else {
         return Ok(());
     };
-    let intake = Intake::new(&MachineLimits::from_environment()?, &metrics);
     let address = parameters.udp_address;
     let table = HttpStore::new(&settings.platform_url);
-    let spawned = worker::spawn(parameters, table, clock, &metrics).await;
+    let spawned = worker::spawn(parameters, table, clock, metrics).await;
     let actor = spawned.context(BindSnafu { address })?;
     let (dump_actor, process) = (actor.clone(), settings.process.clone());
     let dump = move || dump_worker(dump_actor.clone(), process.clone());
-    let routes = observe_routes(&readiness, &metrics, dump);
+    let routes = observe_routes(&readiness, metrics, dump);
     let (stop, stopped) = watch::channel(false);
     let server = intake.spawn_server(
         ListenerKind::Clients,
--- a/src/coordinator/event.rs
+++ b/src/coordinator/event.rs
@@ -2,19 +2,20 @@
 
 use std::net::SocketAddr;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use super::message::{AcceptorMessage, HostMessage, PeerMessage};
 use super::peers::PeerSender;
 use super::takeover::{Claim, Takeover, TakeoverError};
 use crate::election::Leadership;
 use crate::prelude::*;
+use crate::process::InboxSender;
 use crate::rules::Directives;
 use crate::store::{RowChange, RowError};
 use crate::wire::LinkSender;
 
 /// The sending side of the actor's event queue.
-pub type EventSender = mpsc::Sender<Event>;
+pub type EventSender = InboxSender<Event>;
 
 /// An event for the actor of a coordinator.
 #[derive(Debug)]
--- a/src/coordinator/listener.rs
+++ b/src/coordinator/listener.rs
@@ -26,7 +26,6 @@
     intake: Intake,
 ) -> process::Result<()> {
     let listener = bind_inner(address).context(BindSnafu { address })?;
-    let links = LinkSettings { frames: Some(intake.frames.clone()), ..links };
     tokio::spawn(accept(listener, links, events, InnerConnections::new(intake)));
     Ok(())
 }
@@ -118,7 +117,8 @@
                 break;
             }
         };
-        if events.send(event).await.is_err() {
+        let held = link.receiver.hold_message().await;
+        if events.send_held(event, held).await.is_err() {
             return;
         }
     }
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -46,15 +46,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use xtra::prelude::*;
 
 use crate::election::TICK_MS;
 use crate::prelude::*;
 use crate::process::intake::Intake;
-use crate::process::{self, BoottimeClock, Metrics, Readiness, run_with_inbox, send_at_intervals};
+use crate::process::{
+    self, BoottimeClock, InboxSender, Metrics, Readiness, run_with_inbox, send_at_intervals,
+};
 use crate::store::RowStore;
-use crate::wire::Traffic;
+use crate::wire::{LinkSettings, Traffic};
 use event::Event;
 use peers::PeerSenders;
 use relay::RelayingStore;
@@ -93,7 +95,7 @@
     pub inner_address: SocketAddr,
     /// Counts the messages sent to other processes.
     pub traffic: Traffic,
-    events: mpsc::Sender<Event>,
+    events: InboxSender<Event>,
 }
 
 /// Starts a coordinator, within the bounds of the process.
@@ -112,7 +114,7 @@
     S: RowStore,
 {
     let clock = BoottimeClock;
-    let (events, inbox) = mpsc::channel(EVENT_QUEUE);
+    let (events, inbox) = process::inbox(EVENT_QUEUE);
     let peers = PeerSenders::default();
     let service = Service {
         store: RelayingStore::new(store, peers.clone(), clock, metrics.clone()),
@@ -129,7 +131,7 @@
         service.metrics.set("leadership", "machine_wait_ms", wait_ms);
     }
     let settings = Arc::new(settings);
-    let links = settings.links();
+    let links = LinkSettings { bounds: Some(intake.links.clone()), ..settings.links() };
     listener::spawn(settings.inner_address, links.clone(), events.clone(), intake)?;
     let store = service.store.clone();
     tokio::spawn(store_watch::watch_directives(store.clone(), directives, clock, events.clone()));
--- a/src/coordinator/peers.rs
+++ b/src/coordinator/peers.rs
@@ -163,7 +163,8 @@
                     process = Some(gossip.process.clone());
                 }
                 let event = Event::Peer { sender: sender.clone(), message };
-                let _ = events.send(event).await;
+                let held = link.receiver.hold_message().await;
+                let _ = events.send_held(event, held).await;
             }
             Ok(Some(AcceptorMessage::Host(_))) => {
                 log::warn!(
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -160,8 +160,8 @@
         frame_key: [7; 32],
     };
     let metrics = Metrics::default();
-    let intake = Intake::new(&process::intake::MachineLimits::default(), &metrics);
-    let started = start(settings, store.clone(), directive_source(), metrics, intake);
+    let bounds = intake(&metrics);
+    let started = start(settings, store.clone(), directive_source(), metrics, bounds);
     let handle = std::thread::scope(|scope| {
         let start = scope.spawn(|| runtime.block_on(started));
         start.join().expect("no panic").expect("the address is free")
@@ -169,6 +169,11 @@
     Member { handle, runtime: Some(runtime), store }
 }
 
+/// Returns the bounds of a process whose machine states no limits.
+fn intake(metrics: &Metrics) -> Intake {
+    Intake::new(&process::intake::MachineLimits::default(), metrics)
+}
+
 fn members(count: usize, store: &MemoryRowStore) -> Vec<Member> {
     let addresses: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
     let start = |(index, address): (usize, &SocketAddr)| {
@@ -221,7 +226,8 @@
         frame_key: [7; 32],
         worker_lease_ms: MAX_WORKER_LEASE_MS,
     };
-    let host = host::start(settings, port.clone(), store.new_client(), Metrics::default());
+    let bounds = intake(&Metrics::default()).links;
+    let host = host::start(settings, port.clone(), store.new_client(), Metrics::default(), bounds);
     assert!(host.heartbeat(heartbeat(&port, 1)).await);
     (port, host)
 }
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -12,6 +12,7 @@
     EndpointConnected, EndpointDisconnected, Event, FromEndpoint, OpenInbox, Requests,
 };
 use crate::prelude::*;
+use crate::process::InboxSender;
 use crate::process::intake::{InnerConnection, InnerConnections, Reason};
 use crate::request::ConnectionId;
 use crate::store::Table;
@@ -222,7 +223,7 @@
     connection: ConnectionId,
     mut receiver: LinkReceiver<AgentMessage>,
     actors: &Actors<T>,
-    inbox: &mpsc::Sender<Event>,
+    inbox: &InboxSender<Event>,
 ) -> Result<(), LinkError>
 where
     T: Table + Clone,
@@ -234,7 +235,8 @@
             continue;
         }
         let from = FromEndpoint { connection, message };
-        inbox.send(Event::Received(from)).await.map_err(|_| LinkError::Closed)?;
+        let held = receiver.hold_message().await;
+        inbox.send_held(Event::Received(from), held).await.map_err(|_| LinkError::Closed)?;
     }
     Ok(())
 }
@@ -278,6 +280,7 @@
             }
             message => {
                 let from = groups::FromAgent { connection, message };
+                let _held = receiver.hold_message().await;
                 actors.groups.send(from).await.map_err(|_| LinkError::Closed)?;
                 None
             }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -70,7 +70,7 @@
     let incarnation = new_incarnation();
     let intake = Intake::new(&MachineLimits::from_environment()?, &metrics);
     let links = LinkSettings {
-        frames: Some(intake.frames.clone()),
+        bounds: Some(intake.links.clone()),
         ..LinkSettings::new(FrameKey::new(decode_frame_key(&settings.frame_key)?))
     };
     let store = HttpStore::new(&settings.platform_url);
--- a/src/entry/request_routes.rs
+++ b/src/entry/request_routes.rs
@@ -19,6 +19,7 @@
 };
 use crate::api::{ApiError, ErrorCode};
 use crate::prelude::*;
+use crate::process::InboxSender;
 use crate::process::intake::{BodyError, BodyLimits, RequestGuard};
 use crate::request::{Refusal, RequestEnd, RequestSpec};
 use crate::store::Table;
@@ -40,7 +41,7 @@
     T: Table + Clone,
 {
     requests: Address<Requests<T>>,
-    inbox: Arc<OnceCell<mpsc::Sender<Event>>>,
+    inbox: Arc<OnceCell<InboxSender<Event>>>,
     incarnation: Incarnation,
     body_limit_bytes: u64,
     last_request: Arc<AtomicU64>,
@@ -60,7 +61,7 @@
         Self { requests, inbox, incarnation, body_limit_bytes, last_request }
     }
 
-    async fn inbox(&self) -> Result<mpsc::Sender<Event>, ApiError> {
+    async fn inbox(&self) -> Result<InboxSender<Event>, ApiError> {
         let open = || async { self.requests.send(OpenInbox).await.map_err(|_| stopping_error()) };
         self.inbox.get_or_try_init(open).await.cloned()
     }
@@ -312,7 +313,7 @@
 
 /// Reports to the router that the caller disconnected, if it is dropped while armed, that is before the request's end.
 struct DisconnectGuard {
-    inbox: mpsc::Sender<Event>,
+    inbox: InboxSender<Event>,
     request: u64,
     armed: bool,
 }
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -10,7 +10,7 @@
 
 use super::keys;
 use crate::prelude::*;
-use crate::process::{InboxActor, Metrics, MonotonicClock, run_with_inbox};
+use crate::process::{self, InboxActor, InboxSender, Metrics, MonotonicClock, run_with_inbox};
 use crate::request::{
     ClaimResult, ConnectionId, EndpointView, KeyClaim, RequestEnd, RequestSpec, Router,
     RouterInput, RouterOutput, RouterRules, RouterSummary,
@@ -46,7 +46,7 @@
     callers: HashMap<u64, mpsc::Sender<AnswerPart>>,
     connections: HashMap<ConnectionId, Connection>,
     record_slots: Arc<Semaphore>,
-    inbox: mpsc::Sender<Event>,
+    inbox: InboxSender<Event>,
 }
 
 /// A connection of an agent beside an endpoint. Dropping it closes the connection.
@@ -170,7 +170,7 @@
 where
     T: Table + Clone,
 {
-    let (inbox, events) = mpsc::channel(MAILBOX_CAPACITY);
+    let (inbox, events) = process::inbox(MAILBOX_CAPACITY);
     let actor = Requests {
         router: Router::new(incarnation),
         incarnation,
@@ -354,9 +354,9 @@
 where
     T: Table + Clone,
 {
-    type Return = mpsc::Sender<Event>;
+    type Return = InboxSender<Event>;
 
-    async fn handle(&mut self, _: OpenInbox, _: &mut Context<Self>) -> mpsc::Sender<Event> {
+    async fn handle(&mut self, _: OpenInbox, _: &mut Context<Self>) -> InboxSender<Event> {
         self.inbox.clone()
     }
 }
--- a/src/host/event.rs
+++ b/src/host/event.rs
@@ -1,16 +1,15 @@
 //! The events that the actor of a host handles.
 
-use tokio::sync::mpsc;
-
 use super::orders::StartResult;
 use super::{RenewalAnswer, WorkerError, WorkerHeartbeat};
 use crate::coordinator::message::{DialerMessage, LeaderMessage};
 use crate::prelude::*;
+use crate::process::InboxSender;
 use crate::wire::LinkSender;
 use crate::workflow::{TaskId, WorkerIncarnation};
 
 /// The sending side of the actor's event queue.
-pub type EventSender = mpsc::Sender<Event>;
+pub type EventSender = InboxSender<Event>;
 
 /// The task and the number of an attempt.
 pub type AttemptKey = (TaskId, u32);
--- a/src/host/link.rs
+++ b/src/host/link.rs
@@ -203,7 +203,8 @@
                 is_welcome = true;
             }
             message => {
-                let _ = events.send(Event::Leader(message)).await;
+                let held = link.receiver.hold_message().await;
+                let _ = events.send_held(Event::Leader(message), held).await;
             }
         }
         if events.is_closed() {
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -18,12 +18,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
 use xtra::prelude::*;
 
 use crate::planner::{EndedAttempt, RunningAttempt, StartOrder, StartRefusal, WorkerReport};
 use crate::prelude::*;
-use crate::process::{BoottimeClock, Metrics, run_with_inbox, send_at_intervals};
+use crate::process::intake::LinkBounds;
+use crate::process::{
+    self, BoottimeClock, InboxSender, Metrics, run_with_inbox, send_at_intervals,
+};
 use crate::store::RowStore;
 use crate::wire::{FrameKey, LinkSettings};
 use crate::workflow::TaskId;
@@ -157,19 +159,26 @@
 pub struct HostHandle<P: WorkerPort> {
     /// The address of the actor, for dumps.
     pub actor: Address<Host<P>>,
-    events: mpsc::Sender<Event>,
+    events: InboxSender<Event>,
     leaders: link::LeaderAddresses,
 }
 
 /// Starts a host. It reads the addresses of coordinators from `store` only while it finds no leader.
-pub fn start<P, S>(settings: HostSettings, port: P, store: S, metrics: Metrics) -> HostHandle<P>
+pub fn start<P, S>(
+    settings: HostSettings,
+    port: P,
+    store: S,
+    metrics: Metrics,
+    bounds: LinkBounds,
+) -> HostHandle<P>
 where
     P: WorkerPort,
     S: RowStore,
 {
-    let (events, inbox) = mpsc::channel(EVENT_QUEUE);
+    let (events, inbox) = process::inbox(EVENT_QUEUE);
     let links = LinkSettings {
         idle_ms: LINK_IDLE_MS,
+        bounds: Some(bounds),
         ..LinkSettings::new(FrameKey::new(settings.frame_key))
     };
     let leaders = link::LeaderAddresses::new(settings.seeds);
--- a/src/process/intake/limits.rs
+++ b/src/process/intake/limits.rs
@@ -25,6 +25,14 @@
 const CONNECTION_BYTES: u64 = 2 * RECEIVE_BUFFER_BYTES as u64 + 20 * 1_024;
 /// Part of the memory that clients may use. The rest is for the process's own work: a leader with many jobs needs 60 MB.
 const CLIENT_SHARE: u64 = 2;
+/// Parts of the process's own memory, of which messages between processes that wait may take one in each direction.
+const OWN_PARTS: u64 = 8;
+/// Reserved descriptors that calls to the store may use.
+const STORE_DESCRIPTORS: u64 = 100;
+/// Memory of reading a row, relative to the row: the answer in base64, the row, and its decoded content.
+const READ_FACTOR: usize = 3;
+/// Rows that may be read at once on any machine.
+const MIN_READS: usize = 4;
 /// Connections that are allowed on any machine.
 const MIN_CONNECTIONS: u64 = 16;
 /// Bytes of bodies or frames that are allowed on any machine: a frame may have 2 MiB.
@@ -118,31 +126,46 @@
     pub handling_bytes: usize,
     /// Bytes of incomplete frames from other processes.
     pub frame_bytes: usize,
+    /// Estimated bytes of messages from other processes that wait to be handled.
+    pub message_bytes: usize,
+    /// Bytes of messages to other processes that wait to be sent.
+    pub queue_bytes: usize,
 }
 
 impl IntakeLimits {
     /// Derives the bounds.
     ///
     /// Half of the memory is for clients; of this, half is for connections with the kernel's buffers, and an eighth each
-    /// for heads, bodies, handling and frames. Half of the free descriptors are for clients and a quarter for other
-    /// processes.
+    /// for heads, bodies, handling and frames. Of the other half, an eighth each is for messages that wait to be handled
+    /// and to be sent. Half of the free descriptors are for clients and a quarter for other processes; the last quarter
+    /// and the reserved ones are for calls to the store, of which each request in progress makes one at a time.
     pub fn derive(machine: &MachineLimits) -> Self {
         let client_bytes = machine.memory_mb.saturating_mul(1 << 20) / CLIENT_SHARE;
         let descriptors = machine.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         let connections =
             (descriptors / 2).min(client_bytes / 2 / CONNECTION_BYTES).max(MIN_CONNECTIONS);
         let share = to_usize((client_bytes / 8).max(MIN_BYTES));
+        let own_bytes = machine.memory_mb.saturating_mul(1 << 20) - client_bytes;
+        let own_share = to_usize((own_bytes / OWN_PARTS).max(MIN_BYTES));
         Self {
             connections: to_usize(connections),
             inner_connections: to_usize((descriptors / 4).max(MIN_CONNECTIONS)),
-            requests: to_usize(connections / 4 * 3),
+            requests: to_usize((connections / 4 * 3).min(descriptors / 4 + STORE_DESCRIPTORS)),
             head_bytes: share,
             body_bytes: share,
             handling_bytes: share,
             frame_bytes: share,
+            message_bytes: own_share,
+            queue_bytes: own_share,
         }
     }
 
+    /// Returns how many rows of at most `row_bytes` may be read for clients at once: their memory is that of requests
+    /// that are being handled, whose bodies are empty.
+    pub fn reads(&self, row_bytes: usize) -> usize {
+        (self.handling_bytes / row_bytes.max(1) / READ_FACTOR).max(MIN_READS)
+    }
+
     /// Returns the memory for requests that are being handled in KiB, as the number of permits of a semaphore.
     pub(super) fn handling_kib(&self) -> usize {
         (self.handling_bytes / 1_024).min(Semaphore::MAX_PERMITS)
--- a/src/process/intake/mod.rs
+++ b/src/process/intake/mod.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod inner;
 mod limits;
+mod links;
 mod reading;
 mod report;
 mod server;
@@ -20,6 +21,7 @@
 pub use connections::RequestGuard;
 pub use inner::{InnerConnection, InnerConnections};
 pub use limits::{IntakeLimits, MachineLimits};
+pub use links::{HeldMemory, LinkBounds, MessageBudget, QueueBudget, QueueClaim, QueuedBytes};
 pub use reading::{Body, BodyError, BodyLimits, body};
 pub use report::{IntakeReport, Reason};
 pub use server::{ListenerKind, bind, bind_inner};
@@ -37,8 +39,8 @@
     pub limits: IntakeLimits,
     /// Bytes of request bodies that are being received.
     pub bodies: ByteBudget,
-    /// Bytes of incomplete frames from other processes.
-    pub frames: ByteBudget,
+    /// Bounds of the connections between this process and others.
+    pub links: LinkBounds,
     /// Counters, and the log line of rejections.
     pub report: IntakeReport,
     /// Memory of requests that are being handled, in KiB.
@@ -51,7 +53,7 @@
         let limits = IntakeLimits::derive(machine);
         Self {
             bodies: ByteBudget::new(limits.body_bytes),
-            frames: ByteBudget::new(limits.frame_bytes),
+            links: LinkBounds::new(&limits),
             report: IntakeReport::new(metrics.clone()),
             handling_kib: Arc::new(Semaphore::new(limits.handling_kib())),
             limits,
--- a/src/process/intake/tests.rs
+++ b/src/process/intake/tests.rs
@@ -31,6 +31,7 @@
 #[test_case(128, 4_096; "machine of a host")]
 #[test_case(512, 10_250; "largest machine of a coordinator")]
 #[test_case(64, 400; "machine of the tests of crowds")]
+#[test_case(4_096, 4_096; "more memory than descriptors")]
 fn bounds_fit_into_half_of_the_machine(memory_mb: u64, descriptors: u64) {
     let limits = derive(memory_mb, descriptors);
 
@@ -41,7 +42,11 @@
         + limits.handling_bytes
         + limits.frame_bytes;
     assert!(total_bytes as u64 <= memory_mb * 1_024 * 1_024 / 2, "{total_bytes}");
+    let waiting_bytes = limits.message_bytes + limits.queue_bytes;
+    assert!(waiting_bytes as u64 <= memory_mb * 1_024 * 1_024 / 8, "{waiting_bytes}");
     assert!(limits.connections + limits.inner_connections + 200 <= descriptors as usize);
+    let with_store_calls = limits.connections + limits.inner_connections + limits.requests;
+    assert!(with_store_calls + 100 <= descriptors as usize, "{with_store_calls}");
     assert!(limits.requests < limits.connections);
     assert!(limits.body_bytes >= 262_144);
 }
@@ -158,6 +163,43 @@
     Intake::new(&MachineLimits { memory_mb: 64, descriptors: 400 }, &Metrics::default())
 }
 
+/// Guards against decoded messages that wait without bound, and against a large one that waits for ever.
+#[tokio::test]
+async fn messages_wait_for_the_memory_of_others() {
+    let budget = MessageBudget::new(64 * 1_024);
+    let large = budget.hold(1 << 20).await;
+    assert!(large.is_some(), "it exceeds the budget, but is the only one");
+
+    let mut waiting = Box::pin(budget.hold(100));
+    assert!((&mut waiting).now_or_never().is_none(), "the large one was not handled yet");
+    drop(large);
+
+    assert!(waiting.await.is_some());
+}
+
+/// Guards against messages to a receiver that does not read, which fill the memory, and against the loss of connections
+/// whose receivers read.
+#[tokio::test]
+async fn queue_of_the_slowest_receiver_is_given_up() {
+    let budget = QueueBudget::new(10_000);
+    let (reading, stalled) = (budget.claim(), budget.claim());
+    let mut unread: Vec<_> = (0..9).map(|_| stalled.add(1_000).expect("it fits")).collect();
+
+    for _ in 0..100 {
+        drop(reading.add(1_000).expect("its messages are sent at once"));
+    }
+    let over = [reading.add(1_000), reading.add(1_000)];
+
+    assert!(over.iter().all(Result::is_ok), "its receiver reads");
+    assert!(stalled.given_up().now_or_never().is_some());
+    assert_eq!(stalled.add(1).err(), Some(Shed));
+    assert_eq!(budget.kept_bytes(), 2_000);
+    unread.clear();
+    drop(over);
+    assert_eq!(budget.kept_bytes(), 0);
+    assert!(budget.claim().add(50_000).is_ok(), "a single message is always accepted");
+}
+
 fn parts(parts: usize, bytes: usize) -> Vec<Result<bytes::Bytes, warp::Error>> {
     (0..parts).map(|_| Ok(bytes::Bytes::from(vec![b' '; bytes]))).collect()
 }
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -221,7 +221,12 @@
         self.encode_payload(&[], buffer)
     }
 
-    fn encode_payload(&mut self, payload: &[u8], buffer: &mut BytesMut) -> Result<()> {
+    /// Appends the frame of an encoded message to `buffer`.
+    ///
+    /// # Errors
+    ///
+    /// [`FrameError::Oversized`] if the message exceeds the size limit; `buffer` and the sequence number are unchanged.
+    pub fn encode_payload(&mut self, payload: &[u8], buffer: &mut BytesMut) -> Result<()> {
         let size_bytes = VERSION_BYTES + payload.len() + TAG_BYTES;
         self.channel.check_size(size_bytes)?;
         let start = buffer.len();
@@ -241,13 +246,14 @@
 pub struct FrameDecoder {
     channel: Channel,
     buffer: BytesMut,
+    last_frame_bytes: usize,
 }
 
 impl FrameDecoder {
     /// Creates a decoder with a connection's key ([`FrameKey::for_connection`]).
     pub fn new(key: FrameKey, direction: Direction, limit_bytes: usize) -> Self {
         let channel = Channel { key, direction, sequence: 0, limit_bytes };
-        Self { channel, buffer: BytesMut::new() }
+        Self { channel, buffer: BytesMut::new(), last_frame_bytes: 0 }
     }
 
     /// Returns the buffer to which received bytes are appended.
@@ -255,6 +261,11 @@
         &mut self.buffer
     }
 
+    /// Returns the size of the last frame that was removed from the buffer, in bytes.
+    pub fn last_frame_bytes(&self) -> usize {
+        self.last_frame_bytes
+    }
+
     /// Removes the next message from the buffer, or returns `None` if its frame is still incomplete.
     ///
     /// # Errors
@@ -296,7 +307,8 @@
         if self.buffer.len() < LENGTH_BYTES + size_bytes {
             return Ok(None);
         }
-        let mut frame = self.buffer.split_to(LENGTH_BYTES + size_bytes);
+        self.last_frame_bytes = LENGTH_BYTES + size_bytes;
+        let mut frame = self.buffer.split_to(self.last_frame_bytes);
         let tag = frame.split_off(LENGTH_BYTES + size_bytes - TAG_BYTES);
         ensure!(self.channel.next_tag(&frame).matches(&tag), BadTagSnafu);
         self.channel.sequence += 1;
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -19,10 +19,10 @@
 
 use super::codec::{
     BadTagSnafu, Direction, FrameDecoder, FrameEncoder, FrameError, FrameKey, MAX_FRAME_BYTES,
-    NONCE_BYTES, Nonce, PROTOCOL_VERSION, TAG_BYTES, UnknownVersionSnafu,
+    MalformedSnafu, NONCE_BYTES, Nonce, PROTOCOL_VERSION, TAG_BYTES, UnknownVersionSnafu,
 };
 use super::traffic::{MessageKind, Traffic};
-use crate::process::intake::{ByteBudget, ByteClaim, Shed};
+use crate::process::intake::{ByteClaim, HeldMemory, LinkBounds, QueueClaim, QueuedBytes, Shed};
 
 /// Free space of the receive buffer before each read, in bytes.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -83,8 +83,8 @@
     pub idle_ms: u64,
     /// Counts the sent messages by kind.
     pub traffic: Traffic,
-    /// Bound of the incomplete frames of all connections together, if there is one.
-    pub frames: Option<ByteBudget>,
+    /// Bounds of all connections of the process together, if there are any.
+    pub bounds: Option<LinkBounds>,
 }
 
 impl LinkSettings {
@@ -96,7 +96,7 @@
             queue_messages: 1_024,
             idle_ms: 3_000,
             traffic: Traffic::default(),
-            frames: None,
+            bounds: None,
         }
     }
 
@@ -150,10 +150,11 @@
         let decoder = FrameDecoder::new(key, direction.reverse(), limit_bytes);
         let (read_half, write_half) = stream.into_split();
         let (queue, messages) = mpsc::channel(settings.queue_messages);
+        let claim = settings.bounds.as_ref().map(|bounds| bounds.queues.claim());
         let (write_failed, write_failure) = watch::channel(false);
         let (idle, traffic) = (settings.idle(), settings.traffic.clone());
         let writer = Writer { write_half, encoder, messages, write_failed, idle, traffic };
-        tokio::spawn(writer.run());
+        tokio::spawn(writer.run(claim.clone()));
         let receiver = LinkReceiver {
             read_half,
             decoder,
@@ -162,7 +163,7 @@
             frame: None,
             message: PhantomData,
         };
-        Ok(Self { sender: LinkSender { queue }, receiver })
+        Ok(Self { sender: LinkSender { queue, claim, message: PhantomData }, receiver })
     }
 }
 
@@ -232,23 +233,39 @@
 /// Sending side of a [`Link`]. The connection is closed when all clones are dropped and the queue is empty.
 #[derive(Debug)]
 pub struct LinkSender<Out> {
-    queue: mpsc::Sender<Out>,
+    queue: mpsc::Sender<QueuedMessage>,
+    /// Entry of the connection in the bound of all queues of the process, if there is one.
+    claim: Option<QueueClaim>,
+    message: PhantomData<fn(Out)>,
+}
+
+/// Encoded message in the queue of a connection.
+#[derive(Debug)]
+struct QueuedMessage {
+    payload: Vec<u8>,
+    kind: &'static str,
+    held: Option<QueuedBytes>,
 }
 
 impl<Out> Clone for LinkSender<Out> {
     fn clone(&self) -> Self {
-        Self { queue: self.queue.clone() }
+        Self { queue: self.queue.clone(), claim: self.claim.clone(), message: PhantomData }
     }
 }
 
-impl<Out> LinkSender<Out> {
+impl<Out> LinkSender<Out>
+where
+    Out: Serialize + MessageKind,
+{
     /// Queues a message, waiting while the queue is full.
     ///
     /// # Errors
     ///
     /// [`LinkError::Closed`] if the connection is closed. A queued message may still be lost if the connection fails.
     pub async fn send(&self, message: Out) -> Result<()> {
-        self.queue.send(message).await.map_err(|_| LinkError::Closed)
+        let place = self.queue.reserve().await.map_err(|_| LinkError::Closed)?;
+        place.send(self.encode(&message)?);
+        Ok(())
     }
 
     /// Queues a message if the queue has free capacity.
@@ -257,12 +274,24 @@
     ///
     /// [`LinkError::Closed`] or [`LinkError::QueueFull`]; the message was not sent.
     pub fn try_send(&self, message: Out) -> Result<()> {
-        self.queue.try_send(message).map_err(|error| match error {
-            mpsc::error::TrySendError::Full(_) => LinkError::QueueFull,
-            mpsc::error::TrySendError::Closed(_) => LinkError::Closed,
-        })
+        let place = self.queue.try_reserve().map_err(|error| match error {
+            mpsc::error::TrySendError::Full(()) => LinkError::QueueFull,
+            mpsc::error::TrySendError::Closed(()) => LinkError::Closed,
+        })?;
+        place.send(self.encode(&message)?);
+        Ok(())
     }
 
+    /// Encodes a message and records its bytes, since a decoded one may take any multiple of them.
+    fn encode(&self, message: &Out) -> Result<QueuedMessage> {
+        let payload = postcard::to_stdvec(message).context(MalformedSnafu)?;
+        let held = self.claim.as_ref().map(|claim| claim.add(payload.len())).transpose();
+        let held = held.map_err(|Shed| LinkError::QueueFull)?;
+        Ok(QueuedMessage { payload, kind: message.kind(), held })
+    }
+}
+
+impl<Out> LinkSender<Out> {
     /// Waits until at least half of the queue is free, or the connection is closed.
     ///
     /// A sender that calls this before each message, and sends few messages concurrently, does not fill the queue.
@@ -325,9 +354,16 @@
 }
 
 impl<In> LinkReceiver<In> {
+    /// Waits for the memory that the last received message takes until it was handled. Meanwhile nothing is received, so
+    /// that the peer has to wait too.
+    pub async fn hold_message(&self) -> Option<HeldMemory> {
+        let bounds = self.settings.bounds.as_ref()?;
+        bounds.messages.hold(self.decoder.last_frame_bytes()).await
+    }
+
     /// Reserves the memory for an incomplete frame before it is allocated. The buffer may grow to twice its content.
     async fn hold_frame(&mut self) -> Result<()> {
-        let Some(frames) = &self.settings.frames else {
+        let Some(LinkBounds { frames, .. }) = &self.settings.bounds else {
             return Ok(());
         };
         let buffered_bytes = self.decoder.buffer_mut().len();
@@ -356,10 +392,10 @@
 }
 
 /// Writes queued messages, batched into one write call up to [`WRITE_BATCH_BYTES`].
-struct Writer<Out> {
+struct Writer {
     write_half: OwnedWriteHalf,
     encoder: FrameEncoder,
-    messages: mpsc::Receiver<Out>,
+    messages: mpsc::Receiver<QueuedMessage>,
     /// Set when a write fails or times out, which ends the receiving side too. A peer that no longer reads but sends
     /// keep-alives would otherwise hold the connection open.
     write_failed: watch::Sender<bool>,
@@ -367,23 +403,36 @@
     traffic: Traffic,
 }
 
-impl<Out> Writer<Out>
-where
-    Out: Serialize + MessageKind,
-{
-    async fn run(mut self) {
+impl Writer {
+    async fn run(mut self, claim: Option<QueueClaim>) {
+        tokio::select! {
+            biased;
+            () = given_up_queue(&claim) => {
+                self.write_failed.send_replace(true);
+            }
+            () = self.write_queue() => {}
+        }
+    }
+
+    /// Writes messages until all senders are dropped or a write fails.
+    async fn write_queue(&mut self) {
         let keep_alive = self.idle / KEEP_ALIVES_PER_IDLE;
         let mut buffer = BytesMut::new();
+        // Memory of the messages in the buffer.
+        let mut held = Vec::new();
         loop {
             match timeout(keep_alive, self.messages.recv()).await {
-                Ok(Some(message)) => self.encode_batch(message, &mut buffer),
+                Ok(Some(message)) => self.encode_batch(message, &mut buffer, &mut held),
                 Ok(None) => break,
                 Err(_) => {
                     let _ = self.encoder.encode_keep_alive(&mut buffer);
                 }
             }
             match timeout(self.idle, self.write_half.write_all(&buffer)).await {
-                Ok(Ok(())) => buffer.clear(),
+                Ok(Ok(())) => {
+                    buffer.clear();
+                    held.clear();
+                }
                 Ok(Err(_)) | Err(_) => {
                     self.write_failed.send_replace(true);
                     return;
@@ -394,21 +443,35 @@
     }
 
     /// Encodes a message and those queued behind it, up to [`WRITE_BATCH_BYTES`].
-    fn encode_batch(&mut self, message: Out, buffer: &mut BytesMut) {
-        self.encode(&message, buffer);
+    fn encode_batch(
+        &mut self,
+        message: QueuedMessage,
+        buffer: &mut BytesMut,
+        held: &mut Vec<QueuedBytes>,
+    ) {
+        held.extend(self.encode(message, buffer));
         while buffer.len() < WRITE_BATCH_BYTES {
             match self.messages.try_recv() {
-                Ok(message) => self.encode(&message, buffer),
+                Ok(message) => held.extend(self.encode(message, buffer)),
                 Err(_) => break,
             }
         }
     }
 
-    fn encode(&mut self, message: &Out, buffer: &mut BytesMut) {
+    fn encode(&mut self, message: QueuedMessage, buffer: &mut BytesMut) -> Option<QueuedBytes> {
         let start = buffer.len();
-        match self.encoder.encode(message, buffer) {
-            Ok(()) => self.traffic.record(message.kind(), (buffer.len() - start) as u64),
+        match self.encoder.encode_payload(&message.payload, buffer) {
+            Ok(()) => self.traffic.record(message.kind, (buffer.len() - start) as u64),
             Err(error) => log::error!("outgoing message could not be encoded; dropped: {error}"),
         }
+        message.held
+    }
+}
+
+/// Waits until the queue of the connection is given up; without end if it has no bound.
+async fn given_up_queue(claim: &Option<QueueClaim>) {
+    match claim {
+        Some(claim) => claim.given_up().await,
+        None => std::future::pending().await,
     }
 }
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -8,6 +8,8 @@
 
 use super::*;
 use crate::prelude::*;
+use crate::process::Metrics;
+use crate::process::intake::{Intake, MachineLimits};
 
 const LIMIT_BYTES: usize = 4_096;
 
@@ -279,6 +281,30 @@
     assert_eq!(entry.receiver.receive().await.unwrap(), None);
 }
 
+/// Guards against messages to a peer that does not read, which are bounded in number but not in size: 1,024 of 64 KiB.
+#[tokio::test]
+async fn messages_that_a_peer_does_not_read_are_bounded_in_bytes() {
+    let machine = MachineLimits { memory_mb: 64, descriptors: 400 };
+    let bounds = Intake::new(&machine, &Metrics::default()).links;
+    let bounded = LinkSettings { bounds: Some(bounds.clone()), ..settings(1) };
+    let (agent, _entry) = links(&bounded, &settings(1)).await;
+    let attempt = AttemptId { incarnation: Incarnation(9), request: 1, number: 1 };
+    let message = || AgentMessage::Answer {
+        attempt,
+        chunk: AnswerChunk::Data { offset_bytes: 0, bytes: vec![0; 65_536] },
+    };
+
+    let mut accepted = 0;
+    for _ in 0..1_024 {
+        accepted += usize::from(agent.sender.try_send(message()).is_ok());
+        assert!(bounds.queues.kept_bytes() <= 4 << 20, "{}", bounds.queues.kept_bytes());
+        tokio::task::yield_now().await;
+    }
+
+    assert!((1..1_024).contains(&accepted), "{accepted} messages were accepted");
+    agent.sender.closed().await;
+}
+
 /// Guards against accepting messages from a process with another key.
 #[tokio::test]
 async fn handshake_with_another_key_fails() {
