--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -46,7 +46,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 use xtra::prelude::*;
 
 use crate::election::TICK_MS;
@@ -125,6 +125,7 @@
         events: events.clone(),
         row_limit_bytes: settings.row_limit_bytes,
         rejects_by_value: settings.cost.is_some(),
+        reads: Arc::new(Semaphore::new(intake.limits.reads(settings.row_limit_bytes))),
     };
     if let Some(machine) = &settings.machine {
         let wait_ms = i64::try_from(machine.class().takeover_wait_ms()).unwrap_or(i64::MAX);
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -3,6 +3,8 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
+use tokio::sync::Semaphore;
+
 use super::event::{Event, EventSender};
 use super::job_rows::{cancel_key, job_key};
 use super::pause::PauseDetector;
@@ -22,6 +24,8 @@
 /// after a definite answer.
 const WRITE_LIMIT_MS: u64 = 1_500;
 
+/// The time for which a read of a job waits for earlier ones. Clients wait for 3 s.
+const READ_WAIT: Duration = Duration::from_secs(1);
 /// The reason for which requests are refused after a pause of the process.
 const PAUSED: &str = "this process was paused, and its configuration is not confirmed yet";
 
@@ -119,6 +123,8 @@
     pub(super) row_limit_bytes: usize,
     /// Jobs are rejected by the expected value of their results.
     pub(super) rejects_by_value: bool,
+    /// Permits of reads of jobs for clients, since each takes the memory of a row.
+    pub(super) reads: Arc<Semaphore>,
 }
 
 impl<S> Service<S>
@@ -255,6 +261,13 @@
         if let Some(progress) = self.shared.with_view(|view| view.progress(job)) {
             return Ok(Some(progress));
         }
+        // The permit is held until the row is decoded.
+        let permit = tokio::time::timeout(READ_WAIT, self.reads.acquire()).await;
+        let Ok(Ok(_permit)) = permit else {
+            return Err(RowError::Unavailable {
+                reason: "too many jobs are being read".to_owned(),
+            });
+        };
         let row = self.store.read(&job_key(job.as_str())).await?;
         let Some(row) = row.filter(|row| !is_rejection(&row.content)) else {
             return Ok(None);
