--- /dev/null
+++ b/review/stand_in_3/cases.rs
@@ -0,0 +1,113 @@
+//! The cases. Each returns how the rule was broken, or `None` if it held.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use crate::deployment::Deployment;
+use crate::record::Record;
+use crate::runner::Runner;
+
+pub type Outcome = Result<Option<String>, String>;
+
+/// Duration of a freeze in the site file.
+const SUSPENSION: Duration = Duration::from_secs(4);
+/// Time for which a killed process is down in the site file.
+const DOWN: Duration = Duration::from_millis(3_500);
+
+fn until(at: Instant) {
+    std::thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+/// Waits until a task runs. Returns the index of its runner.
+fn wait_for_start(deployment: &Deployment, task: &str) -> Option<usize> {
+    let limit = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < limit {
+        let found = deployment.runners.iter().position(|runner| runner.runs(task));
+        if found.is_some() {
+            return found;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    None
+}
+
+/// Returns for how long a task ran on two runners at the same time, both of which were up and awake, and their names.
+fn watch_overlap(runners: &[Runner], task: &str, time: Duration) -> Option<(Duration, Vec<String>)> {
+    let until = Instant::now() + time;
+    let mut overlap: Option<(Instant, Duration, Vec<String>)> = None;
+    while Instant::now() < until {
+        let awake = runners.iter().filter(|runner| !runner.is_suspended() && runner.runs(task));
+        let names: Vec<String> = awake.map(|runner| runner.name.clone()).collect();
+        if names.len() > 1 {
+            let since = overlap.as_ref().map_or_else(Instant::now, |(since, ..)| *since);
+            overlap = Some((since, since.elapsed(), names));
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    overlap.map(|(_, overlap, names)| (overlap, names))
+}
+
+/// A machine is suspended for some seconds with its runner, whose steady clock does not count them, and its process of the
+/// system is then killed twice. The lease of the runner ends that much later than the leader expects.
+pub fn suspended(root: &Path, record: &Record, is_disrupted: bool) -> Outcome {
+    let (has_kills, has_suspension) = match std::env::var("ONLY").as_deref() {
+        Ok("kills") => (is_disrupted, false),
+        Ok("suspension") => (false, is_disrupted),
+        _ => (is_disrupted, is_disrupted),
+    };
+    let mut deployment = Deployment::start(root, record, 3, 3);
+    if !deployment.wait_until_ready() {
+        return Err("the fronts are not ready".to_owned());
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    let id = "5c0e7a21d94b36f8";
+    let job = r#"{"spec":"40000","steps":[{"count":1,"cpu":13000,"memMb":68000,"gpu":8,"estMs":40000}]}"#;
+    let submitted = deployment.request(0, "POST", id, job);
+    if submitted.map(|(status, _)| status) != Some(200) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let task = format!("{id}.0.0.0");
+    let Some(first) = wait_for_start(&deployment, &task) else {
+        return Err("the task did not start".to_owned());
+    };
+    std::thread::sleep(Duration::from_secs(3));
+    let runner = deployment.runners[first].clone();
+    let began = Instant::now();
+    if has_suspension {
+        record.line(&format!("machine of runner {} is suspended with its runner", runner.name));
+        runner.suspend();
+        deployment.sides[first].signal("STOP");
+    }
+    until(began + SUSPENSION);
+    if has_kills {
+        record.line("the process of the system on that machine is killed");
+        deployment.sides[first].kill();
+    } else {
+        deployment.sides[first].signal("CONT");
+    }
+    if has_suspension {
+        runner.resume();
+        record.line("the machine is awake again");
+    }
+    let watched = std::thread::spawn({
+        let (runners, task) = (deployment.runners.clone(), task.clone());
+        move || watch_overlap(&runners, &task, Duration::from_secs(14))
+    });
+    if has_kills {
+        until(began + SUSPENSION + DOWN);
+        record.line("the process is started, and killed again at once");
+        deployment.sides[first].start();
+        std::thread::sleep(Duration::from_millis(100));
+        deployment.sides[first].kill();
+        until(began + SUSPENSION + DOWN * 2);
+        record.line("the process is started");
+        deployment.sides[first].start();
+    }
+    let overlap = watched.join().map_err(|_| "the observer failed".to_owned())?;
+    deployment.request(1, "GET", id, "");
+    Ok(overlap.map(|(overlap, runners)| {
+        let ms = overlap.as_millis();
+        let runners = runners.join(" and ");
+        format!("TWICE: task {task} ran for {ms} ms at the same time on the runners {runners}")
+    }))
+}
--- /dev/null
+++ b/review/stand_in_3/runner.rs
@@ -0,0 +1,359 @@
+//! Stand-in for a runner: it registers at the process on its machine, runs what it is ordered to run under a lease on its
+//! own steady clock, and lists its runs.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::http::{self, Request, Response};
+use crate::json::{Json, number, object, text};
+use crate::record::Record;
+
+/// Largest lease of the site file, `holdMaxMs`.
+const HOLD_MAX_MS: u64 = 10_000;
+/// Interval of liveness reports of the site file, `heartbeatMs`.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// Time in which a stopped run ends; the site file allows 900 ms, `stopGraceMs`.
+const STOP_MS: u64 = 100;
+const STEP: Duration = Duration::from_millis(10);
+
+#[derive(Clone)]
+struct Run {
+    number: u32,
+    started_ms: u64,
+    work_ms: u64,
+    stopped_ms: Option<u64>,
+}
+
+struct State {
+    seq: u64,
+    born_ms: u64,
+    began: Instant,
+    /// The machine is suspended since then. The steady clock does not count that time.
+    suspended: Option<Instant>,
+    suspended_total: Duration,
+    is_cut: bool,
+    is_draining: bool,
+    fence: u64,
+    deadline_ms: u64,
+    runs: BTreeMap<String, Run>,
+    closed: BTreeMap<String, u32>,
+    ended: Vec<(u64, String, u32, &'static str)>,
+    ends: u64,
+}
+
+impl State {
+    fn clock_ms(&self) -> u64 {
+        let suspended = self.suspended.map_or(Duration::ZERO, |since| since.elapsed());
+        (self.began.elapsed() - self.suspended_total - suspended).as_millis() as u64
+    }
+}
+
+#[derive(Clone)]
+pub struct Runner {
+    pub name: String,
+    zone: String,
+    service: String,
+    control: SocketAddr,
+    state: Arc<Mutex<State>>,
+    record: Record,
+}
+
+impl Runner {
+    /// Starts a runner that reports to `control`. Returns it with the address of its calls.
+    pub fn start(
+        name: &str,
+        zone: &str,
+        service: &str,
+        control: SocketAddr,
+        record: &Record,
+    ) -> (Self, SocketAddr) {
+        let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let state = State {
+            seq: 0,
+            born_ms: born.expect("the time is after 1970").as_millis() as u64,
+            began: Instant::now(),
+            suspended: None,
+            suspended_total: Duration::ZERO,
+            is_cut: false,
+            is_draining: false,
+            fence: 0,
+            deadline_ms: 0,
+            runs: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            ended: Vec::new(),
+            ends: 0,
+        };
+        let runner = Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            service: service.to_owned(),
+            control,
+            state: Arc::new(Mutex::new(state)),
+            record: record.clone(),
+        };
+        let served = runner.clone();
+        let address = http::serve(SocketAddr::from(([127, 0, 0, 1], 0)), move |request| {
+            served.handle(&request)
+        });
+        let (worker, reporter) = (runner.clone(), runner.clone());
+        std::thread::spawn(move || loop {
+            worker.advance();
+            std::thread::sleep(STEP);
+        });
+        std::thread::spawn(move || loop {
+            reporter.send_heartbeat();
+            std::thread::sleep(HEARTBEAT);
+        });
+        (runner, address)
+    }
+
+    fn with<T>(&self, work: impl FnOnce(&mut State) -> T) -> T {
+        work(&mut self.state.lock().unwrap())
+    }
+
+    pub fn is_suspended(&self) -> bool {
+        self.with(|state| state.suspended.is_some())
+    }
+
+    /// Suspends the runner with its machine: it neither works nor answers, and its steady clock stands still.
+    pub fn suspend(&self) {
+        self.with(|state| state.suspended = Some(Instant::now()));
+    }
+
+    pub fn resume(&self) {
+        self.with(|state| {
+            if let Some(since) = state.suspended.take() {
+                state.suspended_total += since.elapsed();
+            }
+        });
+    }
+
+    /// Cuts the runner off: no packet reaches it or leaves it, and it runs on.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.with(|state| state.is_cut = is_cut);
+    }
+
+    /// Returns whether a task runs on the runner.
+    pub fn runs(&self, task: &str) -> bool {
+        self.with(|state| state.runs.contains_key(task))
+    }
+
+    fn log(&self, line: &str) {
+        self.record.line(&format!("runner {}: {line}", self.name));
+    }
+
+    /// Ends the runs that are finished or stopped, and all of them once the lease has passed.
+    fn advance(&self) {
+        let ended = self.with(|state| {
+            if state.suspended.is_some() {
+                return Vec::new();
+            }
+            let now_ms = state.clock_ms();
+            let has_lapsed = now_ms >= state.deadline_ms;
+            let ends: Vec<(String, u32, &'static str)> = state
+                .runs
+                .iter()
+                .filter_map(|(task, run)| {
+                    let how = match run.stopped_ms {
+                        _ if has_lapsed => "lapsed",
+                        Some(since_ms) if now_ms >= since_ms + STOP_MS => "stopped",
+                        Some(_) => return None,
+                        None if now_ms >= run.started_ms + run.work_ms => "done",
+                        None => return None,
+                    };
+                    Some((task.clone(), run.number, how))
+                })
+                .collect();
+            for (task, run, how) in &ends {
+                state.runs.remove(task);
+                let closed = state.closed.entry(task.clone()).or_default();
+                *closed = (*closed).max(*run);
+                state.ends += 1;
+                state.ended.push((state.ends, task.clone(), *run, how));
+            }
+            ends
+        });
+        for (task, run, how) in ended {
+            self.log(&format!("task {task} run {run} ended {how}"));
+        }
+    }
+
+    /// Waits while the machine is suspended. Returns whether the runner is cut off.
+    fn is_unreachable(&self) -> bool {
+        while self.is_suspended() {
+            std::thread::sleep(STEP);
+        }
+        self.with(|state| state.is_cut)
+    }
+
+    fn send_heartbeat(&self) {
+        if self.is_unreachable() {
+            return;
+        }
+        let body = self.with(|state| {
+            state.seq += 1;
+            object([
+                ("service", text(&self.service)),
+                ("addr", text("unused")),
+                ("zone", text(&self.zone)),
+                ("version", text("v1")),
+                ("slots", number(8)),
+                ("state", text(if state.is_draining { "draining" } else { "ready" })),
+                ("room", object([
+                    ("cpu", number(32_000)),
+                    ("memMb", number(131_072)),
+                    ("gpu", number(8)),
+                ])),
+                ("labels", Json::List(vec![text("a"), text(format!("r-{}", self.zone))])),
+                ("clockMs", number(state.clock_ms())),
+                ("seq", number(state.seq)),
+                ("born", number(state.born_ms)),
+            ])
+        });
+        let path = format!("/instances/i-{}", self.name);
+        let body = body.to_string();
+        // A report without an answer is repeated like all others, after the interval.
+        let _ = http::call(self.control, ("PUT", &path), &[], &body, Duration::from_secs(1));
+    }
+
+    fn handle(&self, request: &Request) -> Response {
+        if self.is_unreachable() {
+            // A packet that is dropped gets no answer, and its connection stays silent.
+            while self.with(|state| state.is_cut) {
+                std::thread::sleep(STEP);
+            }
+            return None;
+        }
+        if request.header("x-teaselhall-target-instance") != Some(&format!("i-{}", self.name)) {
+            return Some((421, "{}".to_owned()));
+        }
+        let body = Json::parse(&request.body)?;
+        let answer = match request.path() {
+            "/run-start" => self.start_run(&body),
+            "/run-stop" => self.stop_run(&body),
+            "/hold" => self.hold(&body),
+            _ => Some((404, "{}".to_owned())),
+        };
+        match self.is_unreachable() {
+            true => None,
+            false => answer,
+        }
+    }
+
+    fn answer(state: &State, reason: Option<&str>) -> Response {
+        let clock = ("clockMs", number(state.clock_ms()));
+        match reason {
+            Some(reason) => {
+                Some((409, object([clock, ("reason", text(reason))]).to_string()))
+            }
+            None => Some((200, object([clock]).to_string())),
+        }
+    }
+
+    fn extend(state: &mut State, deadline_ms: Option<u64>) {
+        let limit_ms = state.clock_ms() + HOLD_MAX_MS;
+        let deadline_ms = deadline_ms.unwrap_or_default().min(limit_ms);
+        state.deadline_ms = state.deadline_ms.max(deadline_ms);
+    }
+
+    fn start_run(&self, body: &Json) -> Response {
+        let task = body.get("task").text().to_owned();
+        let number = body.get("run").number()? as u32;
+        let work_ms = body.get("spec").text().parse().unwrap_or(1_000);
+        let fence = body.get("fence").number().unwrap_or_default();
+        let (answer, is_started) = self.with(|state| {
+            if fence < state.fence {
+                return (Self::answer(state, Some("fence")), false);
+            }
+            state.fence = fence;
+            let deadline_ms = body.get("deadlineMs").number();
+            if deadline_ms.unwrap_or_default() <= state.clock_ms() {
+                return (Self::answer(state, Some("late")), false);
+            }
+            Self::extend(state, deadline_ms);
+            if state.runs.get(&task).is_some_and(|run| run.number == number) {
+                return (Self::answer(state, None), false);
+            }
+            let closed = state.closed.get(&task).copied().unwrap_or_default();
+            if closed >= number || state.runs.contains_key(&task) {
+                return (Self::answer(state, Some("old")), false);
+            }
+            let started_ms = state.clock_ms();
+            let run = Run { number, started_ms, work_ms, stopped_ms: None };
+            state.runs.insert(task.clone(), run);
+            (Self::answer(state, None), true)
+        });
+        if is_started {
+            self.log(&format!("task {task} run {number} started, fence {fence}"));
+        }
+        answer
+    }
+
+    fn stop_run(&self, body: &Json) -> Response {
+        let task = body.get("task").text().to_owned();
+        let number = body.get("run").number()? as u32;
+        let fence = body.get("fence").number().unwrap_or_default();
+        self.log(&format!("task {task} run {number} is told to stop, fence {fence}"));
+        self.with(|state| {
+            if fence < state.fence {
+                return Self::answer(state, Some("fence"));
+            }
+            state.fence = fence;
+            let closed = state.closed.entry(task.clone()).or_default();
+            *closed = (*closed).max(number);
+            let now_ms = state.clock_ms();
+            if let Some(run) = state.runs.get_mut(&task).filter(|run| run.number <= number) {
+                run.stopped_ms.get_or_insert(now_ms);
+            }
+            Self::answer(state, None)
+        })
+    }
+
+    fn hold(&self, body: &Json) -> Response {
+        let fence = body.get("fence").number().unwrap_or_default();
+        let acked = body.get("ackedUpto").number().unwrap_or_default();
+        let wait_ms = body.get("waitMs").number().unwrap_or_default().min(2_000);
+        let refused = self.with(|state| {
+            if fence < state.fence {
+                return Some(Self::answer(state, Some("fence")));
+            }
+            state.fence = fence;
+            Self::extend(state, body.get("deadlineMs").number());
+            state.ended.retain(|(number, ..)| *number > acked);
+            None
+        });
+        if let Some(refused) = refused {
+            return refused;
+        }
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        while Instant::now() < until && self.with(|state| state.ended.is_empty()) {
+            std::thread::sleep(STEP);
+        }
+        self.with(|state| {
+            let now_ms = state.clock_ms();
+            let running = state.runs.iter().map(|(task, run)| {
+                let percent = (now_ms - run.started_ms) * 100 / run.work_ms.max(1);
+                Json::List(vec![
+                    text(task),
+                    number(run.number.into()),
+                    text(""),
+                    number(percent.min(99)),
+                    number(0),
+                ])
+            });
+            let ended = state.ended.iter().map(|(end, task, run, how)| {
+                let (end, run) = (number(*end), number((*run).into()));
+                Json::List(vec![end, text(task), run, text(*how), text("")])
+            });
+            let answer = object([
+                ("clockMs", number(now_ms)),
+                ("born", number(state.born_ms)),
+                ("running", Json::List(running.collect())),
+                ("ended", Json::List(ended.collect())),
+            ]);
+            Some((200, answer.to_string()))
+        })
+    }
+}
