--- a/review/stand_in_3/cases.rs
+++ b/review/stand_in_3/cases.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, TENANTS};
 use crate::record::Record;
 use crate::runner::Runner;
 
@@ -14,6 +14,30 @@
 /// Time for which a killed process is down in the site file.
 const DOWN: Duration = Duration::from_millis(3_500);
 
+/// Time for which requesters wait.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Time after which a task of a cancelled job must not start, `cancel_ms`.
+const CANCEL: Duration = Duration::from_secs(3);
+const ID: &str = "5c0e7a21d94b36f8";
+/// A job of one task that runs for 40 s.
+const JOB: &str =
+    r#"{"spec":"40000","steps":[{"count":1,"cpu":13000,"memMb":68000,"gpu":8,"estMs":40000}]}"#;
+
+/// Returns the name of the task of [`JOB`].
+fn task() -> String {
+    format!("{ID}.0.0.0")
+}
+
+/// Starts a deployment with the queues of some tenants, and lets it settle.
+fn started(root: &Path, record: &Record, tenants: usize) -> Result<Deployment, String> {
+    let deployment = Deployment::start(root, record, &TENANTS[..tenants]);
+    if !deployment.wait_until_ready() {
+        return Err("the fronts are not ready".to_owned());
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    Ok(deployment)
+}
+
 fn until(at: Instant) {
     std::thread::sleep(at.saturating_duration_since(Instant::now()));
 }
@@ -55,18 +79,12 @@
         Ok("suspension") => (false, is_disrupted),
         _ => (is_disrupted, is_disrupted),
     };
-    let mut deployment = Deployment::start(root, record, 3, 3);
-    if !deployment.wait_until_ready() {
-        return Err("the fronts are not ready".to_owned());
-    }
-    std::thread::sleep(Duration::from_secs(3));
-    let id = "5c0e7a21d94b36f8";
-    let job = r#"{"spec":"40000","steps":[{"count":1,"cpu":13000,"memMb":68000,"gpu":8,"estMs":40000}]}"#;
-    let submitted = deployment.request(0, "POST", id, job);
+    let mut deployment = started(root, record, 1)?;
+    let submitted = deployment.request(0, &TENANTS[0], ("POST", ID), JOB, PATIENCE);
     if submitted.map(|(status, _)| status) != Some(200) {
         return Err("the job was not accepted".to_owned());
     }
-    let task = format!("{id}.0.0.0");
+    let task = task();
     let Some(first) = wait_for_start(&deployment, &task) else {
         return Err("the task did not start".to_owned());
     };
@@ -104,10 +122,57 @@
         deployment.sides[first].start();
     }
     let overlap = watched.join().map_err(|_| "the observer failed".to_owned())?;
-    deployment.request(1, "GET", id, "");
+    deployment.request(1, &TENANTS[0], ("GET", ID), "", PATIENCE);
     Ok(overlap.map(|(overlap, runners)| {
         let ms = overlap.as_millis();
         let runners = runners.join(" and ");
         format!("TWICE: task {task} ran for {ms} ms at the same time on the runners {runners}")
     }))
 }
+
+/// The answer to the write of a submission is lost, and the write is done some seconds later. Meanwhile the requester leaves
+/// and cancels the job.
+pub fn cancelled_in_doubt(root: &Path, record: &Record, is_disrupted: bool) -> Outcome {
+    let deployment = started(root, record, 1)?;
+    if is_disrupted {
+        record.line("the store loses answers for 4.5 s; what is lost is done 5 s later");
+        deployment.store.lose_answers(Duration::from_millis(4_500), Duration::from_secs(5));
+    }
+    let leaves_after = Duration::from_millis(150);
+    deployment.request(0, &TENANTS[0], ("POST", ID), JOB, leaves_after);
+    let cancelled = deployment.request(1, &TENANTS[0], ("DELETE", ID), "", PATIENCE);
+    let acknowledged = Instant::now();
+    let status = cancelled.map(|(status, _)| status);
+    if !status.is_some_and(|status| status == 410 || (200..300).contains(&status)) {
+        return Err(format!("the cancelling was answered with {status:?}"));
+    }
+    std::thread::sleep(Duration::from_secs(9));
+    deployment.request(2, &TENANTS[0], ("GET", ID), "", PATIENCE);
+    let starts = deployment.runners.iter();
+    let first = starts.filter_map(|runner| runner.first_start_after(&task(), acknowledged + CANCEL)).min();
+    Ok(first.map(|at| {
+        let ms = (at - acknowledged).as_millis();
+        format!("UNASKED: task {} started {ms} ms after the cancelling was answered with {status:?}", task())
+    }))
+}
+
+/// Two tenants with queues on services of their own number their jobs alike.
+pub fn equal_ids(root: &Path, record: &Record, is_disrupted: bool) -> Outcome {
+    let deployment = started(root, record, 2)?;
+    let ids = ["0000000000000001", if is_disrupted { "0000000000000001" } else { "0000000000000002" }];
+    let [first, second] = &TENANTS;
+    let submitted = deployment.request(0, first, ("POST", ids[0]), JOB, PATIENCE);
+    if submitted.map(|(status, _)| status) != Some(200) {
+        return Err("the job of the first tenant was not accepted".to_owned());
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    deployment.request(1, second, ("GET", ids[1]), "", PATIENCE);
+    deployment.request(1, second, ("POST", ids[1]), &JOB.replace("40000", "30000"), PATIENCE);
+    deployment.request(1, second, ("DELETE", ids[1]), "", PATIENCE);
+    std::thread::sleep(Duration::from_secs(2));
+    let shown = deployment.request(0, first, ("GET", ids[0]), "", PATIENCE);
+    let state = shown.map(|(_, body)| body.get("state").text().to_owned());
+    Ok((state.as_deref() == Some("canceled")).then(|| {
+        "LOST: the job of the first tenant is shown as canceled, and only the second tenant has cancelled a job".to_owned()
+    }))
+}
--- a/review/stand_in_3/deployment.rs
+++ b/review/stand_in_3/deployment.rs
@@ -11,10 +11,22 @@
 use crate::runner::Runner;
 use crate::store::Store;
 
-pub const HOST: &str = "nony24.example";
-pub const KEY: &str = "key-1";
-pub const PREFIX: &str = "/lohu930/";
-const SERVICE: &str = "huvo11a";
+const HOST: &str = "nony24.example";
+
+/// A tenant with a queue of its own, whose service has runners of its own.
+pub struct Tenant {
+    name: &'static str,
+    key: &'static str,
+    prefix: &'static str,
+    service: &'static str,
+}
+
+pub const TENANTS: [Tenant; 2] = [
+    Tenant { name: "tenant-1", key: "key-1", prefix: "/lohu930/", service: "huvo11a" },
+    Tenant { name: "tenant-2", key: "key-2", prefix: "/zeta77/", service: "kelp9b" },
+];
+const FRONTS: usize = 3;
+const SIDES: usize = 4;
 const INNER_PORT: u16 = 7_000;
 const FRONT_PORT: u16 = 8_521;
 const READY_PORT: u16 = 8_523;
@@ -89,6 +101,7 @@
     pub fronts: Vec<Machine>,
     pub sides: Vec<Machine>,
     pub runners: Vec<Runner>,
+    pub store: Store,
     pub record: Record,
     folder: PathBuf,
 }
@@ -103,43 +116,49 @@
     }
 }
 
-fn manifest() -> Json {
-    let route = object([
-        ("name", text("queue-1")),
-        ("host", text(HOST)),
-        ("pathPrefix", text(PREFIX)),
-        ("service", text(SERVICE)),
-        ("priority", number(1)),
-        ("attempts", number(3)),
-        ("stretch", number(3)),
-        ("sloMs", number(1_000)),
-    ]);
-    let tenant = object([
-        ("name", text("tenant-1")),
-        ("apiKeys", Json::List(vec![text(KEY)])),
-        ("guaranteed", object([("gpu", number(8))])),
-    ]);
+fn manifest(tenants: &[Tenant]) -> Json {
+    let route = |tenant: &Tenant| {
+        object([
+            ("name", text(format!("queue-of-{}", tenant.name))),
+            ("host", text(HOST)),
+            ("pathPrefix", text(tenant.prefix)),
+            ("service", text(tenant.service)),
+            ("priority", number(1)),
+            ("attempts", number(3)),
+            ("stretch", number(3)),
+            ("sloMs", number(1_000)),
+        ])
+    };
+    let service = |tenant: &Tenant| object([("name", text(tenant.service))]);
+    let entry = |tenant: &Tenant| {
+        object([
+            ("name", text(tenant.name)),
+            ("apiKeys", Json::List(vec![text(tenant.key)])),
+            ("guaranteed", object([("gpu", number(8))])),
+        ])
+    };
     object([
         ("version", number(1)),
-        ("routes", Json::List(vec![route])),
-        ("services", Json::List(vec![object([("name", text(SERVICE))])])),
-        ("tenants", Json::List(vec![tenant])),
+        ("routes", Json::List(tenants.iter().map(route).collect())),
+        ("services", Json::List(tenants.iter().map(service).collect())),
+        ("tenants", Json::List(tenants.iter().map(entry).collect())),
         ("limits", object([("bodyBytes", number(262_144))])),
     ])
 }
 
 impl Deployment {
-    /// Starts the stand-ins and the processes, and waits until the fronts are ready.
-    pub fn start(root: &Path, record: &Record, fronts: usize, sides: usize) -> Self {
+    /// Starts the stand-ins and the processes. The runners belong to the services of the tenants in turn.
+    pub fn start(root: &Path, record: &Record, tenants: &[Tenant]) -> Self {
+        let (fronts, sides) = (FRONTS, SIDES);
         let id = std::process::id();
         let folder = std::env::temp_dir().join(format!("teaselhall-review-{id}"));
         std::fs::create_dir_all(&folder).expect("a temporary folder can be made");
         // Each machine has a loopback address of its own; the network depends on the process, so that they are free.
         let [high, low] = ((id % 60_000 + 2_000) as u16).to_be_bytes();
         let ip = |machine: usize| Ipv4Addr::new(127, high, low, 10 + machine as u8);
-        let store = Store::new();
+        let store = Store::new(record);
         let store_address = store.serve();
-        store.write_operator_row("config", &manifest());
+        store.write_operator_row("config", &manifest(tenants));
         let seeds = (0..fronts.min(3)).map(|front| text(format!("{}:{CONTROL_PORT}", ip(front))));
         let seeds = Json::List(seeds.collect());
         let common = |name: &str, machine: usize| {
@@ -164,6 +183,7 @@
             fronts: Vec::new(),
             sides: Vec::new(),
             runners: Vec::new(),
+            store,
             record: record.clone(),
             folder: folder.clone(),
         };
@@ -181,9 +201,10 @@
         for side in 0..sides {
             let (zone, ip) = (ZONES[side % 3], ip(fronts + side));
             let name = format!("side-{zone}-{}", side / 3 + 1);
+            let service = tenants[side % tenants.len()].service;
             let control = SocketAddr::from((ip, CONTROL_PORT));
             let (runner, calls) =
-                Runner::start(&format!("7f3a91c{side}"), zone, SERVICE, control, record);
+                Runner::start(&format!("7f3a91c{side}"), zone, service, control, record);
             let settings = object([
                 ("common", common(&name, fronts + side)),
                 ("heartbeat_address", text(control.to_string())),
@@ -216,24 +237,32 @@
         false
     }
 
-    /// Sends a call of a requester to a front, and records it with its answer.
-    pub fn request(&self, front: usize, method: &str, id: &str, body: &str) -> Option<(u16, Json)> {
+    /// Sends a call of a tenant's requester to a front, and records it with its answer. The requester leaves after `patience`.
+    pub fn request(
+        &self,
+        front: usize,
+        tenant: &Tenant,
+        (method, id): (&str, &str),
+        body: &str,
+        patience: Duration,
+    ) -> Option<(u16, Json)> {
         let machine = &self.fronts[front];
-        let authorization = format!("Bearer {KEY}");
+        let authorization = format!("Bearer {}", tenant.key);
         let headers = [
             ("host", HOST),
             ("authorization", authorization.as_str()),
             ("x-teaselhall-timeout-ms", "3000"),
         ];
-        let path = format!("{PREFIX}{id}");
-        let limit = Duration::from_secs(3);
-        let answer =
-            http::call(machine.address(FRONT_PORT), (method, &path), &headers, body, limit);
+        let path = format!("{}{id}", tenant.prefix);
+        let call = format!("requester of {}: {method} {path} {body} at {}", tenant.name, machine.name);
+        self.record.line(&call);
+        let address = machine.address(FRONT_PORT);
+        let answer = http::call(address, (method, &path), &headers, body, patience);
         let shown = match &answer {
             Some((status, body)) => format!("{status} {body}"),
-            None => "no answer".to_owned(),
+            None => format!("left after {} ms", patience.as_millis()),
         };
-        self.record.line(&format!("requester: {method} {path} {body} at {} -> {shown}", machine.name));
+        self.record.line(&format!("requester of {}: {method} {path} -> {shown}", tenant.name));
         answer.map(|(status, body)| (status, Json::parse(&body).unwrap_or(Json::Null)))
     }
 }
--- a/review/stand_in_3/main.rs
+++ b/review/stand_in_3/main.rs
@@ -23,6 +23,8 @@
     let root = std::env::current_dir().expect("the current folder exists");
     let result = match case.as_str() {
         "suspended" => cases::suspended(&root, &record, is_disrupted),
+        "cancelled" => cases::cancelled_in_doubt(&root, &record, is_disrupted),
+        "equal-ids" => cases::equal_ids(&root, &record, is_disrupted),
         _ => Err(format!("there is no case {case:?}")),
     };
     let (line, code) = match result {
--- a/review/stand_in_3/runner.rs
+++ b/review/stand_in_3/runner.rs
@@ -33,14 +33,14 @@
     /// The machine is suspended since then. The steady clock does not count that time.
     suspended: Option<Instant>,
     suspended_total: Duration,
-    is_cut: bool,
-    is_draining: bool,
     fence: u64,
     deadline_ms: u64,
     runs: BTreeMap<String, Run>,
     closed: BTreeMap<String, u32>,
     ended: Vec<(u64, String, u32, &'static str)>,
     ends: u64,
+    /// Each start of a task, with its time.
+    starts: Vec<(String, Instant)>,
 }
 
 impl State {
@@ -76,14 +76,13 @@
             began: Instant::now(),
             suspended: None,
             suspended_total: Duration::ZERO,
-            is_cut: false,
-            is_draining: false,
             fence: 0,
             deadline_ms: 0,
             runs: BTreeMap::new(),
             closed: BTreeMap::new(),
             ended: Vec::new(),
             ends: 0,
+            starts: Vec::new(),
         };
         let runner = Self {
             name: name.to_owned(),
@@ -130,16 +129,19 @@
         });
     }
 
-    /// Cuts the runner off: no packet reaches it or leaves it, and it runs on.
-    pub fn set_cut(&self, is_cut: bool) {
-        self.with(|state| state.is_cut = is_cut);
-    }
-
     /// Returns whether a task runs on the runner.
     pub fn runs(&self, task: &str) -> bool {
         self.with(|state| state.runs.contains_key(task))
     }
 
+    /// Returns the time of the first start of a task after a moment.
+    pub fn first_start_after(&self, task: &str, moment: Instant) -> Option<Instant> {
+        self.with(|state| {
+            let starts = state.starts.iter().filter(|(started, at)| started == task && *at > moment);
+            starts.map(|(_, at)| *at).min()
+        })
+    }
+
     fn log(&self, line: &str) {
         self.record.line(&format!("runner {}: {line}", self.name));
     }
@@ -180,18 +182,14 @@
         }
     }
 
-    /// Waits while the machine is suspended. Returns whether the runner is cut off.
-    fn is_unreachable(&self) -> bool {
+    fn wait_until_awake(&self) {
         while self.is_suspended() {
             std::thread::sleep(STEP);
         }
-        self.with(|state| state.is_cut)
     }
 
     fn send_heartbeat(&self) {
-        if self.is_unreachable() {
-            return;
-        }
+        self.wait_until_awake();
         let body = self.with(|state| {
             state.seq += 1;
             object([
@@ -200,7 +198,7 @@
                 ("zone", text(&self.zone)),
                 ("version", text("v1")),
                 ("slots", number(8)),
-                ("state", text(if state.is_draining { "draining" } else { "ready" })),
+                ("state", text("ready")),
                 ("room", object([
                     ("cpu", number(32_000)),
                     ("memMb", number(131_072)),
@@ -219,13 +217,7 @@
     }
 
     fn handle(&self, request: &Request) -> Response {
-        if self.is_unreachable() {
-            // A packet that is dropped gets no answer, and its connection stays silent.
-            while self.with(|state| state.is_cut) {
-                std::thread::sleep(STEP);
-            }
-            return None;
-        }
+        self.wait_until_awake();
         if request.header("x-teaselhall-target-instance") != Some(&format!("i-{}", self.name)) {
             return Some((421, "{}".to_owned()));
         }
@@ -236,10 +228,8 @@
             "/hold" => self.hold(&body),
             _ => Some((404, "{}".to_owned())),
         };
-        match self.is_unreachable() {
-            true => None,
-            false => answer,
-        }
+        self.wait_until_awake();
+        answer
     }
 
     fn answer(state: &State, reason: Option<&str>) -> Response {
@@ -283,6 +273,7 @@
             let started_ms = state.clock_ms();
             let run = Run { number, started_ms, work_ms, stopped_ms: None };
             state.runs.insert(task.clone(), run);
+            state.starts.push((task.clone(), Instant::now()));
             (Self::answer(state, None), true)
         });
         if is_started {
--- a/review/stand_in_3/store.rs
+++ b/review/stand_in_3/store.rs
@@ -7,6 +7,7 @@
 
 use crate::http::{self, Request, Response};
 use crate::json::{Json, number, object, text};
+use crate::record::Record;
 
 type Key = (String, String, String);
 
@@ -22,8 +23,21 @@
 pub struct Store {
     rows: Arc<(Mutex<Rows>, Condvar)>,
     began: Instant,
+    losses: Arc<Mutex<Losses>>,
+    record: Record,
 }
 
+/// Answers that are lost: until a time, the first of each [`WRITES_PER_LOSS`] writes is done late and not answered.
+#[derive(Default)]
+struct Losses {
+    until: Option<Instant>,
+    delay: Duration,
+    writes: usize,
+}
+
+/// The site file loses up to 0.35 of the writes, `platform_lost`.
+const WRITES_PER_LOSS: usize = 3;
+
 const FIELDS: [&str; 3] = ["table", "part", "key"];
 
 fn key_of(row: &Json) -> Key {
@@ -46,8 +60,9 @@
 }
 
 impl Store {
-    pub fn new() -> Self {
-        Self { rows: Arc::default(), began: Instant::now() }
+    pub fn new(record: &Record) -> Self {
+        let record = record.clone();
+        Self { rows: Arc::default(), began: Instant::now(), losses: Arc::default(), record }
     }
 
     /// Serves the store on a free loopback port.
@@ -56,6 +71,19 @@
         http::serve(SocketAddr::from(([127, 0, 0, 1], 0)), move |request| store.handle(&request))
     }
 
+    /// Loses answers for a time: a lost write is done after the delay, if its conditions still hold.
+    pub fn lose_answers(&self, time: Duration, delay: Duration) {
+        *self.losses.lock().unwrap() = Losses { until: Some(Instant::now() + time), delay, writes: 0 };
+    }
+
+    /// Returns the delay after which the next write is done without an answer, if it is one of those.
+    fn next_loss(&self) -> Option<Duration> {
+        let mut losses = self.losses.lock().unwrap();
+        losses.until.filter(|until| Instant::now() < *until)?;
+        losses.writes += 1;
+        (losses.writes % WRITES_PER_LOSS == 1).then_some(losses.delay)
+    }
+
     /// Writes a row of the operator's table.
     pub fn write_operator_row(&self, key: &str, value: &Json) {
         let key = ("op".to_owned(), String::new(), key.to_owned());
@@ -70,7 +98,21 @@
 
     fn handle(&self, request: &Request) -> Response {
         match (request.method.as_str(), request.path()) {
-            ("POST", "/rows-tx") => self.transact(&Json::parse(&request.body)?),
+            ("POST", "/rows-tx") => {
+                let call = Json::parse(&request.body)?;
+                let Some(delay) = self.next_loss() else {
+                    return self.transact(&call);
+                };
+                let written = call.get("setKeys").list().iter().map(|row| row.get("key").text());
+                let written: Vec<&str> = written.collect();
+                self.record.line(&format!("store: the write of {written:?} gets no answer"));
+                std::thread::sleep(delay);
+                let status = self.transact(&call).map_or(0, |(status, _)| status);
+                self.record.line(&format!("store: the write of {written:?} is done late, with {status}"));
+                // The channel on which an answer is lost delivers nothing further.
+                std::thread::sleep(Duration::from_secs(60));
+                None
+            }
             ("GET", "/rows-get") => self.read(request),
             ("GET", "/rows-feed") => self.feed(request),
             _ => Some((404, "{}".to_owned())),
