--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -2,4 +2,4 @@
 # Runs the case with the programs of the deploy file; review/build-3.sh builds the stand-ins.
 cd "$(dirname "$0")/../.."
 [ -x target/review-3 ] || exit 2
-exec target/review-3 equal-ids review/15/record.txt
+exec target/review-3 cancelled review/15/record.txt
--- a/review/stand_in_3/cases.rs
+++ b/review/stand_in_3/cases.rs
@@ -22,6 +22,10 @@
 const LATE: Duration = Duration::from_secs(8);
 /// Time until a runner that has started again reports itself; reports come every 1.5 s.
 const SILENCE: Duration = Duration::from_secs(1);
+/// Time after which the notice of the end of a runner arrives.
+const NOTICE_DELAY: Duration = Duration::from_secs(8);
+/// Time for which connections are refused; `for_s` of `node_cut` in the site file.
+const REFUSAL: Duration = Duration::from_millis(5_500);
 const ID: &str = "5c0e7a21d94b36f8";
 /// A job of one task that runs for 40 s.
 const JOB: &str =
@@ -258,3 +262,50 @@
         format!("TWICE: {starts} starts of tasks whose end done was taken note of, first {first}")
     }))
 }
+
+/// A runner drains and leaves, and starts again under its identifier. The notice of its end arrives late, while a firewall
+/// refuses the calls of its side.
+pub fn late_notice(root: &Path, record: &Record, is_disrupted: bool) -> Outcome {
+    let (is_late, is_refused) = match std::env::var("ONLY").as_deref() {
+        Ok("late") => (is_disrupted, false),
+        Ok("refused") => (false, is_disrupted),
+        _ => (is_disrupted, is_disrupted),
+    };
+    let deployment = started(root, record, 1)?;
+    // The first worker in the order of placement is the one that a job of its own finds.
+    let first = {
+        deployment.request(0, &TENANTS[0], ("POST", "2c0e7a21d94b36f7"), &small_tasks(1), PATIENCE);
+        wait_for_start(&deployment, "2c0e7a21d94b36f7.0.0.0").ok_or("the first job did not start")?
+    };
+    let runner = &deployment.runners[first];
+    std::thread::sleep(Duration::from_secs(3));
+    runner.drain();
+    // It goes on for `drainMs` and a little longer.
+    std::thread::sleep(Duration::from_millis(2_500));
+    let left = Instant::now();
+    runner.leave(if is_late { NOTICE_DELAY } else { Duration::ZERO });
+    std::thread::sleep(Duration::from_secs(1));
+    let submitted = deployment.request(0, &TENANTS[0], ("POST", ID), JOB, PATIENCE);
+    if submitted.map(|(status, _)| status) != Some(200) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let task = task();
+    if wait_for_start(&deployment, &task) != Some(first) {
+        return Err("the task did not start on the runner that has left and come back".to_owned());
+    }
+    until(left + NOTICE_DELAY - Duration::from_secs(2));
+    if is_refused {
+        record.line(&format!("the calls of the side to runner {} are refused", runner.name));
+        deployment.gates[first].refuse(true);
+    }
+    let began = Instant::now();
+    let overlap = watch_overlap(&deployment.runners, &task, REFUSAL);
+    if is_refused {
+        record.line("the calls are forwarded again");
+        deployment.gates[first].refuse(false);
+    }
+    let after = watch_overlap(&deployment.runners, &task, Duration::from_secs(6));
+    record.line(&format!("observed for {} s", began.elapsed().as_secs()));
+    let overlap = overlap.or(after);
+    Ok(overlap.map(|(overlap, runners)| overlap_text(&task, overlap, &runners)))
+}
--- a/review/stand_in_3/deployment.rs
+++ b/review/stand_in_3/deployment.rs
@@ -5,6 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use crate::gate::Gate;
 use crate::http;
 use crate::json::{Json, number, object, text};
 use crate::record::Record;
@@ -31,6 +32,7 @@
 const FRONT_PORT: u16 = 8_521;
 const READY_PORT: u16 = 8_523;
 const CONTROL_PORT: u16 = 8_526;
+const APP_PORT: u16 = 8_080;
 const ZONES: [&str; 3] = ["langley-a", "langley-b", "abbotsford"];
 /// The environment that `deploy/system.toml` sets, with the figures of the site file fsgw-teaselhall.
 const SIDE_ENVIRONMENT: [(&str, &str); 2] =
@@ -101,6 +103,8 @@
     pub fronts: Vec<Machine>,
     pub sides: Vec<Machine>,
     pub runners: Vec<Runner>,
+    /// The way from each side to its runner.
+    pub gates: Vec<Gate>,
     pub store: Store,
     pub record: Record,
     folder: PathBuf,
@@ -183,6 +187,7 @@
             fronts: Vec::new(),
             sides: Vec::new(),
             runners: Vec::new(),
+            gates: Vec::new(),
             store,
             record: record.clone(),
             folder: folder.clone(),
@@ -205,10 +210,12 @@
             let control = SocketAddr::from((ip, CONTROL_PORT));
             let (runner, calls) =
                 Runner::start(&format!("7f3a91c{side}"), zone, service, control, record);
+            let gate = SocketAddr::from((ip, APP_PORT));
+            deployment.gates.push(Gate::start(gate, calls));
             let settings = object([
                 ("common", common(&name, fronts + side)),
                 ("heartbeat_address", text(control.to_string())),
-                ("worker_address", text(calls.to_string())),
+                ("worker_address", text(gate.to_string())),
             ]);
             let environment = &SIDE_ENVIRONMENT[..];
             deployment.sides.push(machine(name, ip, "teaselhall-side", environment, settings));
--- a/review/stand_in_3/main.rs
+++ b/review/stand_in_3/main.rs
@@ -3,6 +3,7 @@
 
 mod cases;
 mod deployment;
+mod gate;
 mod http;
 mod json;
 mod record;
@@ -21,14 +22,18 @@
     let record = record::Record::create(Path::new(path));
     let is_disrupted = std::env::var("TROUBLE").as_deref() != Ok("0");
     let root = std::env::current_dir().expect("the current folder exists");
-    let result = match case.as_str() {
+    let run = || match case.as_str() {
         "suspended" => cases::suspended(&root, &record, is_disrupted),
-        "cancelled" => cases::cancelled_in_doubt(&root, &record, is_disrupted),
-        "equal-ids" => cases::equal_ids(&root, &record, is_disrupted),
         "late-start" => cases::late_start(&root, &record, is_disrupted),
         "stale-acknowledgement" => cases::stale_acknowledgement(&root, &record, is_disrupted),
+        "late-notice" => cases::late_notice(&root, &record, is_disrupted),
+        "cancelled" => cases::cancelled_in_doubt(&root, &record, is_disrupted),
+        "equal-ids" => cases::equal_ids(&root, &record, is_disrupted),
         _ => Err(format!("there is no case {case:?}")),
     };
+    // A deployment that is dropped ends its processes, also when a stand-in fails.
+    let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run))
+        .unwrap_or_else(|_| Err("a stand-in failed".to_owned()));
     let (line, code) = match result {
         Ok(None) => ("the rule held".to_owned(), 0),
         Ok(Some(broken)) => (format!("BROKEN: {broken}"), 1),
--- a/review/stand_in_3/runner.rs
+++ b/review/stand_in_3/runner.rs
@@ -47,6 +47,7 @@
     silent_until: Instant,
     /// Each start of a task, with its time.
     starts: Vec<(String, Instant)>,
+    is_draining: bool,
     /// The next order to start this task gets no answer, and is carried out after the delay.
     late_start: Option<(String, Duration)>,
 }
@@ -98,6 +99,7 @@
             life: 1,
             silent_until: Instant::now(),
             starts: Vec::new(),
+            is_draining: false,
             late_start: None,
         };
         let runner = Self {
@@ -134,6 +136,7 @@
     pub fn crash(&self, silence: Duration) {
         self.with(|state| {
             state.seq = 0;
+            state.is_draining = false;
             state.life += 1;
             state.silent_until = Instant::now() + silence;
             state.born_ms = now_ms();
@@ -144,7 +147,7 @@
             state.closed.clear();
             state.ended.clear();
         });
-        self.log("crashes with all that it runs, and starts again under its identifier");
+        self.log("ends with all that it runs, and starts again under its identifier");
         let runner = self.clone();
         std::thread::spawn(move || {
             std::thread::sleep(silence);
@@ -152,6 +155,31 @@
         });
     }
 
+    /// Reports at once that the runner drains.
+    pub fn drain(&self) {
+        self.with(|state| state.is_draining = true);
+        self.log("drains");
+        self.send_heartbeat();
+    }
+
+    /// Sends the notice of the end, which arrives after the delay, and ends. A new lifetime begins under the same identifier.
+    pub fn leave(&self, delay: Duration) {
+        let runner = self.clone();
+        let send = move || {
+            std::thread::sleep(delay);
+            let path = format!("/instances/i-{}", runner.name);
+            let limit = Duration::from_secs(1);
+            let answer = http::call(runner.control, ("DELETE", &path), &[], "", limit);
+            let status = answer.map(|(status, _)| status);
+            runner.log(&format!("the notice of the earlier end has arrived, answered with {status:?}"));
+        };
+        match delay.is_zero() {
+            true => send(),
+            false => drop(std::thread::spawn(send)),
+        }
+        self.crash(Duration::ZERO);
+    }
+
     /// Returns the highest `ackedUpto` that this lifetime of the runner has received.
     pub fn acked(&self) -> u64 {
         self.with(|state| state.acked)
@@ -254,7 +282,7 @@
                 ("zone", text(&self.zone)),
                 ("version", text("v1")),
                 ("slots", number(8)),
-                ("state", text("ready")),
+                ("state", text(if state.is_draining { "draining" } else { "ready" })),
                 ("room", object([
                     ("cpu", number(32_000)),
                     ("memMb", number(131_072)),
