--- a/review/stand_in_3/cases.rs
+++ b/review/stand_in_3/cases.rs
@@ -64,7 +64,11 @@
 }
 
 /// Returns for how long a task ran on two runners at the same time, both of which were up and awake, and their names.
-fn watch_overlap(runners: &[Runner], task: &str, time: Duration) -> Option<(Duration, Vec<String>)> {
+fn watch_overlap(
+    runners: &[Runner],
+    task: &str,
+    time: Duration,
+) -> Option<(Duration, Vec<String>)> {
     let until = Instant::now() + time;
     let mut overlap: Option<(Instant, Duration, Vec<String>)> = None;
     while Instant::now() < until {
@@ -153,17 +157,22 @@
     std::thread::sleep(Duration::from_secs(9));
     deployment.request(2, &TENANTS[0], ("GET", ID), "", PATIENCE);
     let starts = deployment.runners.iter();
-    let first = starts.filter_map(|runner| runner.first_start_after(&task(), acknowledged + CANCEL)).min();
+    let first =
+        starts.filter_map(|runner| runner.first_start_after(&task(), acknowledged + CANCEL)).min();
     Ok(first.map(|at| {
         let ms = (at - acknowledged).as_millis();
-        format!("UNASKED: task {} started {ms} ms after the cancelling was answered with {status:?}", task())
+        format!(
+            "UNASKED: task {} started {ms} ms after the cancelling was answered with {status:?}",
+            task()
+        )
     }))
 }
 
 /// Two tenants with queues on services of their own number their jobs alike.
 pub fn equal_ids(root: &Path, record: &Record, is_disrupted: bool) -> Outcome {
     let deployment = started(root, record, 2)?;
-    let ids = ["0000000000000001", if is_disrupted { "0000000000000001" } else { "0000000000000002" }];
+    let ids =
+        ["0000000000000001", if is_disrupted { "0000000000000001" } else { "0000000000000002" }];
     let [first, second] = &TENANTS;
     let submitted = deployment.request(0, first, ("POST", ids[0]), JOB, PATIENCE);
     if submitted.map(|(status, _)| status) != Some(200) {
@@ -224,7 +233,8 @@
         deployment.runners[first].crash(Duration::ZERO);
     }
     let watched = LATE + Duration::from_secs(4);
-    let overlap = watch_overlap(&deployment.runners, &task, watched.saturating_sub(ordered.elapsed()));
+    let overlap =
+        watch_overlap(&deployment.runners, &task, watched.saturating_sub(ordered.elapsed()));
     deployment.request(1, &TENANTS[0], ("GET", ID), "", PATIENCE);
     Ok(overlap.map(|(overlap, runners)| overlap_text(&task, overlap, &runners)))
 }
@@ -275,7 +285,8 @@
     // The first worker in the order of placement is the one that a job of its own finds.
     let first = {
         deployment.request(0, &TENANTS[0], ("POST", "2c0e7a21d94b36f7"), &small_tasks(1), PATIENCE);
-        wait_for_start(&deployment, "2c0e7a21d94b36f7.0.0.0").ok_or("the first job did not start")?
+        wait_for_start(&deployment, "2c0e7a21d94b36f7.0.0.0")
+            .ok_or("the first job did not start")?
     };
     let runner = &deployment.runners[first];
     std::thread::sleep(Duration::from_secs(3));
--- a/review/stand_in_3/deployment.rs
+++ b/review/stand_in_3/deployment.rs
@@ -27,7 +27,7 @@
     Tenant { name: "tenant-2", key: "key-2", prefix: "/zeta77/", service: "kelp9b" },
 ];
 const FRONTS: usize = 3;
-const SIDES: usize = 4;
+const SIDES: usize = 11;
 const INNER_PORT: u16 = 7_000;
 const FRONT_PORT: u16 = 8_521;
 const READY_PORT: u16 = 8_523;
@@ -76,8 +76,8 @@
     /// Sends a signal, such as `STOP`, to this process alone.
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            let id = child.id().to_string();
-            let _ = Command::new("kill").args(["-s", signal, &id]).status();
+            let line = format!("kill -s {signal} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &line]).status();
         }
     }
 
@@ -261,7 +261,8 @@
             ("x-teaselhall-timeout-ms", "3000"),
         ];
         let path = format!("{}{id}", tenant.prefix);
-        let call = format!("requester of {}: {method} {path} {body} at {}", tenant.name, machine.name);
+        let call =
+            format!("requester of {}: {method} {path} {body} at {}", tenant.name, machine.name);
         self.record.line(&call);
         let address = machine.address(FRONT_PORT);
         let answer = http::call(address, (method, &path), &headers, body, patience);
--- a/review/stand_in_3/gate.rs
+++ b/review/stand_in_3/gate.rs
@@ -23,10 +23,12 @@
     pub fn start(address: SocketAddr, target: SocketAddr) -> Self {
         let gate = Self { state: Arc::default() };
         let opened = gate.clone();
-        std::thread::spawn(move || loop {
-            opened.serve(address, target);
-            while opened.is_refusing() {
-                std::thread::sleep(STEP);
+        std::thread::spawn(move || {
+            loop {
+                opened.serve(address, target);
+                while opened.is_refusing() {
+                    std::thread::sleep(STEP);
+                }
             }
         });
         gate
@@ -57,11 +59,14 @@
             let Ok(server) = TcpStream::connect(target) else {
                 continue;
             };
-            let (Ok(from_client), Ok(from_server)) = (client.try_clone(), server.try_clone()) else {
+            let (Ok(from_client), Ok(from_server)) = (client.try_clone(), server.try_clone())
+            else {
                 continue;
             };
             let mut state = self.state.lock().unwrap();
-            state.streams.extend([&client, &server].into_iter().filter_map(|end| end.try_clone().ok()));
+            state
+                .streams
+                .extend([&client, &server].into_iter().filter_map(|end| end.try_clone().ok()));
             drop(state);
             std::thread::spawn(move || copy(from_client, server));
             std::thread::spawn(move || copy(from_server, client));
--- a/review/stand_in_3/json.rs
+++ b/review/stand_in_3/json.rs
@@ -42,7 +42,6 @@
         }
     }
 
-
     pub fn parse(text: &str) -> Option<Json> {
         let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
         let value = reader.value()?;
@@ -127,10 +126,15 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+                {
                     self.at += 1;
                 }
-                std::str::from_utf8(&self.bytes[start..self.at]).ok()?.parse().ok().map(Json::Number)
+                std::str::from_utf8(&self.bytes[start..self.at])
+                    .ok()?
+                    .parse()
+                    .ok()
+                    .map(Json::Number)
             }
         }
     }
@@ -158,7 +162,8 @@
                         b'u' => {
                             let digits = self.bytes.get(self.at..self.at + 4)?;
                             self.at += 4;
-                            let code = u32::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?;
+                            let code =
+                                u32::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?;
                             let character = char::from_u32(code).unwrap_or('?');
                             bytes.extend(character.to_string().bytes());
                         }
--- a/review/stand_in_3/runner.rs
+++ b/review/stand_in_3/runner.rs
@@ -115,13 +115,17 @@
             served.handle(&request)
         });
         let (worker, reporter) = (runner.clone(), runner.clone());
-        std::thread::spawn(move || loop {
-            worker.advance();
-            std::thread::sleep(STEP);
+        std::thread::spawn(move || {
+            loop {
+                worker.advance();
+                std::thread::sleep(STEP);
+            }
         });
-        std::thread::spawn(move || loop {
-            reporter.send_heartbeat();
-            std::thread::sleep(HEARTBEAT);
+        std::thread::spawn(move || {
+            loop {
+                reporter.send_heartbeat();
+                std::thread::sleep(HEARTBEAT);
+            }
         });
         (runner, address)
     }
@@ -171,7 +175,9 @@
             let limit = Duration::from_secs(1);
             let answer = http::call(runner.control, ("DELETE", &path), &[], "", limit);
             let status = answer.map(|(status, _)| status);
-            runner.log(&format!("the notice of the earlier end has arrived, answered with {status:?}"));
+            runner.log(&format!(
+                "the notice of the earlier end has arrived, answered with {status:?}"
+            ));
         };
         match delay.is_zero() {
             true => send(),
@@ -214,7 +220,8 @@
     /// Returns the time of the first start of a task after a moment.
     pub fn first_start_after(&self, task: &str, moment: Instant) -> Option<Instant> {
         self.with(|state| {
-            let starts = state.starts.iter().filter(|(started, at)| started == task && *at > moment);
+            let starts =
+                state.starts.iter().filter(|(started, at)| started == task && *at > moment);
             starts.map(|(_, at)| *at).min()
         })
     }
@@ -283,11 +290,14 @@
                 ("version", text("v1")),
                 ("slots", number(8)),
                 ("state", text(if state.is_draining { "draining" } else { "ready" })),
-                ("room", object([
-                    ("cpu", number(32_000)),
-                    ("memMb", number(131_072)),
-                    ("gpu", number(8)),
-                ])),
+                (
+                    "room",
+                    object([
+                        ("cpu", number(32_000)),
+                        ("memMb", number(131_072)),
+                        ("gpu", number(8)),
+                    ]),
+                ),
                 ("labels", Json::List(vec![text("a"), text(format!("r-{}", self.zone))])),
                 ("clockMs", number(state.clock_ms())),
                 ("seq", number(state.seq)),
@@ -332,9 +342,7 @@
     fn answer(state: &State, reason: Option<&str>) -> Response {
         let clock = ("clockMs", number(state.clock_ms()));
         match reason {
-            Some(reason) => {
-                Some((409, object([clock, ("reason", text(reason))]).to_string()))
-            }
+            Some(reason) => Some((409, object([clock, ("reason", text(reason))]).to_string())),
             None => Some((200, object([clock]).to_string())),
         }
     }
--- a/review/stand_in_3/store.rs
+++ b/review/stand_in_3/store.rs
@@ -73,7 +73,8 @@
 
     /// Loses answers for a time: a lost write is done after the delay, if its conditions still hold.
     pub fn lose_answers(&self, time: Duration, delay: Duration) {
-        *self.losses.lock().unwrap() = Losses { until: Some(Instant::now() + time), delay, writes: 0 };
+        *self.losses.lock().unwrap() =
+            Losses { until: Some(Instant::now() + time), delay, writes: 0 };
     }
 
     /// Returns the delay after which the next write is done without an answer, if it is one of those.
@@ -108,7 +109,8 @@
                 self.record.line(&format!("store: the write of {written:?} gets no answer"));
                 std::thread::sleep(delay);
                 let status = self.transact(&call).map_or(0, |(status, _)| status);
-                self.record.line(&format!("store: the write of {written:?} is done late, with {status}"));
+                self.record
+                    .line(&format!("store: the write of {written:?} is done late, with {status}"));
                 // The channel on which an answer is lost delivers nothing further.
                 std::thread::sleep(Duration::from_secs(60));
                 None
