--- a/review/stand_in_3/main.rs
+++ b/review/stand_in_3/main.rs
@@ -25,6 +25,7 @@
         "suspended" => cases::suspended(&root, &record, is_disrupted),
         "cancelled" => cases::cancelled_in_doubt(&root, &record, is_disrupted),
         "equal-ids" => cases::equal_ids(&root, &record, is_disrupted),
+        "late-start" => cases::late_start(&root, &record, is_disrupted),
         _ => Err(format!("there is no case {case:?}")),
     };
     let (line, code) = match result {
