--- a/review/stand_in_3/cases.rs
+++ b/review/stand_in_3/cases.rs
@@ -20,6 +20,8 @@
 const CANCEL: Duration = Duration::from_secs(3);
 /// Delay of an order that is carried out late; `fleetbench kinds` names 2 to 12 s.
 const LATE: Duration = Duration::from_secs(8);
+/// Time until a runner that has started again reports itself; reports come every 1.5 s.
+const SILENCE: Duration = Duration::from_secs(1);
 const ID: &str = "5c0e7a21d94b36f8";
 /// A job of one task that runs for 40 s.
 const JOB: &str =
@@ -215,7 +217,7 @@
     deployment.request(1, &TENANTS[0], ("DELETE", other), "", PATIENCE);
     std::thread::sleep(Duration::from_secs(1));
     if has_crash {
-        deployment.runners[first].crash();
+        deployment.runners[first].crash(Duration::ZERO);
     }
     let watched = LATE + Duration::from_secs(4);
     let overlap = watch_overlap(&deployment.runners, &task, watched.saturating_sub(ordered.elapsed()));
@@ -232,3 +234,27 @@
     let (ms, runners) = (overlap.as_millis(), runners.join(" and "));
     format!("TWICE: task {task} ran for {ms} ms at the same time on the runners {runners}")
 }
+
+/// A runner crashes after ends of its runs were acknowledged, and starts again under its identifier.
+pub fn stale_acknowledgement(root: &Path, record: &Record, is_disrupted: bool) -> Outcome {
+    let deployment = started(root, record, 1)?;
+    deployment.request(0, &TENANTS[0], ("POST", "2c0e7a21d94b36f7"), &small_tasks(40), PATIENCE);
+    std::thread::sleep(Duration::from_secs(6));
+    let Some(runner) = deployment.runners.iter().max_by_key(|runner| runner.acked()) else {
+        return Err("there is no runner".to_owned());
+    };
+    record.line(&format!("runner {}: ends up to {} are acknowledged", runner.name, runner.acked()));
+    if is_disrupted {
+        runner.crash(SILENCE);
+    }
+    std::thread::sleep(Duration::from_secs(4));
+    record.line(&format!("runner {}: ends up to {} are acknowledged", runner.name, runner.acked()));
+    deployment.request(0, &TENANTS[0], ("POST", ID), &small_tasks(4), PATIENCE);
+    std::thread::sleep(Duration::from_secs(12));
+    deployment.request(1, &TENANTS[0], ("GET", ID), "", PATIENCE);
+    let repeated = record.repeated();
+    Ok((!repeated.is_empty()).then(|| {
+        let (starts, first) = (repeated.len(), &repeated[0]);
+        format!("TWICE: {starts} starts of tasks whose end done was taken note of, first {first}")
+    }))
+}
--- a/review/stand_in_3/main.rs
+++ b/review/stand_in_3/main.rs
@@ -26,6 +26,7 @@
         "cancelled" => cases::cancelled_in_doubt(&root, &record, is_disrupted),
         "equal-ids" => cases::equal_ids(&root, &record, is_disrupted),
         "late-start" => cases::late_start(&root, &record, is_disrupted),
+        "stale-acknowledgement" => cases::stale_acknowledgement(&root, &record, is_disrupted),
         _ => Err(format!("there is no case {case:?}")),
     };
     let (line, code) = match result {
