Give each coordinator of the tests a loopback host of its own

Cause: free_address found a port on 127.0.0.1 and closed it. Before the coordinator bound it, a connection of another test could take it: coordinators_that_watch_the_store_send_each_other_no_directives failed so once in a run of 69 tests (AddrInUse). Change: each address is on a loopback host of its own, which no connection uses as its source.

--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -21,6 +21,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use super::job_rows::job_key;
@@ -112,8 +113,13 @@
     }
 }
 
+/// Returns an address on a loopback host of its own, so that no connection takes the port before it is bound.
 fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback has ports");
+    static HOSTS: AtomicU32 = AtomicU32::new(1);
+    let [_, _, process_high, process_low] = std::process::id().to_be_bytes();
+    let host = HOSTS.fetch_add(1, Ordering::Relaxed) as u8;
+    let host = std::net::Ipv4Addr::new(127, process_high | 1, process_low, host);
+    let listener = std::net::TcpListener::bind((host, 0)).expect("loopback has ports");
     listener.local_addr().expect("a bound socket has an address")
 }
 
