Wait for the leases of workers whose machines were suspended

Cause: the lease is counted on the worker's steady clock, which stands still during a suspension, and the leader's wait on CLOCK_BOOTTIME. The wait was 0.5 s longer than the lease, so it was too short by the suspended time. Besides, the host computed deadlines from the worker's clock before the suspension. Change: the leader waits 8 s longer for a machine that it does not hear (17.5 s; suspensions of up to 8 s in all during one lease). A host that is awake proves the end of a silent worker's lease itself, after about 9.7 s, tells each next leader, discards the relation between the clocks after a suspension, and stops attempts that outlast the lease while it has no leader.

--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -15,6 +15,9 @@
 pub const MIN_WORKER_LEASE_MS: u64 = 4_000;
 /// The allowance for a lease that lasts longer on a clock that is 2 % slow, and for the transit of messages.
 const LEASE_MARGIN_MS: u64 = 500;
+/// The time for which machines may be suspended in all during one lease. The worker's clock does not count it, so the lease
+/// lasts that much longer for a leader that hears nothing from the machine (docs/incidents/2026-12-07-suspended-machine.md).
+pub const SUSPENSION_ALLOWANCE_MS: u64 = 8_000;
 /// The age of the store's last answer from which on a leader renews no more leases: without an answer it cannot exclude
 /// that it was replaced.
 pub const MAX_RENEWAL_STORE_AGE_MS: u64 = 4_000;
@@ -67,7 +70,7 @@
 
     /// Returns the settings of the planner.
     pub fn planner(&self) -> PlannerSettings {
-        let lease_expiry_ms = self.worker_lease_ms + LEASE_MARGIN_MS;
+        let lease_expiry_ms = self.worker_lease_ms + LEASE_MARGIN_MS + SUSPENSION_ALLOWANCE_MS;
         PlannerSettings {
             lease_expiry_ms,
             takeover_lease_expiry_ms: lease_expiry_ms
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -13,6 +13,7 @@
 mod row_limits;
 mod slow_takeover;
 mod submissions;
+mod suspended_worker;
 mod transaction_retry;
 mod undurable_result;
 mod uneven_machines;
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -1,6 +1,7 @@
 //! The actor of a host: handles the worker's heartbeats, the leader's messages and the results of calls of the worker.
 
 mod incarnation;
+mod lapse;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,17 +10,19 @@
 use xtra::prelude::*;
 
 use super::event::{AttemptKey, Event, EventSender};
+use super::expiry::LeaseExpiry;
 use super::lease::LeaseClock;
 use super::link::LeaderAddresses;
 use super::listing::ListingInterval;
 use super::orders::StartResult;
+use super::suspension::SuspensionDetector;
 use super::{
     Renewal, RenewalAnswer, WorkerError, WorkerHeartbeat, WorkerPort, WorkerTarget, orders,
 };
 use crate::coordinator::message::{DialerMessage, HostMessage, LeaderMessage};
 use crate::planner::{AttemptsReport, StartOrder, StartRefusal, WorkerEvent, WorkerOrder};
 use crate::prelude::*;
-use crate::process::{BoottimeClock, InboxActor, Metrics};
+use crate::process::{BoottimeClock, InboxActor, Metrics, MonotonicClock};
 use crate::wire::{LinkSender, MAX_FRAME_BYTES};
 use crate::workflow::{TaskId, WorkerIncarnation};
 
@@ -64,6 +67,8 @@
     port: P,
     addresses: LeaderAddresses,
     clock: BoottimeClock,
+    /// A clock that stands still while the machine is suspended, like the worker's.
+    steady_clock: MonotonicClock,
     metrics: Metrics,
     events: EventSender,
     /// The last heartbeat of the worker's current incarnation, if there is one.
@@ -71,6 +76,10 @@
     leader: Option<Leader>,
     highest_epoch: Epoch,
     lease: LeaseClock,
+    expiry: LeaseExpiry,
+    /// The leader was told that the worker's lease has expired, and the worker has not answered since.
+    has_lapsed: bool,
+    suspension: SuspensionDetector,
     pending_renewal: Option<PendingRenewal>,
     last_renewal_number: u64,
     renew_after_ms: u64,
@@ -115,12 +124,16 @@
             port,
             addresses,
             clock,
+            steady_clock: MonotonicClock::start(),
             metrics,
             events,
             last_heartbeat: None,
             leader: None,
             highest_epoch: Epoch(0),
             lease,
+            expiry: LeaseExpiry::default(),
+            has_lapsed: false,
+            suspension: SuspensionDetector::default(),
             pending_renewal: None,
             last_renewal_number: 0,
             renew_after_ms: 0,
@@ -171,6 +184,7 @@
         self.leader = Some(Leader { epoch, sender, since_ms: self.clock.now_ms() });
         if let Some(report) = self.report() {
             self.send_event(WorkerEvent::Reported(report));
+            self.repeat_lapse();
         }
         self.pending_renewal = None;
         self.renew_after_ms = 0;
@@ -204,6 +218,7 @@
             }
         };
         let renewal = Renewal { fence: leader.epoch, deadline_ms, acknowledged, wait_ms };
+        self.expiry.record_deadline(deadline_ms.unwrap_or_default());
         self.pending_renewal = Some(PendingRenewal {
             number: self.last_renewal_number,
             epoch: leader.epoch,
@@ -283,6 +298,7 @@
         }
         self.has_listed = true;
         self.lease.record_worker_clock(answer.clock_ms, now_ms);
+        self.record_answer(answer.clock_ms);
         self.listing.record_listing(now_ms, &answer.running);
         self.stopped.retain(|key| !pending.stopped.contains(key));
         let last_ended = answer.ended.last().map_or(0, |end| end.number);
@@ -371,6 +387,7 @@
         let deadline_ms = self.lease.deadline_ms(self.clock.now_ms());
         let is_current = self.is_current(&order.incarnation)
             && self.superseded_by_born_ms.is_none()
+            && !self.has_lapsed
             && !self.is_terminating;
         let (true, Some(deadline_ms)) = (is_current, deadline_ms) else {
             let refusal = StartRefusal::Lapsed;
@@ -381,6 +398,7 @@
         if let Some(pending) = &mut self.pending_renewal {
             pending.starting.insert(key.clone());
         }
+        self.expiry.record_deadline(deadline_ms);
         let (port, target, fence) = (self.port.clone(), heartbeat.target.clone(), leader.epoch);
         let (events, incarnation) = (self.events.clone(), order.incarnation.clone());
         let ended_key = key.clone();
@@ -481,6 +499,7 @@
                 self.addresses.disconnect();
             }
         }
+        self.check_lapse();
         self.renew();
     }
 }
@@ -492,6 +511,7 @@
     type Event = Event;
 
     fn on_event(&mut self, event: Event) {
+        self.observe_clocks();
         match event {
             Event::Tick => self.on_tick(),
             Event::Heartbeat(heartbeat) => self.on_heartbeat(*heartbeat),
@@ -528,6 +548,8 @@
             "epoch": self.highest_epoch,
             "is_connected": self.leader.is_some(),
             "lease": self.lease,
+            "lease_expiry": self.expiry,
+            "has_lapsed": self.has_lapsed,
             "acknowledged_ends": self.acknowledged,
             "last_end": self.last_ended,
             "starts_under_way": self.starts.len(),
--- a/src/host/actor/incarnation.rs
+++ b/src/host/actor/incarnation.rs
@@ -75,6 +75,8 @@
         (self.superseded_by_born_ms, self.unconfirmed) = (None, None);
         self.renew_after_ms = 0;
         self.lease.reset_reference();
+        self.expiry.reset();
+        self.has_lapsed = false;
         let incarnation = &heartbeat.report.incarnation;
         for key in self.unresolved.clone() {
             self.spawn_stop(incarnation.clone(), heartbeat.target.clone(), key);
@@ -128,6 +130,8 @@
         self.abort_orders();
         self.pending_renewal = None;
         self.unconfirmed = None;
+        self.expiry.reset();
+        self.has_lapsed = false;
         log::info!(
             instance = last.target.instance.as_str(), born_ms = last.report.incarnation.born_ms,
             unanswered_starts = self.unresolved.len(), reason;
--- a/src/host/lease.rs
+++ b/src/host/lease.rs
@@ -34,7 +34,18 @@
         self.renewed_ms
     }
 
-    /// Removes the relation between the clocks, since a new incarnation has another clock.
+    /// Returns whether the lease ended `margin_ms` ago by the host's clock, which counts suspensions of the machine.
+    pub fn has_ended(&self, now_ms: u64, margin_ms: u64) -> bool {
+        self.renewed_ms.is_some_and(|renewed_ms| now_ms >= renewed_ms + self.lease_ms + margin_ms)
+    }
+
+    /// Returns the duration of the lease after a renewal, in milliseconds.
+    pub fn duration_ms(&self) -> u64 {
+        self.lease_ms
+    }
+
+    /// Removes the relation between the clocks: a new incarnation has another clock, and the worker's clock stands still
+    /// while the machine is suspended.
     pub fn reset_reference(&mut self) {
         self.reference = None;
     }
--- a/src/host/listing.rs
+++ b/src/host/listing.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Returns the attempts in the last list.
+    pub fn attempts(&self) -> Vec<(TaskId, u32)> {
+        self.first_listed_ms.keys().cloned().collect()
+    }
+
     /// Removes all attempts.
     pub fn clear(&mut self) {
         self.first_listed_ms.clear();
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -3,11 +3,13 @@
 
 mod actor;
 mod event;
+mod expiry;
 mod lease;
 mod link;
 mod listing;
 mod orders;
 mod register_reads;
+mod suspension;
 #[cfg(test)]
 mod tests;
 
--- a/src/host/tests.rs
+++ b/src/host/tests.rs
@@ -2,7 +2,9 @@
 
 use std::sync::{Arc, Mutex};
 
+use super::expiry::LeaseExpiry;
 use super::orders::StartResult;
+use super::suspension::SuspensionDetector;
 use super::*;
 use crate::workflow::WorkerIncarnation;
 
@@ -207,3 +209,76 @@
     interval.record_listing(13_000, &[entry(1)]);
     assert_eq!(interval.wait_ms(13_000), 1_000);
 }
+
+/// Returns the proof of a worker that answered last when its clock was at 1,000, with a deadline at 10,000.
+fn silent_worker() -> LeaseExpiry {
+    let mut expiry = LeaseExpiry::default();
+    expiry.advance(50_000);
+    expiry.record_answer(1_000, 9_000);
+    expiry.record_deadline(10_000);
+    expiry
+}
+
+/// Advances the host's steady clock from 50,000 by ticks, and returns the time at which the expiry is proven.
+fn proven_after_ms(expiry: &mut LeaseExpiry, tick_ms: u64) -> u64 {
+    let mut now_ms = 50_000;
+    while !expiry.is_proven() {
+        now_ms += tick_ms;
+        expiry.advance(now_ms);
+        assert!(now_ms < 200_000, "the expiry is proven at some time");
+    }
+    now_ms - 50_000
+}
+
+/// Guards against an expiry that is reported before the lease has ended on the worker's clock, which may be 2 % slow, or
+/// together with which the host was paused.
+#[test]
+fn expiry_is_proven_once_the_worker_was_awake_for_its_lease() {
+    let after_ms = proven_after_ms(&mut silent_worker(), 250);
+    assert!((9_180..10_000).contains(&after_ms), "{after_ms} ms");
+
+    let paused_after_ms = proven_after_ms(&mut silent_worker(), 2_000);
+    assert!(paused_after_ms > 60_000 / 2, "{paused_after_ms} ms");
+}
+
+/// Guards against an expiry that is reported while the worker lists its attempts, or by a deadline that an earlier process
+/// of the host has set and this one does not know.
+#[test]
+fn expiry_needs_silence_and_counts_unknown_deadlines() {
+    let mut answering = silent_worker();
+    for now_ms in (50_000..70_000).step_by(250) {
+        answering.advance(now_ms);
+        answering.record_answer(now_ms - 49_000, 9_000);
+        assert!(!answering.is_proven());
+    }
+    let mut restarted = LeaseExpiry::default();
+    restarted.advance(50_000);
+    restarted.record_answer(1_000, 17_000);
+
+    assert!(proven_after_ms(&mut restarted, 250) > 17_000);
+}
+
+/// Guards against a deadline that follows from the worker's clock before a suspension, during which that clock stood still.
+#[test]
+fn suspensions_and_pauses_are_detected() {
+    let mut detector = SuspensionDetector::default();
+    assert_eq!(detector.observe(1_000, 500), None);
+    assert_eq!(detector.observe(1_250, 750), None);
+
+    // The machine was suspended for 100 ms.
+    assert_eq!(detector.observe(1_600, 1_000), Some(100));
+    // The process was paused, and the worker possibly with it.
+    assert_eq!(detector.observe(4_600, 4_000), Some(3_000));
+    assert_eq!(detector.observe(4_850, 4_250), None);
+}
+
+/// Guards against attempts that run on after the leader has started them elsewhere: the host stops what outlasts the lease.
+#[test]
+fn lease_ends_by_the_clock_that_counts_suspensions() {
+    let mut lease = LeaseClock::new(LEASE_MS);
+    assert!(!lease.has_ended(100_000, 0));
+    lease.record_renewal(10_000);
+
+    assert!(!lease.has_ended(10_000 + LEASE_MS, 1_000));
+    assert!(lease.has_ended(11_000 + LEASE_MS, 1_000));
+}
