Renew leases only with a call that was sent after the last suspension

Cause: a leader renewed leases while the store had answered it within 4 s, counted from when the answer was read. An answer that had waited in a socket while the machine was suspended counted as fresh, and so did one that says nothing about the leadership. A replaced leader could renew leases for longer than the 6 s that its successor allows for. Change: renewals need an answer that showed that this coordinator was not replaced (a watch or list of the leadership, or an own transaction) to a call that was sent within 4 s. The successor allows for 4 s instead of 6 s. Evidence: answer_from_before_a_suspension_does_not_confirm_the_leadership; the state did not exist before, so the test cannot run on earlier code.

--- a/src/coordinator/actor.rs
+++ b/src/coordinator/actor.rs
@@ -15,7 +15,7 @@
 use super::relay::RelayingStore;
 use super::restoring::Restoring;
 use super::service::Service;
-use super::settings::MAX_RENEWAL_STORE_AGE_MS;
+use super::settings::MAX_RENEWAL_CONFIRMATION_AGE_MS;
 use crate::election::{ElectionRole, ElectionStep, Gossip, LeaderElection};
 use crate::planner::{Input, PlannerTime, Speeds};
 use crate::prelude::*;
@@ -48,6 +48,8 @@
     pub(super) leader_state: Option<LeaderState>,
     /// The restoration of the leader's state, from the attempt to claim the leadership until the state is complete.
     pub(super) restoring: Option<Restoring>,
+    /// The time at which this coordinator began its last attempt to claim the leadership.
+    pub(super) claim_began_ms: u64,
     /// The worker of each host connection, by the number of the connection.
     pub(super) host_workers: HashMap<u64, WorkerId>,
     /// The estimated speeds of workers that the leader has reported, with which this coordinator would begin to lead.
@@ -84,6 +86,7 @@
             dialed: BTreeMap::new(),
             leader_state: None,
             restoring: None,
+            claim_began_ms: 0,
             host_workers: HashMap::new(),
             speeds: Speeds::default(),
             ticks: 0,
@@ -316,8 +319,8 @@
             HostMessage::Hello { .. } => return,
             HostMessage::Worker(event) => Input::Worker(event),
             HostMessage::Runs { asked_ms, report } => {
-                let store_age_ms = self.election.store_age_ms(self.service.clock.now_ms());
-                if store_age_ms < MAX_RENEWAL_STORE_AGE_MS
+                let age_ms = self.election.confirmation_age_ms(self.service.clock.now_ms());
+                if age_ms < MAX_RENEWAL_CONFIRMATION_AGE_MS
                     && leader_state.accepts_lists_of(&report.incarnation)
                 {
                     leader_state.send(worker, LeaderMessage::Renewed { asked_ms });
@@ -433,6 +436,9 @@
                     self.on_leadership_changed();
                 }
             }
+            Event::LeadershipConfirmed { requested_ms } => {
+                self.election.confirm_leadership(requested_ms);
+            }
             Event::Claimed(result) => self.on_claimed(result),
             Event::TakenOver(takeover) => self.on_taken_over(*takeover),
             Event::Committed { epoch, result } => self.on_commit_finished(epoch, result),
--- a/src/coordinator/event.rs
+++ b/src/coordinator/event.rs
@@ -48,6 +48,9 @@
     DirectivesConfirmed { requested_ms: u64 },
     /// The leadership row was read from the store.
     Leadership(Leadership),
+    /// The newest leadership was that of the last [`Event::Leadership`] when the store answered a call that was sent at this
+    /// steady time in milliseconds.
+    LeadershipConfirmed { requested_ms: u64 },
     /// A claim of the leadership by this coordinator has succeeded or failed.
     Claimed(Result<Claim, TakeoverError>),
     /// The stored jobs were read after a successful claim.
--- a/src/coordinator/leader_state/commit.rs
+++ b/src/coordinator/leader_state/commit.rs
@@ -91,11 +91,13 @@
         match result {
             Ok(version) => {
                 leader_state.head_version = version;
-                let took_ms = now.steady_ms.saturating_sub(leader_state.commit_began_ms);
+                let commit_began_ms = leader_state.commit_began_ms;
+                let took_ms = now.steady_ms.saturating_sub(commit_began_ms);
                 self.service.metrics.observe("commit_seconds", took_ms);
                 let batch = leader_state.pending_batch.take().unwrap_or_default();
                 let outputs = leader_state.planner.release(now, batch.effects);
                 self.election.store_answered(now.steady_ms);
+                self.election.confirm_leadership(commit_began_ms);
                 self.handle_outputs(outputs);
                 self.flush();
             }
--- a/src/coordinator/leadership.rs
+++ b/src/coordinator/leadership.rs
@@ -23,6 +23,7 @@
             address: self.settings.inner_address,
             incarnation: self.incarnation,
         };
+        self.claim_began_ms = self.service.clock.now_ms();
         self.restoring = Some(Restoring::begin(
             self.store().clone(),
             candidate,
@@ -61,6 +62,7 @@
         }
         log::info!(epoch = leadership.epoch.0; "leadership claimed; reading the stored jobs");
         self.election.on_elected(now.steady_ms, leadership);
+        self.election.confirm_leadership(self.claim_began_ms);
         self.election.store_answered(now.steady_ms);
         self.peers.send_to_all(&PeerMessage::Gossip(self.gossip()));
     }
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -136,7 +136,7 @@
     listener::spawn(settings.inner_address, links.clone(), events.clone(), intake)?;
     let store = service.store.clone();
     tokio::spawn(store_watch::watch_directives(store.clone(), directives, clock, events.clone()));
-    tokio::spawn(store_watch::watch_leadership(store, events.clone()));
+    tokio::spawn(store_watch::watch_leadership(store, clock, events.clone()));
     tokio::spawn(register::register(
         service.store.direct().clone(),
         settings.process.clone(),
--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -18,12 +18,8 @@
 /// The time for which machines may be suspended in all during one lease. The worker's clock does not count it, so the lease
 /// lasts that much longer for a leader that hears nothing from the machine (docs/incidents/2026-12-07-suspended-machine.md).
 pub const SUSPENSION_ALLOWANCE_MS: u64 = 8_000;
-/// The age of the store's last answer from which on a leader renews no more leases: without an answer it cannot exclude
-/// that it was replaced.
-pub const MAX_RENEWAL_STORE_AGE_MS: u64 = 4_000;
-/// The longest time until a replaced leader that the store answers observes its replacement: the wait of a watch of the
-/// leadership plus the time-out of the watch.
-const REPLACEMENT_NOTICE_MS: u64 = 2_000;
+/// The time since a call that showed that a leader was not replaced after which it renews no more leases.
+pub const MAX_RENEWAL_CONFIRMATION_AGE_MS: u64 = 4_000;
 /// The maximum size of a row in bytes if the settings do not state it.
 pub const DEFAULT_ROW_LIMIT_BYTES: usize = 65_536;
 /// The smallest limit of rows that the coordinators accept: that of a job whose payload has the maximum size, 4,000 bytes.
@@ -73,9 +69,7 @@
         let lease_expiry_ms = self.worker_lease_ms + LEASE_MARGIN_MS + SUSPENSION_ALLOWANCE_MS;
         PlannerSettings {
             lease_expiry_ms,
-            takeover_lease_expiry_ms: lease_expiry_ms
-                + MAX_RENEWAL_STORE_AGE_MS
-                + REPLACEMENT_NOTICE_MS,
+            takeover_lease_expiry_ms: lease_expiry_ms + MAX_RENEWAL_CONFIRMATION_AGE_MS,
             // The limit holds whether the store counts the bytes of a row or their base64 text.
             record_limit_bytes: MAX_PART_BYTES.min(self.row_limit_bytes / 4 * 3),
             speed_spread_percent: self.speed_spread_percent,
--- a/src/coordinator/store_watch.rs
+++ b/src/coordinator/store_watch.rs
@@ -182,13 +182,17 @@
 
 /// Watches the table of the leadership and of coordinators' addresses, and sends each change to the actor until the
 /// process ends.
-pub async fn watch_leadership<S>(store: RelayingStore<S>, events: EventSender)
-where
+pub async fn watch_leadership<S>(
+    store: RelayingStore<S>,
+    clock: BoottimeClock,
+    events: EventSender,
+) where
     S: RowStore,
 {
     let key = RowKey::new(LEAD_TABLE, LEADER_KEY);
     let mut after = None;
     loop {
+        let requested_ms = clock.now_ms();
         // After a failure the table is listed, because a listing shows sooner than a watch that the store answers again.
         let answer = match after {
             None => store.direct().list(LEAD_TABLE, 0).await.map(|listing| {
@@ -215,6 +219,7 @@
                 if let Some(leadership) = leadership {
                     let _ = events.send(Event::Leadership(leadership)).await;
                 }
+                let _ = events.send(Event::LeadershipConfirmed { requested_ms }).await;
             }
             Err(error) => {
                 log::debug!("leadership could not be read; retried after a pause: {error}");
--- a/src/election/mod.rs
+++ b/src/election/mod.rs
@@ -139,6 +139,8 @@
     leader_store_ms: u64,
     /// Send time of this coordinator's latest answered store call.
     store_answered_ms: Option<u64>,
+    /// Send time of the latest call whose answer showed that no other coordinator had replaced this leader.
+    confirmed_ms: Option<u64>,
     /// Whether the store refused or aborted the last call.
     store_is_failing: bool,
     /// Start of the period in which the store answers this follower but not the leader, or another coordinator but not
@@ -169,6 +171,7 @@
             leader_contact_ms: now_ms,
             leader_store_ms: now_ms,
             store_answered_ms: None,
+            confirmed_ms: None,
             store_is_failing: false,
             imbalance_since_ms: None,
             retry_at_ms: 0,
@@ -213,6 +216,18 @@
         self.store_answered_ms = Some(self.store_answered_ms.map_or(sent_ms, |at| at.max(sent_ms)));
     }
 
+    /// Records that the answer to a call that was sent at `sent_ms` showed no newer leadership than the recorded one. The
+    /// answer may have waited in a socket while the machine was suspended, so only the send time counts.
+    pub fn confirm_leadership(&mut self, sent_ms: u64) {
+        self.confirmed_ms = self.confirmed_ms.max(Some(sent_ms));
+    }
+
+    /// Returns the time since this leader was certainly not replaced, or `u64::MAX` if it does not lead.
+    pub fn confirmation_age_ms(&self, now_ms: u64) -> u64 {
+        let confirmed_ms = self.confirmed_ms.filter(|_| self.role == ElectionRole::Leader);
+        confirmed_ms.map_or(u64::MAX, |at_ms| now_ms.saturating_sub(at_ms))
+    }
+
     /// Records whether the last store call failed.
     pub fn set_store_failing(&mut self, is_failing: bool) {
         self.store_is_failing = is_failing;
@@ -309,6 +324,7 @@
         self.leader_contact_ms = now_ms;
         self.leader_store_ms = now_ms;
         self.plans_since_ms = None;
+        self.confirmed_ms = None;
     }
 
     /// Records a failed attempt to replace the leader. `current` is the leadership found in the store, if it was read.
--- a/src/election/tests.rs
+++ b/src/election/tests.rs
@@ -231,3 +231,21 @@
     assert_eq!(leader_a.decide(6_500), ElectionStep::Stay);
     assert_eq!(follower_b.decide(6_500), ElectionStep::Stay);
 }
+
+/// Guards against a leader that renews leases after its machine was suspended, by an answer of the store that had waited in
+/// a socket meanwhile: another coordinator may lead by then.
+#[test]
+fn answer_from_before_a_suspension_does_not_confirm_the_leadership() {
+    let mut election = leader("a");
+    election.confirm_leadership(1_000);
+    assert_eq!(election.confirmation_age_ms(2_000), 1_000);
+
+    election.store_answered(20_000);
+    election.confirm_leadership(2_500);
+    assert_eq!(election.confirmation_age_ms(20_000), 17_500);
+
+    election.confirm_leadership(20_010);
+    assert_eq!(election.confirmation_age_ms(20_020), 10);
+    election.step_down(20_020);
+    assert_eq!(election.confirmation_age_ms(20_020), u64::MAX);
+}
