Attribute notices of an end to the incarnation that can have sent them

Cause: the notice names the worker by its identifier alone. It counted as one of the current incarnation until that one reported itself as ready again, and for good if that one drained itself. Change: a notice and a refused connection prove an end only if the current incarnation drains, was first heard 30 s earlier or more, and was not refusing connections when the notice arrived; an answer more than 1 s after the notice withdraws it.

--- a/src/coordinator/tests/restarted_worker.rs
+++ b/src/coordinator/tests/restarted_worker.rs
@@ -115,3 +115,39 @@
     assert_eq!(wait_until_finished(&members[0], &job).await, JobResult::Done);
     assert_eq!(worker.with(|state| state.starts.len()), 2);
 }
+
+/// Guards against tasks that run twice because a late notice of an earlier end and refused connections together count as the
+/// end of the current incarnation, which runs on (review case 14).
+#[test_case::test_case(false, true; "refused before the notice")]
+#[test_case::test_case(false, false; "refused after the notice")]
+#[test_case::test_case(true, true; "refused before the notice while the worker drains")]
+#[test_case::test_case(true, false; "refused after the notice while the worker drains")]
+#[tokio::test]
+async fn late_notice_and_refused_connections_do_not_end_running_tasks(
+    is_draining: bool,
+    is_refused_first: bool,
+) {
+    let (members, worker, host) = start_with_worker(3_500).await;
+    worker.with(|state| state.restart());
+    assert!(host.heartbeat(heartbeat(&worker, 1)).await);
+    let job = JobId::from("job");
+    assert_eq!(members[0].service().submit(&job, &record(), 3_000).await, Submission::Accepted);
+    eventually("the tasks run", || worker.with(|state| state.running.len()) == 2).await;
+    let mut report = heartbeat(&worker, 2);
+    report.report.draining = is_draining;
+    assert!(host.heartbeat(report).await);
+
+    worker.with(|state| state.refuses_connections = is_refused_first);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert!(host.worker_terminated("i").await);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    worker.with(|state| state.refuses_connections = true);
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    worker.with(|state| state.refuses_connections = false);
+    let mut report = heartbeat(&worker, 3);
+    report.report.draining = is_draining;
+    assert!(host.heartbeat(report).await);
+
+    assert_eq!(wait_until_finished(&members[0], &job).await, JobResult::Done);
+    assert_eq!(worker.with(|state| state.starts.len()), 2);
+}
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -14,6 +14,7 @@
 use super::lease::LeaseClock;
 use super::link::LeaderAddresses;
 use super::listing::ListingInterval;
+use super::notice::EndNotice;
 use super::orders::StartResult;
 use super::suspension::SuspensionDetector;
 use super::{
@@ -92,8 +93,10 @@
     /// incarnation, so they count as starting until that one has confirmed their stops.
     unresolved: BTreeSet<AttemptKey>,
     refused_connections: u32,
-    /// The worker's program has announced its end. It may run its attempts until it ends.
+    /// A notice says that the worker's program is ending, so it gets no work. It may run its attempts until it ends, and the
+    /// notice may be a late one of an earlier incarnation.
     is_terminating: bool,
+    end_notice: EndNotice,
     /// The worker's current incarnation has listed its attempts.
     has_listed: bool,
     /// The birth of the incarnation that answered instead of the known one and has not sent a heartbeat yet. Orders may only
@@ -145,6 +148,7 @@
             unresolved: BTreeSet::new(),
             refused_connections: 0,
             is_terminating: false,
+            end_notice: EndNotice::default(),
             has_listed: false,
             superseded_by_born_ms: None,
             unconfirmed: None,
@@ -257,11 +261,11 @@
         }
         let is_refused = *error == WorkerError::ConnectionRefused;
         self.refused_connections = if is_refused { self.refused_connections + 1 } else { 0 };
-        if is_refused && self.is_terminating {
+        if is_refused && self.end_notice.is_announced() {
             self.incarnation_ended("its program announced its end, and connections are refused");
             return;
         }
-        let pause_ms = match self.is_terminating {
+        let pause_ms = match self.end_notice.is_announced() {
             true => TERMINATION_RETRY_PAUSE_MS,
             false if self.refused_connections > FREQUENT_REFUSED_RETRIES => REFUSED_RETRY_PAUSE_MS,
             false => RENEWAL_RETRY_PAUSE_MS,
@@ -297,6 +301,9 @@
             return;
         }
         self.has_listed = true;
+        if self.end_notice.record_answer(now_ms) {
+            log::info!("worker answers after the notice of its end; refused connections do not prove its end");
+        }
         self.lease.record_worker_clock(answer.clock_ms, now_ms);
         self.record_answer(answer.clock_ms);
         self.listing.record_listing(now_ms, &answer.running);
--- a/src/host/actor/incarnation.rs
+++ b/src/host/actor/incarnation.rs
@@ -1,6 +1,7 @@
 //! Tells the incarnations of a worker apart: which one is the current one, and when it has ended.
 
 use super::Host;
+use crate::host::notice::EndNotice;
 use crate::host::{WorkerHeartbeat, WorkerPort};
 use crate::planner::{WorkerEvent, WorkerReport};
 
@@ -42,6 +43,7 @@
                 "worker is ready after the notice of its end, which belonged to an earlier incarnation"
             );
             self.is_terminating = false;
+            self.end_notice.withdraw();
         }
         let is_changed = last_report.is_none_or(|last| last != heartbeat.report);
         if is_changed {
@@ -72,6 +74,7 @@
         self.pending_renewal = None;
         (self.acknowledged, self.last_ended, self.refused_connections) = (0, 0, 0);
         (self.has_listed, self.is_terminating) = (false, false);
+        self.end_notice = EndNotice::new(self.clock.now_ms());
         (self.superseded_by_born_ms, self.unconfirmed) = (None, None);
         self.renew_after_ms = 0;
         self.lease.reset_reference();
@@ -109,11 +112,14 @@
         else {
             return;
         };
+        let was_draining = last.report.draining;
+        let is_refused = self.refused_connections > 0;
+        self.end_notice.record_notice(self.clock.now_ms(), was_draining, is_refused);
         log::info!(
-            instance, born_ms = last.report.incarnation.born_ms, sequence = last.sequence;
+            instance, born_ms = last.report.incarnation.born_ms, sequence = last.sequence,
+            draining = was_draining, is_refused, is_own = self.end_notice.is_announced();
             "program of the worker is ending, unless it reports itself as ready again"
         );
-        let was_draining = last.report.draining;
         self.is_terminating = true;
         if !was_draining && let Some(report) = self.report() {
             self.send_event(WorkerEvent::Reported(report));
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -7,6 +7,7 @@
 mod lease;
 mod link;
 mod listing;
+mod notice;
 mod orders;
 mod register_reads;
 mod suspension;
--- a/src/host/tests.rs
+++ b/src/host/tests.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 
 use super::expiry::LeaseExpiry;
+use super::notice::EndNotice;
 use super::orders::StartResult;
 use super::suspension::SuspensionDetector;
 use super::*;
@@ -282,3 +283,37 @@
     assert!(!lease.has_ended(10_000 + LEASE_MS, 1_000));
     assert!(lease.has_ended(11_000 + LEASE_MS, 1_000));
 }
+
+/// Returns whether a notice counts as one of an incarnation whose first heartbeat arrived at 1,000.
+fn is_own_notice(now_ms: u64, is_draining: bool, is_refused: bool) -> bool {
+    let mut notice = EndNotice::new(1_000);
+    notice.record_notice(now_ms, is_draining, is_refused);
+    notice.is_announced()
+}
+
+/// Guards against a late notice of an earlier incarnation that, with refused connections, counts as the end of a worker that
+/// runs on (review case 14).
+#[test]
+fn only_a_notice_of_the_current_incarnation_announces_its_end() {
+    assert!(is_own_notice(31_000, true, false));
+
+    assert!(!is_own_notice(30_000, true, false), "it may be late");
+    assert!(!is_own_notice(90_000, false, false), "the incarnation does not drain");
+    assert!(!is_own_notice(90_000, true, true), "a firewall may refuse connections");
+}
+
+/// Guards against a program that counts as ended because connections are refused long after a notice, although it answered
+/// meanwhile or was ready again.
+#[test]
+fn notice_is_outdated_by_later_answers() {
+    let mut notice = EndNotice::new(0);
+    notice.record_notice(40_000, true, false);
+    assert!(!notice.record_answer(40_900));
+    assert!(notice.is_announced());
+
+    assert!(notice.record_answer(41_000));
+    assert!(!notice.is_announced());
+    notice.record_notice(42_000, true, false);
+    notice.withdraw();
+    assert!(!notice.is_announced());
+}
