Store the cancellation of a job that is not stored

Cause: the front that found no row left nothing that made the late write fail. Change: it writes the row of the cancellation before it answers, and each write of a submission has the condition that there is no such row. A submission that meets it is answered with 410.

--- a/src/coordinator/job_rows.rs
+++ b/src/coordinator/job_rows.rs
@@ -4,9 +4,11 @@
 
 use futures::{StreamExt, stream};
 
+use super::rejection::is_rejection;
 use super::relay::RelayingStore;
 use super::{CANCEL_SUFFIX, JOB_TABLE};
-use crate::store::{Listing, RowKey, RowResult, RowStore};
+use crate::prelude::*;
+use crate::store::{Listing, RowKey, RowResult, RowStore, StoredRow};
 
 /// The number of partitions of the table of jobs. While the store is slow, a partition applies only a few transactions
 /// per second, and each job and each cancellation is one transaction.
@@ -27,6 +29,36 @@
     hash % JOB_PARTITIONS
 }
 
+/// What the store holds of a submission whose conditions failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoredSubmission<'a> {
+    /// The job is stored.
+    Job(&'a StoredRow),
+    /// The job was cancelled before it was stored.
+    Cancelled,
+    /// The job was rejected, with the row at this version.
+    Rejected {
+        /// The version of the row.
+        version: u64,
+    },
+    /// There is no row of the job.
+    Nothing,
+}
+
+impl<'a> StoredSubmission<'a> {
+    /// Finds the rows of a job among the current rows of a failed condition.
+    pub fn of(job: &JobId, current: &'a [StoredRow]) -> Self {
+        let row = |key: RowKey| current.iter().find(|row| row.key == key);
+        let stored = row(job_key(job.as_str()));
+        match stored {
+            Some(row) if !is_rejection(&row.content) => Self::Job(row),
+            _ if row(cancel_key(job.as_str())).is_some() => Self::Cancelled,
+            Some(row) => Self::Rejected { version: row.version },
+            None => Self::Nothing,
+        }
+    }
+}
+
 /// The number of partitions that are read at the same time. On a slow link the lists of all of them would begin too late.
 const CONCURRENT_LISTS: usize = 4;
 
--- a/src/coordinator/leader_state.rs
+++ b/src/coordinator/leader_state.rs
@@ -9,6 +9,7 @@
 
 use super::CANCEL_SUFFIX;
 use super::actor::Coordinator;
+use super::early_cancellation;
 use super::message::{AcceptorMessage, JobUpdate, LeaderMessage, PeerMessage};
 use super::rejection::{is_rejection, remove_later};
 use super::store_watch::watch_jobs;
@@ -241,6 +242,9 @@
         for (key, version) in takeover.rejections {
             tokio::spawn(remove_later(self.store().clone(), key, version));
         }
+        for (job, version) in takeover.early_cancellations {
+            tokio::spawn(early_cancellation::remove_later(self.store().clone(), job, version));
+        }
         let watch =
             watch_jobs(self.store().clone(), epoch, takeover.jobs_version, self.events.clone());
         let leader_state = LeaderState {
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 mod actor;
 mod directives_lag;
 mod dump;
+mod early_cancellation;
 mod event;
 mod job_rows;
 mod leader_state;
--- a/src/coordinator/rejection.rs
+++ b/src/coordinator/rejection.rs
@@ -6,13 +6,13 @@
 
 use std::time::Duration;
 
-use super::job_rows::job_key;
+use super::job_rows::{StoredSubmission, job_key};
 use super::relay::RelayingStore;
 use super::service::{Service, Submission, compare_with_stored};
 use super::transaction_retry::TransactionOutcome;
 use crate::admission::{Admission, LoadSummary};
 use crate::prelude::*;
-use crate::store::{RowKey, RowStore, StoredRow, Transaction};
+use crate::store::{RowKey, RowStore, Transaction};
 use crate::workflow::JobRecord;
 
 /// The time for which the row of a rejection is kept. The store applies a write seconds late at most.
@@ -23,11 +23,6 @@
     content.is_empty()
 }
 
-/// Returns the version of the row of a rejection among the rows of a failed condition.
-pub fn rejection_version(current: &[StoredRow]) -> Option<u64> {
-    current.first().filter(|row| is_rejection(&row.content)).map(|row| row.version)
-}
-
 /// Removes the row of a rejection after [`RETENTION`], unless a submission has replaced it.
 pub async fn remove_later<S>(store: RelayingStore<S>, key: RowKey, version: u64)
 where
@@ -106,12 +101,13 @@
                 tokio::spawn(remove_later(self.store.clone(), job_key(job.as_str()), version));
                 rejection
             }
-            TransactionOutcome::Conflict(current) if rejection_version(&current).is_none() => {
-                compare_with_stored(&current, record)
-            }
+            TransactionOutcome::Conflict(current) => match StoredSubmission::of(job, &current) {
+                // Another request for the job is in progress at the same time.
+                StoredSubmission::Rejected { .. } => Submission::Unknown,
+                _ => compare_with_stored(job, &current, record).0,
+            },
             TransactionOutcome::NotApplied(_) => Submission::NotAccepted,
-            // Another request for the job is in progress at the same time.
-            TransactionOutcome::Conflict(_) | TransactionOutcome::Unknown(_) => Submission::Unknown,
+            TransactionOutcome::Unknown(_) => Submission::Unknown,
         }
     }
 }
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -5,10 +5,11 @@
 
 use tokio::sync::Semaphore;
 
+use super::early_cancellation::cancel_transaction;
 use super::event::{Event, EventSender};
-use super::job_rows::{cancel_key, job_key};
+use super::job_rows::{StoredSubmission, cancel_key, job_key};
 use super::pause::PauseDetector;
-use super::rejection::{is_rejection, rejection_version};
+use super::rejection::is_rejection;
 use super::relay::RelayingStore;
 use super::transaction_retry::{TransactionOutcome, transact_with_retries};
 use super::view::JobView;
@@ -41,6 +42,8 @@
         /// The reason, for the client.
         reason: String,
     },
+    /// The job was cancelled before it was stored, so it never runs.
+    Cancelled,
     /// The job is not stored, and this request cannot store it later.
     NotAccepted,
     /// The job may be stored already, or may still be.
@@ -196,7 +199,8 @@
                 (Submission::Accepted, String::new())
             }
             TransactionOutcome::Conflict(current) => {
-                (compare_with_stored(&current, record), "the job is stored already".to_owned())
+                let (outcome, reason) = compare_with_stored(job, &current, record);
+                (outcome, reason.to_owned())
             }
             TransactionOutcome::NotApplied(error @ RowError::Refused { .. }) => {
                 too_large(error.to_string())
@@ -206,8 +210,8 @@
         }
     }
 
-    /// Writes the row of a job, unless it is stored. The row of an earlier rejection is replaced. Returns the last
-    /// transaction that was tried.
+    /// Writes the row of a job, unless it is stored or was cancelled. The row of an earlier rejection is replaced. Returns the
+    /// last transaction that was tried.
     pub(super) async fn write_job_row(
         &self,
         job: &JobId,
@@ -216,13 +220,13 @@
     ) -> (Transaction, TransactionOutcome) {
         let key = job_key(job.as_str());
         let mut transaction = Transaction {
-            conditions: vec![(key.clone(), 0)],
+            conditions: vec![(key.clone(), 0), (cancel_key(job.as_str()), 0)],
             puts: vec![(key, content)],
             removals: Vec::new(),
         };
         let mut result = transact_with_retries(|| self.store.transact(&transaction), limit).await;
         if let TransactionOutcome::Conflict(current) = &result
-            && let Some(version) = rejection_version(current)
+            && let StoredSubmission::Rejected { version } = StoredSubmission::of(job, current)
         {
             transaction.conditions[0].1 = version;
             result = transact_with_retries(|| self.store.transact(&transaction), limit).await;
@@ -317,15 +321,10 @@
             Ok(Some(JobProgress::Finished(_))) => {
                 return (Cancellation::NoSuchJob, "the job is finished".to_owned());
             }
-            Ok(None) => return (Cancellation::NoSuchJob, String::new()),
+            Ok(None) => return self.cancel_early(job, limit).await,
             Err(error) => return (Cancellation::NotAccepted, error.to_string()),
         }
-        let key = cancel_key(job.as_str());
-        let transaction = Transaction {
-            conditions: vec![(key.clone(), 0)],
-            puts: vec![(key, vec![1])],
-            removals: Vec::new(),
-        };
+        let transaction = cancel_transaction(job);
         match transact_with_retries(|| self.store.transact(&transaction), limit).await {
             TransactionOutcome::Applied(version) => {
                 self.report_durable_rows(&transaction, version);
@@ -340,7 +339,7 @@
     }
 
     /// Sends the rows that became durable to the actor, which passes them to the leader.
-    fn report_durable_rows(&self, transaction: &Transaction, version: u64) {
+    pub(super) fn report_durable_rows(&self, transaction: &Transaction, version: u64) {
         for (key, content) in &transaction.puts {
             let content = Some(content.clone());
             let change = RowChange { key: key.clone(), content, version };
@@ -358,20 +357,29 @@
     }
 }
 
-/// Compares the stored job with one that was submitted under the same identifier, regardless of their times of
-/// acceptance.
+/// Compares what is stored with a job that was submitted under the same identifier, regardless of their times of
+/// acceptance. Returns the outcome of the submission and its reason.
 pub(super) fn compare_with_stored(
+    job: &JobId,
     current: &[crate::store::StoredRow],
     record: &JobRecord,
-) -> Submission {
-    let stored = current.first().map(|row| workflow::decode::<JobRecord>(&row.content));
-    match stored {
-        Some(Ok(stored)) if stored.spec == record.spec && stored.queue == record.queue => {
-            Submission::Accepted
+) -> (Submission, &'static str) {
+    let row = match StoredSubmission::of(job, current) {
+        StoredSubmission::Job(row) => row,
+        StoredSubmission::Cancelled => {
+            return (Submission::Cancelled, "the job was cancelled before it was stored");
         }
-        Some(_) => Submission::DifferentJob,
-        None => Submission::Unknown,
-    }
+        StoredSubmission::Rejected { .. } => {
+            return (Submission::NotAccepted, "the job was rejected at the same time");
+        }
+        StoredSubmission::Nothing => {
+            return (Submission::Unknown, "the rows of the job have changed meanwhile");
+        }
+    };
+    let is_same = workflow::decode::<JobRecord>(&row.content)
+        .is_ok_and(|stored| stored.spec == record.spec && stored.queue == record.queue);
+    let outcome = if is_same { Submission::Accepted } else { Submission::DifferentJob };
+    (outcome, "the job is stored already")
 }
 
 fn too_large(reason: String) -> (Submission, String) {
@@ -383,6 +391,7 @@
         Submission::Accepted => "accepted",
         Submission::TooLarge { .. } => "too_large",
         Submission::DifferentJob => "different_job",
+        Submission::Cancelled => "cancelled",
         Submission::NotAccepted => "not_accepted",
         Submission::Unknown => "unknown",
         Submission::Rejected { .. } => "rejected",
--- a/src/coordinator/takeover.rs
+++ b/src/coordinator/takeover.rs
@@ -82,6 +82,8 @@
     pub jobs: Vec<StoredJob>,
     /// The rows of rejected submissions, with their versions.
     pub rejections: Vec<(RowKey, u64)>,
+    /// The cancellations of jobs that are not stored, with the versions of their rows.
+    pub early_cancellations: Vec<(JobId, u64)>,
     /// The version of the table of jobs from which on changes have to be watched.
     pub jobs_version: u64,
 }
@@ -173,7 +175,7 @@
     let progress = store.direct().list(PROGRESS_TABLE, 0).await?;
     let listing = std::mem::take(listing).into_listing();
     let mut jobs: BTreeMap<String, StoredJob> = BTreeMap::new();
-    let mut rejections = Vec::new();
+    let (mut rejections, mut early_cancellations) = (Vec::new(), Vec::new());
     for row in &listing.rows {
         if row.key.key.ends_with(CANCEL_SUFFIX) {
             continue;
@@ -204,9 +206,12 @@
         }
     }
     for row in &listing.rows {
-        let job = row.key.key.strip_suffix(CANCEL_SUFFIX).and_then(|id| jobs.get_mut(id));
-        if let Some(job) = job {
-            job.is_cancelled = true;
+        let Some(id) = row.key.key.strip_suffix(CANCEL_SUFFIX) else {
+            continue;
+        };
+        match jobs.get_mut(id) {
+            Some(job) => job.is_cancelled = true,
+            None => early_cancellations.push((JobId::from(id), row.version)),
         }
     }
     let mut parts: BTreeMap<(&str, u32), StoredParts> = BTreeMap::new();
@@ -240,5 +245,7 @@
     }
     let mut jobs: Vec<StoredJob> = jobs.into_values().collect();
     jobs.sort_by_key(|job| job.record.accepted_ms);
-    Ok(Takeover { claim: claim.clone(), jobs, rejections, jobs_version: listing.version })
+    let claim = claim.clone();
+    let jobs_version = listing.version;
+    Ok(Takeover { claim, jobs, rejections, early_cancellations, jobs_version })
 }
--- a/src/coordinator/tests/mod.rs
+++ b/src/coordinator/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of coordinators with connections on loopback, a store in memory and an in-process worker that carries out all
 //! orders.
 
+mod cancellations;
 mod damaged_rows;
 mod directives_lag;
 mod host_connections;
@@ -260,6 +261,15 @@
     members.iter().map(|member| member.handle.inner_address).collect()
 }
 
+/// Begins a submission whose write the store applies after 0.6 s.
+async fn slow_submission(member: &Member, job: &JobId) -> tokio::task::JoinHandle<Submission> {
+    member.store.set_fault(StoreFault::Slow(Duration::from_millis(600)));
+    let (service, job) = (member.service().clone(), job.clone());
+    let submission = tokio::spawn(async move { service.submit(&job, &record(), 3_000).await });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    submission
+}
+
 async fn wait_until_finished(member: &Member, job: &JobId) -> JobResult {
     let until = Instant::now() + WAIT_LIMIT;
     loop {
