Replace only rejections that are older than the submission

Cause: a rejection (429) says that the job never runs. A front that still repeated the write of an earlier request for the job took the new row of the rejection for one that it may replace, and stored the job. Change: a submission replaces the row of a rejection only if it is not newer than the newest version of the store that the front knew when the submission arrived. Evidence: submission_in_progress_does_not_replace_a_newer_rejection fails without the condition (Accepted) and passes with it.

--- a/src/coordinator/rejection.rs
+++ b/src/coordinator/rejection.rs
@@ -2,7 +2,8 @@
 //!
 //! A rejection says that the job never runs. An earlier request with the same identifier may have had no answer, and the
 //! store may still apply its write, so a rejection first writes an empty row under the key of the job: the late write
-//! then fails its condition. A new submission replaces the empty row.
+//! then fails its condition. A submission that arrives later replaces the empty row. One that was in progress already does
+//! not: it may be a repetition of the rejected one, at another coordinator.
 
 use std::time::Duration;
 
@@ -95,7 +96,7 @@
         rejection: Submission,
         limit: Duration,
     ) -> Submission {
-        let (_, result) = self.write_job_row(job, Vec::new(), limit).await;
+        let (_, result) = self.write_job_row(job, Vec::new(), u64::MAX, limit).await;
         match result {
             TransactionOutcome::Applied(version) => {
                 tokio::spawn(remove_later(self.store.clone(), job_key(job.as_str()), version));
--- a/src/coordinator/relay.rs
+++ b/src/coordinator/relay.rs
@@ -41,6 +41,8 @@
     next_call: AtomicU64,
     /// The time of the last call that the store answered, by the steady clock; 0 before the first.
     answered_ms: AtomicU64,
+    /// The newest version of the store in an answer.
+    newest_version: AtomicU64,
     /// The number of calls without an answer since the last answered call.
     failures: AtomicU32,
     pending: Mutex<PendingCalls>,
@@ -79,7 +81,10 @@
     /// [`RowError`]; after [`RowError::Unknown`] the same transaction may be repeated.
     pub async fn transact(&self, transaction: &Transaction) -> RowResult<u64> {
         match self.call(StoreRequest::Transact(transaction.clone())).await? {
-            StoreAnswer::Version(version) => Ok(version),
+            StoreAnswer::Version(version) => {
+                self.record_version(version);
+                Ok(version)
+            }
             StoreAnswer::Row(_) => Err(unexpected_answer()),
         }
     }
@@ -182,6 +187,16 @@
         }
     }
 
+    /// Records a version of the store from an answer.
+    pub fn record_version(&self, version: u64) {
+        self.shared.newest_version.fetch_max(version, Ordering::Relaxed);
+    }
+
+    /// Returns the newest version of the store that this coordinator knows. What is newer was written after the last answer.
+    pub fn newest_version(&self) -> u64 {
+        self.shared.newest_version.load(Ordering::Relaxed)
+    }
+
     /// Returns the time of the last call that the store answered, in milliseconds of the steady clock, if there is one.
     pub fn answered_ms(&self) -> Option<u64> {
         Some(self.shared.answered_ms.load(Ordering::Relaxed)).filter(|at_ms| *at_ms > 0)
--- a/src/coordinator/service.rs
+++ b/src/coordinator/service.rs
@@ -192,7 +192,8 @@
                 "the job takes {bytes} bytes in the store, which allows {limit}"
             ));
         }
-        let (transaction, result) = self.write_job_row(job, content, limit).await;
+        let known_version = self.store.newest_version();
+        let (transaction, result) = self.write_job_row(job, content, known_version, limit).await;
         match result {
             TransactionOutcome::Applied(version) => {
                 self.report_durable_rows(&transaction, version);
@@ -210,12 +211,14 @@
         }
     }
 
-    /// Writes the row of a job, unless it is stored or was cancelled. The row of an earlier rejection is replaced. Returns the
-    /// last transaction that was tried.
+    /// Writes the row of a job, unless it is stored or was cancelled. The row of a rejection is replaced if it is not newer
+    /// than `replaceable_version`: a newer one may have answered a repetition of the same submission. Returns the last
+    /// transaction that was tried.
     pub(super) async fn write_job_row(
         &self,
         job: &JobId,
         content: Vec<u8>,
+        replaceable_version: u64,
         limit: Duration,
     ) -> (Transaction, TransactionOutcome) {
         let key = job_key(job.as_str());
@@ -227,6 +230,7 @@
         let mut result = transact_with_retries(|| self.store.transact(&transaction), limit).await;
         if let TransactionOutcome::Conflict(current) = &result
             && let StoredSubmission::Rejected { version } = StoredSubmission::of(job, current)
+            && version <= replaceable_version
         {
             transaction.conditions[0].1 = version;
             result = transact_with_retries(|| self.store.transact(&transaction), limit).await;
--- a/src/coordinator/store_watch.rs
+++ b/src/coordinator/store_watch.rs
@@ -115,11 +115,15 @@
 {
     let call = store.direct().watch(table, after, wait);
     let answer = tokio::time::timeout(wait + WATCH_SLACK, call).await;
-    answer.unwrap_or_else(|_| {
+    let answer = answer.unwrap_or_else(|_| {
         Err(RowError::Unavailable {
             reason: format!("no answer in time to a watch of table {table:?}"),
         })
-    })
+    });
+    if let Ok(changes) = &answer {
+        store.record_version(changes.version);
+    }
+    answer
 }
 
 async fn send_directives(events: &EventSender, directives: &Directives) -> Result<(), ()> {
--- a/src/coordinator/tests/rejection.rs
+++ b/src/coordinator/tests/rejection.rs
@@ -121,3 +121,22 @@
 
     assert_eq!(outcome, Submission::Accepted);
 }
+
+/// Guards against a job that runs although its client was told that it never does: another coordinator still repeats the
+/// write of an earlier request, and takes the row of the rejection for one that it may replace.
+#[tokio::test]
+async fn submission_in_progress_does_not_replace_a_newer_rejection() {
+    let store = MemoryRowStore::default();
+    publish_rules(&store, &rules_with_queue()).await;
+    let members = members(2, &store);
+    wait_until_ready(&members).await;
+    let job = JobId::from("job");
+    let earlier = slow_submission(&members[0], &job).await;
+
+    set_load(&members[1], overload());
+    let rejected = members[1].service().submit(&job, &record(), 3_000).await;
+
+    assert!(matches!(rejected, Submission::Rejected { .. }), "{rejected:?}");
+    assert_eq!(earlier.await.expect("no panic"), Submission::NotAccepted);
+    assert_eq!(row_of(&store, &job).await, Some(Vec::new()));
+}
