--- a/src/coordinator/store_watch.rs
+++ b/src/coordinator/store_watch.rs
@@ -186,11 +186,8 @@
 
 /// Watches the table of the leadership and of coordinators' addresses, and sends each change to the actor until the
 /// process ends.
-pub async fn watch_leadership<S>(
-    store: RelayingStore<S>,
-    clock: BoottimeClock,
-    events: EventSender,
-) where
+pub async fn watch_leadership<S>(store: RelayingStore<S>, clock: BoottimeClock, events: EventSender)
+where
     S: RowStore,
 {
     let key = RowKey::new(LEAD_TABLE, LEADER_KEY);
--- a/src/coordinator/tests/suspended_worker.rs
+++ b/src/coordinator/tests/suspended_worker.rs
@@ -26,9 +26,8 @@
 
     fn is_suspended(&self, now_ms: u64) -> bool {
         let mut suspensions = self.suspensions.iter();
-        suspensions.any(|(begin_ms, duration_ms)| {
-            (*begin_ms..begin_ms + duration_ms).contains(&now_ms)
-        })
+        suspensions
+            .any(|(begin_ms, duration_ms)| (*begin_ms..begin_ms + duration_ms).contains(&now_ms))
     }
 }
 
@@ -79,7 +78,7 @@
 /// that the lease has expired.
 #[tokio::test]
 async fn tasks_of_a_silent_worker_are_started_again_once_its_host_proves_that_its_lease_has_expired()
-{
+ {
     let store = MemoryRowStore::default();
     publish_rules(&store, &rules(1)).await;
     let members = members(1, &store);
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -302,7 +302,9 @@
         }
         self.has_listed = true;
         if self.end_notice.record_answer(now_ms) {
-            log::info!("worker answers after the notice of its end; refused connections do not prove its end");
+            log::info!(
+                "worker answers after the notice of its end; refused connections do not prove its end"
+            );
         }
         self.lease.record_worker_clock(answer.clock_ms, now_ms);
         self.record_answer(answer.clock_ms);
