Send each acknowledgement only until the worker has received it

Change: an acknowledgement is sent until an answer of the incarnation shows that it has arrived, and not again. Evidence: ends_are_not_acknowledged_to_an_incarnation_that_has_not_had_them fails without the change (four starts, not two).

--- a/src/coordinator/tests/restarted_worker.rs
+++ b/src/coordinator/tests/restarted_worker.rs
@@ -151,3 +151,23 @@
     assert_eq!(wait_until_finished(&members[0], &job).await, JobResult::Done);
     assert_eq!(worker.with(|state| state.starts.len()), 2);
 }
+
+/// Guards against tasks that run again after they are done: their worker has restarted, and the host acknowledges ends of the
+/// earlier incarnation to it, by numbers that its own ends have not reached yet (review case 13).
+#[tokio::test]
+async fn ends_are_not_acknowledged_to_an_incarnation_that_has_not_had_them() {
+    let (members, worker, host) = start_with_worker(100).await;
+    worker.with(|state| state.keeps_acknowledgements = true);
+    wait_until_done(&members[0], "first").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    worker.with(|state| {
+        state.restart();
+        state.starts.clear();
+    });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(host.heartbeat(heartbeat(&worker, 1)).await);
+    wait_until_done(&members[0], "second").await;
+
+    assert_eq!(worker.with(|state| state.starts.len()), 2);
+}
--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -62,6 +62,9 @@
     /// The next request of the worker waits for the leader's answer to the last list.
     awaits_renewed: bool,
     acknowledged: u64,
+    /// The highest acknowledgement that the current incarnation has received. It is not sent again: an incarnation that has
+    /// restarted would take it for its own ends.
+    delivered_acknowledgement: u64,
     last_ended: u64,
     starts: BTreeMap<AttemptKey, JoinHandle<()>>,
     stops: BTreeMap<AttemptKey, JoinHandle<()>>,
@@ -119,6 +122,7 @@
             renew_after_ms: 0,
             awaits_renewed: false,
             acknowledged: 0,
+            delivered_acknowledgement: 0,
             last_ended: 0,
             starts: BTreeMap::new(),
             stops: BTreeMap::new(),
--- a/src/host/actor/incarnation.rs
+++ b/src/host/actor/incarnation.rs
@@ -73,6 +73,7 @@
         self.abort_orders();
         self.pending_renewal = None;
         (self.acknowledged, self.last_ended, self.refused_connections) = (0, 0, 0);
+        self.delivered_acknowledgement = 0;
         (self.has_listed, self.is_terminating) = (false, false);
         self.end_notice = EndNotice::new(self.clock.now_ms());
         (self.superseded_by_born_ms, self.unconfirmed) = (None, None);
--- a/src/host/actor/renewal.rs
+++ b/src/host/actor/renewal.rs
@@ -30,6 +30,7 @@
 pub(super) struct PendingRenewal {
     number: u64,
     epoch: Epoch,
+    acknowledged: u64,
     /// The attempts whose start was in progress at some time since the renewal began.
     pub(super) starting: BTreeSet<AttemptKey>,
     /// The attempts whose stop was confirmed before the renewal began.
@@ -68,7 +69,9 @@
             Some(unconfirmed) => (unconfirmed.target.clone(), None, 0),
             None => {
                 let deadline_ms = self.lease.deadline_ms(now_ms);
-                (heartbeat.target.clone(), deadline_ms, self.acknowledged)
+                let is_new = self.acknowledged > self.delivered_acknowledgement;
+                let acknowledged = if is_new { self.acknowledged } else { 0 };
+                (heartbeat.target.clone(), deadline_ms, acknowledged)
             }
         };
         let epoch = self.highest_epoch;
@@ -77,6 +80,7 @@
         self.pending_renewal = Some(PendingRenewal {
             number: self.last_renewal_number,
             epoch,
+            acknowledged,
             starting: self.starts.keys().chain(&self.unresolved).cloned().collect(),
             stopped: self.stopped.clone(),
         });
@@ -156,6 +160,7 @@
             return;
         }
         self.has_listed = true;
+        self.delivered_acknowledgement = self.delivered_acknowledgement.max(pending.acknowledged);
         if self.end_notice.record_answer(now_ms) {
             log::info!(
                 "worker answers after the notice of its end; refused connections do not prove its end"
