Count permits of agents on a clock that continues during a suspension

Cause: agents count leases of leaders and start permits on CLOCK_MONOTONIC, which stands still while the machine is suspended, and others await their end on clocks of their own. A suspended agent could use a permit that had run out. Change: MonotonicClock reads CLOCK_BOOTTIME, also in the bounds of connections. Hosts keep a clock for the time that a machine was awake. Evidence: none from a run; tests cannot suspend the machine.

--- a/src/host/actor.rs
+++ b/src/host/actor.rs
@@ -22,7 +22,7 @@
 use crate::coordinator::message::{DialerMessage, HostMessage, LeaderMessage};
 use crate::planner::{StartOrder, StartRefusal, WorkerEvent, WorkerOrder};
 use crate::prelude::*;
-use crate::process::{BoottimeClock, InboxActor, Metrics, MonotonicClock};
+use crate::process::{AwakeClock, BoottimeClock, InboxActor, Metrics};
 use crate::wire::LinkSender;
 use crate::workflow::{TaskId, WorkerIncarnation};
 
@@ -44,7 +44,7 @@
     addresses: LeaderAddresses,
     clock: BoottimeClock,
     /// A clock that stands still while the machine is suspended, like the worker's.
-    steady_clock: MonotonicClock,
+    awake_clock: AwakeClock,
     metrics: Metrics,
     events: EventSender,
     /// The last heartbeat of the worker's current incarnation, if there is one.
@@ -107,7 +107,7 @@
             port,
             addresses,
             clock,
-            steady_clock: MonotonicClock::start(),
+            awake_clock: AwakeClock::start(),
             metrics,
             events,
             last_heartbeat: None,
--- a/src/host/actor/lapse.rs
+++ b/src/host/actor/lapse.rs
@@ -16,9 +16,9 @@
     /// Detects suspensions. The relation between the clocks does not hold across one: a deadline that follows from it
     /// would be too late by the suspended time.
     pub(super) fn observe_clocks(&mut self) {
-        let (now_ms, steady_ms) = (self.clock.now_ms(), self.steady_clock.now_ms());
-        self.expiry.advance(steady_ms);
-        if let Some(paused_ms) = self.suspension.observe(now_ms, steady_ms) {
+        let (now_ms, awake_ms) = (self.clock.now_ms(), self.awake_clock.now_ms());
+        self.expiry.advance(awake_ms);
+        if let Some(paused_ms) = self.suspension.observe(now_ms, awake_ms) {
             log::warn!(paused_ms; "machine was suspended or process was paused; the worker is asked for its clock");
             self.metrics.count("host", "paused");
             self.lease.record_suspension();
--- a/src/host/expiry.rs
+++ b/src/host/expiry.rs
@@ -30,10 +30,10 @@
 }
 
 impl LeaseExpiry {
-    /// Counts the time since the last call; `steady_ms` is a time on a clock that stands still during a suspension.
-    pub fn advance(&mut self, steady_ms: u64) {
-        let last_ms = self.advanced_ms.replace(steady_ms).unwrap_or(steady_ms);
-        self.awake_ms += steady_ms.saturating_sub(last_ms).min(MAX_STEP_MS);
+    /// Counts the time since the last call; `clock_ms` is a time on a clock that stands still during a suspension.
+    pub fn advance(&mut self, clock_ms: u64) {
+        let last_ms = self.advanced_ms.replace(clock_ms).unwrap_or(clock_ms);
+        self.awake_ms += clock_ms.saturating_sub(last_ms).min(MAX_STEP_MS);
     }
 
     /// Records an answer of the worker that names the time on its clock. Before the first one, calls of an earlier process
--- a/src/host/suspension.rs
+++ b/src/host/suspension.rs
@@ -15,11 +15,11 @@
 
 impl SuspensionDetector {
     /// Records an event. Returns the time, in milliseconds, for which the machine or the process stood still since the
-    /// last one. `boottime_ms` counts suspensions, `steady_ms` does not.
-    pub fn observe(&mut self, boottime_ms: u64, steady_ms: u64) -> Option<u64> {
-        let (last_boottime_ms, last_steady_ms) = self.last_ms.replace((boottime_ms, steady_ms))?;
+    /// last one. `boottime_ms` counts suspensions, `awake_ms` does not.
+    pub fn observe(&mut self, boottime_ms: u64, awake_ms: u64) -> Option<u64> {
+        let (last_boottime_ms, last_awake_ms) = self.last_ms.replace((boottime_ms, awake_ms))?;
         let gap_ms = boottime_ms.saturating_sub(last_boottime_ms);
-        let suspended_ms = gap_ms.saturating_sub(steady_ms.saturating_sub(last_steady_ms));
+        let suspended_ms = gap_ms.saturating_sub(awake_ms.saturating_sub(last_awake_ms));
         if suspended_ms >= MIN_SUSPENSION_MS {
             return Some(suspended_ms);
         }
--- a/src/process/clock.rs
+++ b/src/process/clock.rs
@@ -4,21 +4,41 @@
 
 use rand::RngExt;
 
+use super::BoottimeClock;
 use crate::id::Incarnation;
 
-/// Clock that counts milliseconds since its start. Its times are never compared between processes.
+/// Clock that counts milliseconds since its start, also while the machine is suspended: leases and permits that are counted
+/// on it expire meanwhile. Its times are never compared between processes.
 #[derive(Clone, Copy, Debug)]
 pub struct MonotonicClock {
-    start: Instant,
+    start_ms: u64,
 }
 
 impl MonotonicClock {
     /// Starts a clock at zero.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start_ms: BoottimeClock.now_ms() }
     }
 
     /// Returns the milliseconds since the start.
+    pub fn now_ms(&self) -> u64 {
+        BoottimeClock.now_ms().saturating_sub(self.start_ms)
+    }
+}
+
+/// Clock that counts the milliseconds since its start for which the machine was awake.
+#[derive(Clone, Copy, Debug)]
+pub struct AwakeClock {
+    start: Instant,
+}
+
+impl AwakeClock {
+    /// Starts a clock at zero.
+    pub fn start() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// Returns the milliseconds since the start, without those of suspensions.
     pub fn now_ms(&self) -> u64 {
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -11,7 +11,7 @@
 mod tests;
 
 pub use boottime_clock::BoottimeClock;
-pub use clock::{MonotonicClock, new_incarnation};
+pub use clock::{AwakeClock, MonotonicClock, new_incarnation};
 pub use inbox::{InboxActor, InboxSender, Queued, inbox, run_with_inbox, send_at_intervals};
 pub use log_output::{LineBudget, LogOutput, dropped_log_lines};
 pub use observe::{Metrics, Readiness, observe_routes};
