Wait for the leader's answer only between distant lists

Cause: since each request to a worker waits up to 60 ms for the leader's answer to the last list. Lists come each 0.3 s while an attempt is young, and an end in the meantime is noticed later. Change: only lists 1 s apart wait; close ones carry the renewal of the list 0.3 s before.

--- a/src/host/actor/renewal.rs
+++ b/src/host/actor/renewal.rs
@@ -23,8 +23,10 @@
 const FREQUENT_REFUSED_RETRIES: u32 = 5;
 /// The maximum length of all checkpoints in a list to the leader, in bytes; half of a frame.
 const MAX_LISTED_CHECKPOINT_BYTES: usize = MAX_FRAME_BYTES / 2;
-/// The longest time for which the next request waits for the leader's answer to a list, which lets it extend the lease.
+/// The longest time for which the next request waits for the leader's answer to a list, which lets it extend the lease. Lists
+/// that follow each other closely do not wait: an end in the meantime would be noticed later.
 const RENEWED_WAIT_MS: u64 = 60;
+
 /// A renewal whose call of the worker has not ended.
 #[derive(Debug)]
 pub(super) struct PendingRenewal {
@@ -172,7 +174,6 @@
         let last_ended = answer.ended.last().map_or(0, |end| end.number);
         let has_unacknowledged = last_ended > self.acknowledged;
         let is_first = self.lease.renewed_ms().is_none();
-        self.awaits_renewed = is_first || !has_unacknowledged;
         self.last_ended = self.last_ended.max(last_ended);
         let has_leader = self.leader.as_ref().is_some_and(|leader| leader.epoch == pending.epoch);
         if has_leader {
@@ -194,10 +195,12 @@
             }
             self.send_to_leader(HostMessage::Runs { asked_ms: now_ms, report });
         }
+        self.awaits_renewed = is_first;
         if has_unacknowledged || is_first {
             self.renew_after_ms = now_ms + UNACKNOWLEDGED_PAUSE_MS;
             self.renew_later(UNACKNOWLEDGED_PAUSE_MS);
-        } else if has_leader {
+        } else if has_leader && !self.listing.has_young(now_ms) {
+            self.awaits_renewed = true;
             self.renew_after_ms = now_ms + RENEWED_WAIT_MS;
             self.renew_later(RENEWED_WAIT_MS);
         } else {
--- a/src/host/listing.rs
+++ b/src/host/listing.rs
@@ -43,10 +43,15 @@
     /// Returns the time that the worker may wait for the end of an attempt before it lists its attempts, in
     /// milliseconds.
     pub fn wait_ms(&self, now_ms: u64) -> u64 {
-        let is_young = |first_ms: &u64| now_ms < first_ms.saturating_add(YOUNG_MS);
-        match self.first_listed_ms.values().any(is_young) {
+        match self.has_young(now_ms) {
             true => YOUNG_RENEWAL_WAIT_MS,
             false => RENEWAL_WAIT_MS,
         }
     }
+
+    /// Returns whether an attempt is young, so that lists follow each other closely.
+    pub fn has_young(&self, now_ms: u64) -> bool {
+        let is_young = |first_ms: &u64| now_ms < first_ms.saturating_add(YOUNG_MS);
+        self.first_listed_ms.values().any(is_young)
+    }
 }
